--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -51,6 +51,7 @@
             key: None,
             time_left: Duration::from_secs(20),
             work: None,
+            past: Past::default(),
         }),
     ];
     let mut now = Duration::ZERO;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -222,7 +222,8 @@
             self.turns.entry(key.clone()).or_default().push_back(id);
         }
         let dest = t.destination;
-        let message = Message { class, group, dest, key, aim, end, due: aim, ..Message::default() };
+        let past = Message::with_past(&t.past, self.now);
+        let message = Message { class, group, dest, key, aim, end, due: aim, ..past };
         self.tally(group, 0.0, 1.0);
         self.messages.insert(id, message);
         self.touched.insert(dest);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -191,6 +191,24 @@
     pub time_left: Duration,
     /// A guess of the work it makes, if there is one.
     pub work: Option<Duration>,
+    /// What it went through before this courier restarted; nothing for a new one.
+    pub past: Past,
+}
+
+/// What is on record of a message that was taken before the courier restarted.
+#[derive(Clone, Debug, Default)]
+pub struct Past {
+    pub attempts: u32,
+    /// The first attempt that may have run.
+    pub ran: Option<Ran>,
+}
+
+/// An attempt that may have run: where it went, and how long ago.
+#[derive(Clone, Copy, Debug)]
+pub struct Ran {
+    pub endpoint: EndpointId,
+    pub zone: usize,
+    pub ago: Duration,
 }
 
 /// The end of an attempt.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod brain;
 pub mod interface;
+pub mod node;
+pub mod settings;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/node/calls.rs
@@ -0,0 +1,237 @@
+//! Calls to endpoints and probes, and the connections kept for them. One call a connection at a time; what
+//! may have run is told apart from what never did.
+
+use super::courier::News;
+use super::journal::Letter;
+use super::link::{Answer, Link, Lost};
+use crate::interface::{EndpointId, Outcome, Report};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HOST;
+use hyper::{HeaderMap, Request, StatusCode};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::time::{Instant, sleep};
+
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_millis(500);
+
+/// How a call ended.
+#[derive(Debug)]
+pub struct CallEnd {
+    pub outcome: Outcome,
+    /// The message is over, whatever else is tried.
+    pub over: bool,
+    pub report: Option<Report>,
+    pub at: Instant,
+}
+
+/// What an attempt needs to know.
+pub struct Call {
+    pub message: u64,
+    pub attempt: u32,
+    pub endpoint: EndpointId,
+    pub address: SocketAddr,
+    pub letter: Rc<Letter>,
+    pub timeout: Duration,
+}
+
+struct Kept {
+    link: Link,
+    since: Instant,
+}
+
+#[derive(Clone)]
+pub struct Calls {
+    connect: Duration,
+    keep: Duration,
+    sockets: Arc<Semaphore>,
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Kept>>>>,
+}
+
+impl Calls {
+    /// `keep` is how long a connection may stand idle, well below the endpoints' own limit.
+    pub fn new(connect: Duration, keep: Duration, sockets: usize) -> Self {
+        let idle = Rc::new(RefCell::new(HashMap::<SocketAddr, Vec<Kept>>::new()));
+        let swept = Rc::downgrade(&idle);
+        tokio::task::spawn_local(async move {
+            while let Some(idle) = swept.upgrade() {
+                idle.borrow_mut().retain(|_, kept| {
+                    kept.retain(|k| k.since.elapsed() < keep && k.link.sound());
+                    !kept.is_empty()
+                });
+                drop(idle);
+                sleep(SWEEP).await;
+            }
+        });
+        Calls { connect, keep, sockets: Arc::new(Semaphore::new(sockets)), idle }
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub fn close(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some(k) = kept.pop() {
+            // A request on a connection that the peer has closed, or is about to, would end as a reset and
+            // count as one that may have run.
+            if k.since.elapsed() < self.keep && k.link.sound() {
+                return Some(k.link);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, address: SocketAddr, link: Link) {
+        self.idle.borrow_mut().entry(address).or_default().push(Kept { link, since: Instant::now() });
+    }
+
+    /// Room for one more socket; an idle connection elsewhere gives way to it.
+    async fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = self.sockets.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        {
+            let mut idle = self.idle.borrow_mut();
+            let oldest = idle.iter().filter_map(|(a, k)| Some((k.first()?.since, *a))).min();
+            if let Some(kept) = oldest.and_then(|(_, a)| idle.get_mut(&a)) {
+                kept.remove(0);
+            }
+        }
+        tokio::time::timeout(self.connect, self.sockets.clone().acquire_owned()).await.ok()?.ok()
+    }
+
+    async fn link(&self, address: SocketAddr) -> Option<Link> {
+        if let Some(link) = self.take(address) {
+            return Some(link);
+        }
+        let permit = self.permit().await?;
+        Link::open(address, self.connect, Some(permit)).await
+    }
+
+    async fn ask(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+        until: Instant,
+    ) -> Result<Answer, Lost> {
+        // A call whose time is up while it still has no connection was never sent.
+        let link = tokio::time::timeout_at(until, self.link(to)).await.ok().flatten();
+        let mut link = link.ok_or(Lost::Unsent)?;
+        let answer = link.ask(request, until).await?;
+        if answer.reusable {
+            self.keep(to, link);
+        }
+        Ok(answer)
+    }
+
+    /// Makes one attempt and reports its end. The connection is closed before a time-out or a cancel is
+    /// told: else the next call would find this one's slot still taken.
+    pub async fn call(self, call: Call, cancel: oneshot::Receiver<()>, news: Sender<News>) {
+        let Call { message, attempt, endpoint, address, letter, timeout } = call;
+        let until = Instant::now() + timeout;
+        let mut request = Request::post("/inbox")
+            .header(HOST, address.to_string())
+            .header("X-Request-ID", &letter.id)
+            .header("X-Timeout", format!("{}m", timeout.as_millis().max(1)));
+        if let Some(key) = &letter.key {
+            request = request.header("Idempotency-Key", key);
+        }
+        let end = match request.body(Full::new(letter.body.clone())) {
+            Ok(request) => tokio::select! {
+                biased;
+                answer = self.ask(address, request, until) => ended(answer),
+                _ = cancel => CallEnd { outcome: Outcome::Cancelled, over: false, report: None, at: Instant::now() },
+            },
+            Err(_) => CallEnd { outcome: Outcome::Moot, over: false, report: None, at: Instant::now() },
+        };
+        let _ = news.send(News::Called { message, attempt, endpoint, end }).await;
+    }
+
+    /// Sends a check and reports its end.
+    pub async fn probe(
+        self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        timeout: Duration,
+        news: Sender<News>,
+    ) {
+        let sent = Instant::now();
+        let request = Request::get("/-/load").header(HOST, address.to_string()).body(Full::default());
+        let answer = match request {
+            Ok(request) => self.ask(address, request, sent + timeout).await,
+            Err(_) => Err(Lost::Unsent),
+        };
+        let _ = news.send(News::Probed { endpoint, sent, end: ended(answer) }).await;
+    }
+}
+
+/// What PROTOCOL says of an answer. Only what it calls 'never' counts as not run.
+fn ended(answer: Result<Answer, Lost>) -> CallEnd {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(lost) => {
+            let outcome = match lost {
+                Lost::Unsent => Outcome::ConnectFailed,
+                Lost::Broken => Outcome::Reset,
+                Lost::Silent => Outcome::TimedOut,
+            };
+            return CallEnd { outcome, over: false, report: None, at: Instant::now() };
+        }
+    };
+    let head = |name| answer.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
+    let outcome = match answer.status {
+        StatusCode::OK => Outcome::Delivered,
+        StatusCode::TOO_MANY_REQUESTS => {
+            let ms = head("Wait-Ms").and_then(|v| v.parse::<f64>().ok()).filter(|ms| *ms > 0.0 && *ms < 1e9);
+            Outcome::Full { wait: ms.map(|ms| Duration::from_secs_f64(ms / 1000.0)) }
+        }
+        StatusCode::SERVICE_UNAVAILABLE if head("Slots-Taken") == Some("1") => Outcome::Moot,
+        StatusCode::SERVICE_UNAVAILABLE => Outcome::Full { wait: None },
+        StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE => Outcome::Moot,
+        _ => Outcome::Error,
+    };
+    let over = matches!(answer.status, StatusCode::OK | StatusCode::GONE);
+    CallEnd { outcome, over, report: report(&answer.headers), at: answer.at }
+}
+
+/// Reads `X-Server-Load: TEXT x0=0.4, x1=25`.
+fn report(headers: &HeaderMap) -> Option<Report> {
+    let text = headers.get("X-Server-Load")?.to_str().ok()?;
+    let text = text.trim().strip_prefix("TEXT").unwrap_or(text);
+    let field = |name: &str| {
+        let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+        let value = pairs.filter(|(key, _)| key.trim() == name).map(|(_, value)| value.trim()).next()?;
+        value.parse::<f64>().ok().filter(|v| v.is_finite())
+    };
+    Some(Report { left: field("x0")?, limit: field("x1")? })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Option<(f64, f64)> {
+        let mut headers = HeaderMap::new();
+        headers.insert("X-Server-Load", text.parse().expect("a header"));
+        report(&headers).map(|r| (r.left, r.limit))
+    }
+
+    #[test]
+    fn reports_are_read_and_nonsense_is_none() {
+        assert_eq!(read("TEXT x0=0.4, x1=25"), Some((0.4, 25.0)));
+        assert_eq!(read("TEXT  x1=2.5 ,x0=0"), Some((0.0, 2.5)));
+        for bad in ["", "TEXT", "TEXT x0=0.4", "TEXT x0=a, x1=2", "TEXT x0=NaN, x1=2", "x0 x1"] {
+            assert_eq!(read(bad), None, "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/src/node/courier.rs
@@ -0,0 +1,590 @@
+//! The only owner of the decision module. Feeds it what happened, no oftener than once a tick, and carries
+//! out what it asks for; holds bodies, ids and timers. It decides nothing about a message itself.
+
+use super::calls::{Call, CallEnd, Calls};
+use super::config::Config;
+use super::discovery::{Health, List, Watch};
+use super::intake::{Offer, Reply, Standing};
+use super::journal::{Attempt, Journal, Letter, Live, Verdict};
+use super::outcomes::{Notice, Platform};
+use crate::brain::Brain;
+use crate::interface::{self, *};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc::{Receiver, Sender};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
+
+/// After SIGTERM: how long new attempts are begun, and when it ends whatever is still out. SIGKILL comes
+/// no sooner than 3.7 s after it.
+const STOP_SENDING: Duration = Duration::from_millis(2200);
+const STOP_ALL: Duration = Duration::from_millis(3300);
+/// For so long after SIGTERM new connections go on coming.
+const STOP_LISTENING: Duration = Duration::from_millis(700);
+/// Batches of notices on their way at once, and notices in one.
+const POSTS_MOST: usize = 4;
+const BATCH_MOST: usize = 200;
+/// When a disk that failed is tried again.
+const DISK_RETRY: Duration = Duration::from_millis(200);
+
+/// What reaches the courier from its other parts.
+pub enum News {
+    Offered(Offer),
+    Called {
+        message: u64,
+        attempt: u32,
+        endpoint: EndpointId,
+        end: CallEnd,
+    },
+    Probed {
+        endpoint: EndpointId,
+        sent: Instant,
+        end: CallEnd,
+    },
+    Listed(List),
+    /// The platform has acknowledged the notices for these.
+    Told(Vec<u64>),
+    Stop,
+}
+
+struct Endpoint {
+    host: String,
+    address: Option<SocketAddr>,
+    zone: usize,
+}
+
+struct Held {
+    letter: Rc<Letter>,
+    attempts: u32,
+    /// The call that is out: when it left, and how to call it off.
+    out: Option<(Instant, Option<oneshot::Sender<()>>)>,
+}
+
+pub struct Courier {
+    config: Config,
+    brain: Brain,
+    journal: Journal,
+    calls: Calls,
+    platform: Platform,
+    standing: Rc<Standing>,
+    news: Sender<News>,
+    origin: Instant,
+    events: Vec<Event>,
+    offers: BTreeMap<u64, Offer>,
+    endpoints: Vec<Endpoint>,
+    numbers: HashMap<String, EndpointId>,
+    destinations: BTreeSet<u64>,
+    held: BTreeMap<u64, Held>,
+    /// Messages by the id that their clients gave them, until they have ended.
+    ids: HashMap<String, u64>,
+    next: u64,
+    wakes: BinaryHeap<Reverse<(Instant, u64)>>,
+    notices: VecDeque<Notice>,
+    posts: usize,
+    watching: bool,
+    /// Discovery has answered since the start.
+    listed: bool,
+    stopping: Option<Instant>,
+    disk_failed: Option<Instant>,
+}
+
+fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+impl Courier {
+    pub fn new(
+        config: Config,
+        brain: Brain,
+        journal: Journal,
+        last: u64,
+        calls: Calls,
+        standing: Rc<Standing>,
+        news: Sender<News>,
+    ) -> Self {
+        let platform = Platform::new(config.discovery);
+        let mut courier = Courier {
+            config,
+            brain,
+            journal,
+            calls,
+            platform,
+            standing,
+            news,
+            origin: Instant::now(),
+            events: Vec::new(),
+            offers: BTreeMap::new(),
+            endpoints: Vec::new(),
+            numbers: HashMap::new(),
+            destinations: BTreeSet::new(),
+            held: BTreeMap::new(),
+            ids: HashMap::new(),
+            next: last + 1,
+            wakes: BinaryHeap::new(),
+            notices: VecDeque::new(),
+            posts: 0,
+            watching: false,
+            listed: false,
+            stopping: None,
+            disk_failed: None,
+        };
+        let known = courier.config.known.clone().unwrap_or_default();
+        courier.list(List { whole: true, ..known });
+        courier.resume();
+        courier
+    }
+
+    /// Hands back what the journal holds, with what is known of its attempts.
+    fn resume(&mut self) {
+        let live: Vec<(u64, Live)> = self.journal.live().iter().map(|(n, m)| (*n, m.clone())).collect();
+        let now = unix();
+        for (message, m) in live {
+            let letter = m.letter;
+            self.ids.insert(letter.id.clone(), message);
+            let class = self.config.classes.iter().position(|c| *c == letter.class);
+            // A message with its end decided only waits to have it acknowledged: sending it again would
+            // deliver what a client was told to hand in again.
+            let verdict = m.verdict.or(class.is_none().then_some(Verdict::Dead));
+            if let Some(verdict) = verdict {
+                self.notices.push_back(Notice { message, id: letter.id.clone(), verdict });
+                continue;
+            }
+            let ran = m.attempts.iter().find(|a| a.may_have_run).map(|a| Ran {
+                endpoint: self.number(&a.host),
+                zone: self.zone(&a.zone),
+                ago: now.saturating_sub(a.sent),
+            });
+            let attempts = m.attempts.len() as u32;
+            self.destinations.insert(letter.destination);
+            self.events.push(Event::Taken(Taken {
+                message: MessageId(message),
+                class: class.unwrap_or_default(),
+                tenant: 0,
+                destination: DestinationId(letter.destination),
+                key: None,
+                time_left: letter.until.saturating_sub(now),
+                work: None,
+                past: Past { attempts, ran },
+            }));
+            self.held.insert(message, Held { letter, attempts, out: None });
+        }
+    }
+
+    fn zone(&self, name: &str) -> usize {
+        let zones = &self.config.zones;
+        zones.iter().position(|z| z == name).unwrap_or(zones.len())
+    }
+
+    fn number(&mut self, host: &str) -> EndpointId {
+        if let Some(id) = self.numbers.get(host) {
+            return *id;
+        }
+        let id = EndpointId(self.endpoints.len() as u32);
+        self.endpoints.push(Endpoint { host: host.to_owned(), address: None, zone: 0 });
+        self.numbers.insert(host.to_owned(), id);
+        id
+    }
+
+    fn list(&mut self, list: List) {
+        let mut entries = Vec::new();
+        for host in list.hosts {
+            let (endpoint, zone) = (self.number(&host.host), self.zone(&host.site));
+            let kinds = &self.config.kinds;
+            let kind = kinds.iter().position(|k| *k == host.class).unwrap_or(kinds.len());
+            let e = &mut self.endpoints[endpoint.0 as usize];
+            e.zone = zone;
+            e.address = host.dial.parse().ok().or(e.address);
+            // An address that cannot be read leaves nowhere to send to.
+            let standing = match host.health {
+                Health::Ready if e.address.is_some() => interface::Standing::Ready,
+                Health::Gone => interface::Standing::Gone,
+                _ => interface::Standing::Draining,
+            };
+            self.destinations.insert(host.block);
+            let (destination, weight) = (DestinationId(host.block), host.share);
+            entries.push(Entry { endpoint, destination, zone, kind, standing, weight });
+        }
+        self.events.push(Event::Listed { whole: list.whole, entries });
+    }
+
+    /// Runs until the courier has stopped.
+    pub async fn run(mut self, mut inbox: Receiver<News>) {
+        let tick = self.config.settings.tick;
+        let mut last: Option<Instant> = None;
+        self.post();
+        loop {
+            let due = self.wakes.peek().map(|Reverse((at, _))| *at);
+            let due = if self.events.is_empty() { due } else { Some(Instant::now()) };
+            let due = due.map(|at| last.map_or(at, |t| at.max(t + tick)));
+            let retry = self.disk_failed.map(|t| t + DISK_RETRY);
+            let stop = self.stopping.map(|_| Instant::now() + Duration::from_millis(20));
+            let at = [due, retry, stop].into_iter().flatten().min();
+            let nap = async {
+                match at {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                news = inbox.recv() => {
+                    let Some(news) = news else { return };
+                    self.hear(news);
+                    while let Ok(news) = inbox.try_recv() {
+                        self.hear(news);
+                    }
+                    self.settle();
+                    self.post();
+                }
+                () = nap => {
+                    let now = Instant::now();
+                    if retry.is_some_and(|at| at <= now) {
+                        self.settle();
+                    }
+                    if due.is_some_and(|at| at <= now) {
+                        last = Some(now);
+                        self.turn(now);
+                        self.post();
+                    }
+                }
+            }
+            if self.stopped() {
+                return;
+            }
+        }
+    }
+
+    /// Brings the records into the file; after an error nothing more is taken on until it works again.
+    fn settle(&mut self) -> bool {
+        match self.journal.flush() {
+            Ok(()) => {
+                if self.disk_failed.take().is_some() {
+                    eprintln!("journal: works again");
+                }
+            }
+            Err(e) => {
+                if self.disk_failed.replace(Instant::now()).is_none() {
+                    eprintln!("journal: cannot write: {e}");
+                }
+            }
+        }
+        let well = self.disk_failed.is_none();
+        self.standing.ready.set(well && self.stopping.is_none());
+        well
+    }
+
+    fn hear(&mut self, news: News) {
+        match news {
+            News::Offered(offer) => self.offered(offer),
+            News::Called { message, attempt, endpoint, end } => self.called(message, attempt, endpoint, end),
+            News::Probed { endpoint, sent, end } => {
+                let took = end.at.saturating_duration_since(sent);
+                let outcome = aged(end.outcome, end.at);
+                self.events.push(Event::Probed { endpoint, outcome, took, report: end.report });
+            }
+            News::Listed(list) => {
+                self.listed = true;
+                self.list(list);
+            }
+            News::Told(messages) => {
+                self.posts -= 1;
+                for message in messages {
+                    self.end(message);
+                }
+            }
+            News::Stop => {
+                self.standing.stop();
+                self.stopping.get_or_insert(Instant::now());
+            }
+        }
+    }
+
+    /// Nothing more is owed for the message.
+    fn end(&mut self, message: u64) {
+        if let Some(m) = self.journal.live().get(&message) {
+            let id = m.letter.id.clone();
+            self.ids.remove(&id);
+            self.journal.end(message);
+        }
+    }
+
+    fn offered(&mut self, offer: Offer) {
+        let answer = |offer: Offer, reply| {
+            // A client that is gone hears nothing, and nothing was taken.
+            let _ = offer.reply.send(reply);
+        };
+        // Handed in twice under one id: it is taken already.
+        if self.ids.contains_key(&offer.letter.id) {
+            return answer(offer, Reply::Taken);
+        }
+        if self.disk_failed.is_some() {
+            return answer(offer, Reply::Unavailable);
+        }
+        if !self.destinations.contains(&offer.letter.destination) {
+            let reply = if self.listed { Reply::NoDestination } else { Reply::Unavailable };
+            return answer(offer, reply);
+        }
+        let full = self.held.len() + self.offers.len() >= self.config.settings.max_held;
+        if full || !self.journal.fits(&offer.letter) {
+            return answer(offer, Reply::Refused { wait: None });
+        }
+        let message = self.next;
+        self.next += 1;
+        self.ids.insert(offer.letter.id.clone(), message);
+        self.events.push(Event::Taken(Taken {
+            message: MessageId(message),
+            class: offer.class,
+            tenant: 0,
+            destination: DestinationId(offer.letter.destination),
+            key: None,
+            time_left: offer.time_left.saturating_sub(offer.at.elapsed()),
+            work: None,
+            past: Past::default(),
+        }));
+        self.offers.insert(message, offer);
+    }
+
+    fn called(&mut self, message: u64, attempt: u32, endpoint: EndpointId, end: CallEnd) {
+        // What proves that it never ran; all else may have.
+        let never = matches!(end.outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot);
+        if never {
+            self.journal.never_ran(message, attempt);
+        }
+        if end.over {
+            self.end(message);
+        }
+        let Some(m) = self.held.get_mut(&message) else { return };
+        let Some((sent, _)) = m.out.take() else { return };
+        self.events.push(Event::Ended(Ended {
+            message: MessageId(message),
+            endpoint,
+            outcome: aged(end.outcome, end.at),
+            took: end.at.saturating_duration_since(sent),
+            over: end.over,
+            report: end.report,
+        }));
+        // The module drops a message with its last outcome, and so does the courier.
+        if self.journal.live().get(&message).is_none_or(|m| m.verdict.is_some()) {
+            self.held.remove(&message);
+        }
+    }
+
+    /// One batch: what happened goes in, and what the module asks for is carried out.
+    fn turn(&mut self, now: Instant) {
+        while let Some(Reverse((_, token))) = self.wakes.peek().copied().filter(|Reverse((at, _))| *at <= now)
+        {
+            self.wakes.pop();
+            self.events.push(Event::Woken { token });
+        }
+        self.drop_deserted();
+        let events = std::mem::take(&mut self.events);
+        let mut actions = Vec::new();
+        self.brain.handle(now.duration_since(self.origin), &events, &mut actions);
+        let (mut sends, mut refused, mut cancels) = (Vec::new(), HashMap::new(), Vec::new());
+        for action in actions {
+            match action {
+                Action::Send { message, endpoint, timeout } => sends.push((message.0, endpoint, timeout)),
+                Action::Refuse { message, wait } => {
+                    refused.insert(message.0, Verdict::Bounced { wait });
+                }
+                Action::Fail { message } => {
+                    refused.insert(message.0, Verdict::Dead);
+                }
+                Action::Cancel { message, .. } => cancels.push(message.0),
+                Action::Probe { endpoint } => self.probe(endpoint),
+                Action::Close { endpoint } => {
+                    if let Some(address) = self.endpoints[endpoint.0 as usize].address {
+                        self.calls.close(address);
+                    }
+                }
+                Action::Subscribe { active: true } | Action::Fetch => self.watch(),
+                Action::Subscribe { active: false } | Action::Tell { .. } => {}
+                Action::Wake { token, after } => self.wakes.push(Reverse((now + after, token))),
+                Action::Note { text } => eprintln!("note: {text}"),
+            }
+        }
+        self.take_on(&mut refused);
+        for (message, verdict) in refused {
+            self.judge(message, verdict);
+        }
+        self.send(sends, now);
+        for message in cancels {
+            let out = self.held.get_mut(&message).and_then(|m| m.out.as_mut());
+            if let Some(cancel) = out.and_then(|(_, cancel)| cancel.take()) {
+                let _ = cancel.send(());
+            }
+        }
+    }
+
+    /// A client that has given up before it was told counts its message as not taken, and may hand it in
+    /// again elsewhere: it must not be sent from here.
+    fn drop_deserted(&mut self) {
+        let deserted: Vec<u64> =
+            self.offers.iter().filter(|(_, o)| o.reply.is_closed()).map(|(n, _)| *n).collect();
+        for message in deserted {
+            if let Some(offer) = self.offers.remove(&message) {
+                self.ids.remove(&offer.letter.id);
+            }
+            let of = |e: &Event| matches!(e, Event::Taken(t) if t.message.0 == message);
+            self.events.retain(|e| !of(e));
+        }
+    }
+
+    /// Records the new messages that the module keeps, then tells the clients.
+    fn take_on(&mut self, refused: &mut HashMap<u64, Verdict>) {
+        let mut taken = Vec::new();
+        for (message, offer) in std::mem::take(&mut self.offers) {
+            let Offer { letter, reply, .. } = offer;
+            if let Some(verdict) = refused.remove(&message) {
+                self.ids.remove(&letter.id);
+                let told = match verdict {
+                    Verdict::Bounced { wait } => Reply::Refused { wait },
+                    Verdict::Dead => Reply::Failed,
+                };
+                let _ = reply.send(told);
+                continue;
+            }
+            self.journal.accept(message, letter.clone());
+            self.held.insert(message, Held { letter, attempts: 0, out: None });
+            taken.push((message, reply));
+        }
+        if taken.is_empty() {
+            return;
+        }
+        let recorded = self.settle();
+        for (message, reply) in taken {
+            let told = if recorded { Reply::Taken } else { Reply::Unavailable };
+            if reply.send(told).is_err() || !recorded {
+                self.withdraw(message);
+            }
+        }
+    }
+
+    /// Nobody is owed anything for the message.
+    fn withdraw(&mut self, message: u64) {
+        self.end(message);
+        self.held.remove(&message);
+        self.events.push(Event::Withdrawn { message: MessageId(message) });
+    }
+
+    /// The module has ended a message undelivered: on record first, then told.
+    fn judge(&mut self, message: u64, verdict: Verdict) {
+        let Some(m) = self.held.get(&message) else { return };
+        if self.journal.live().get(&message).is_none_or(|m| m.verdict.is_some()) {
+            return;
+        }
+        let id = m.letter.id.clone();
+        if m.out.is_none() {
+            self.held.remove(&message);
+        }
+        self.journal.judge(message, verdict);
+        self.notices.push_back(Notice { message, id, verdict });
+    }
+
+    fn send(&mut self, sends: Vec<(u64, EndpointId, Duration)>, now: Instant) {
+        let late = self.stopping.is_some_and(|t| now >= t + STOP_SENDING);
+        let mut ready = Vec::new();
+        for (message, endpoint, timeout) in sends {
+            let e = &self.endpoints[endpoint.0 as usize];
+            let zone = self.config.zones.get(e.zone).cloned().unwrap_or_default();
+            let attempt = Attempt { host: e.host.clone(), zone, sent: unix(), may_have_run: true };
+            let Some((m, address)) = self.held.get_mut(&message).zip(e.address) else {
+                // Its client left in this very batch: the module hears that nothing was sent.
+                self.events.push(never_sent(message, endpoint));
+                continue;
+            };
+            m.out = Some((now, None));
+            if late {
+                // This process ends before an answer could come: it is left to the next, as never sent.
+                continue;
+            }
+            let number = m.attempts;
+            m.attempts += 1;
+            let letter = m.letter.clone();
+            self.journal.attempt(message, attempt);
+            ready.push(Call { message, attempt: number, endpoint, address, letter, timeout });
+        }
+        // The attempts are on record before their first byte goes out; the verdicts before their notice.
+        if !self.settle() {
+            for call in ready {
+                self.journal.never_ran(call.message, call.attempt);
+                if let Some(m) = self.held.get_mut(&call.message) {
+                    m.out = None;
+                }
+                self.events.push(never_sent(call.message, call.endpoint));
+            }
+            return;
+        }
+        for call in ready {
+            let (cancel, cancelled) = oneshot::channel();
+            if let Some(m) = self.held.get_mut(&call.message) {
+                m.out = Some((now, Some(cancel)));
+            }
+            tokio::task::spawn_local(self.calls.clone().call(call, cancelled, self.news.clone()));
+        }
+    }
+
+    fn probe(&mut self, endpoint: EndpointId) {
+        if let Some(address) = self.endpoints[endpoint.0 as usize].address {
+            let timeout = self.config.settings.connect_timeout * 2;
+            tokio::task::spawn_local(self.calls.clone().probe(endpoint, address, timeout, self.news.clone()));
+        }
+    }
+
+    /// One watch lasts for good and asks again by itself.
+    fn watch(&mut self) {
+        if !std::mem::replace(&mut self.watching, true) {
+            let known = self.config.known.as_ref();
+            let (seq, fresh) = (known.map_or(0, |l| l.seq), known.is_none());
+            let watch = Watch { address: self.config.discovery, seed: self.config.seed, seq, fresh };
+            tokio::task::spawn_local(watch.run(self.news.clone()));
+        }
+    }
+
+    fn post(&mut self) {
+        // A notice must not go out before its verdict is on record.
+        while self.posts < POSTS_MOST && !self.notices.is_empty() && self.disk_failed.is_none() {
+            let batch: Vec<_> = self.notices.drain(..self.notices.len().min(BATCH_MOST)).collect();
+            self.posts += 1;
+            tokio::task::spawn_local(self.platform.clone().post(batch, self.news.clone()));
+        }
+    }
+
+    /// Whether all is done that can be done after SIGTERM.
+    fn stopped(&mut self) -> bool {
+        let Some(since) = self.stopping else { return false };
+        let since = since.elapsed();
+        let told = self.notices.is_empty() && self.posts == 0;
+        let quiet =
+            since >= STOP_LISTENING && self.standing.open.borrow().is_empty() && self.offers.is_empty();
+        let calls = self.held.values().any(|m| matches!(m.out, Some((_, Some(_)))));
+        let idle = self.held.is_empty() || since >= STOP_SENDING;
+        let done = since >= STOP_ALL || (quiet && told && idle && !calls);
+        if done {
+            self.settle();
+        }
+        done
+    }
+}
+
+/// A wait runs from when its answer arrived: the age of the batch is not added to it.
+fn aged(outcome: Outcome, at: Instant) -> Outcome {
+    match outcome {
+        Outcome::Full { wait: Some(wait) } => Outcome::Full { wait: Some(wait.saturating_sub(at.elapsed())) },
+        other => other,
+    }
+}
+
+fn never_sent(message: u64, endpoint: EndpointId) -> Event {
+    Event::Ended(Ended {
+        message: MessageId(message),
+        endpoint,
+        outcome: Outcome::Moot,
+        took: Duration::ZERO,
+        over: false,
+        report: None,
+    })
+}
--- /dev/null
+++ b/src/node/discovery.rs
@@ -0,0 +1,164 @@
+//! The watch on the list of endpoints. It lasts until its connection ends or falls silent; then it is
+//! asked for again, with backoff.
+
+use super::courier::News;
+use super::link::Link;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode, header};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc::Sender;
+use tokio::time::{Instant, sleep};
+
+/// A list, or its changes, as discovery writes it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct List {
+    #[serde(default)]
+    pub seq: u64,
+    #[serde(default)]
+    pub whole: bool,
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    pub host: String,
+    #[serde(default)]
+    pub dial: String,
+    #[serde(default)]
+    pub site: String,
+    #[serde(default)]
+    pub class: String,
+    pub block: u64,
+    pub health: Health,
+    #[serde(default)]
+    pub share: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Health {
+    Ready,
+    Draining,
+    Gone,
+}
+
+const CONNECT: Duration = Duration::from_millis(1000);
+/// Discovery works through calls in turn and gives one up after its own time-out.
+const FIRST_ANSWER: Duration = Duration::from_millis(4000);
+/// While nothing changes an empty line comes every 2 s.
+const SILENT: Duration = Duration::from_millis(5000);
+const BACKOFF_FIRST: f64 = 0.15;
+const BACKOFF_MOST: f64 = 2.0;
+/// No line is longer; guards memory against one without an end.
+const LINE_MOST: usize = 8 * 1024 * 1024;
+
+pub struct Watch {
+    pub address: SocketAddr,
+    pub seed: u64,
+    /// The version that the courier has.
+    pub seq: u64,
+    /// Ask for the whole list: the version is not known to be one of discovery's.
+    pub fresh: bool,
+}
+
+impl Watch {
+    /// Watches for good. Ends only when nobody listens any more.
+    pub async fn run(mut self, news: Sender<News>) {
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let mut backoff = BACKOFF_FIRST;
+        while !news.is_closed() {
+            let since = Instant::now();
+            let heard = self.once(&news).await;
+            if heard && since.elapsed() > SILENT {
+                backoff = BACKOFF_FIRST;
+            }
+            sleep(Duration::from_secs_f64(backoff * (0.5 + rng.random::<f64>()))).await;
+            backoff = (backoff * 2.0).min(BACKOFF_MOST);
+        }
+    }
+
+    /// One watch, from its connection to its end. True if it was answered.
+    async fn once(&mut self, news: &Sender<News>) -> bool {
+        let Some(mut link) = Link::open(self.address, CONNECT, None).await else { return false };
+        let path = match self.fresh {
+            true => "/api/targets?stream=1".to_owned(),
+            false => format!("/api/targets?stream=1&index={}", self.seq),
+        };
+        let host = self.address.to_string();
+        let request = Request::get(path).header(header::HOST, host).body(Full::<Bytes>::default());
+        let Ok(request) = request else { return false };
+        let Some(answer) = link.watch(request, FIRST_ANSWER).await else { return false };
+        if answer.status() != StatusCode::OK {
+            return false;
+        }
+        let (mut body, mut lines) = (answer.into_body(), Lines::default());
+        let mut heard = false;
+        while let Some(piece) = link.piece(&mut body, SILENT).await {
+            if !lines.push(&piece) {
+                return heard;
+            }
+            while let Some(line) = lines.next() {
+                // An empty line says that all is as it was: an answer too.
+                let list = match line.iter().all(u8::is_ascii_whitespace) {
+                    true => List { seq: self.seq, ..List::default() },
+                    false => match serde_json::from_slice::<List>(&line) {
+                        Ok(list) => list,
+                        Err(e) => {
+                            eprintln!("discovery: a line that cannot be read: {e}");
+                            // What it would have told is asked for again, as a whole list.
+                            self.fresh = true;
+                            return heard;
+                        }
+                    },
+                };
+                if !list.hosts.is_empty() || list.whole {
+                    (self.seq, self.fresh) = (list.seq, false);
+                } else {
+                    self.seq = self.seq.max(list.seq);
+                    if heard {
+                        continue;
+                    }
+                }
+                heard = true;
+                if news.send(News::Listed(list)).await.is_err() {
+                    return true;
+                }
+            }
+        }
+        heard
+    }
+}
+
+/// Cuts a stream of bytes into lines.
+#[derive(Default)]
+struct Lines {
+    bytes: Vec<u8>,
+    /// Up to here there is no end of a line.
+    seen: usize,
+}
+
+impl Lines {
+    /// False if a line has grown too long.
+    fn push(&mut self, piece: &[u8]) -> bool {
+        self.bytes.extend_from_slice(piece);
+        self.bytes.len() <= LINE_MOST
+    }
+
+    fn next(&mut self) -> Option<Vec<u8>> {
+        let Some(at) = self.bytes[self.seen..].iter().position(|b| *b == b'\n') else {
+            self.seen = self.bytes.len();
+            return None;
+        };
+        let end = self.seen + at;
+        self.seen = 0;
+        let rest = self.bytes.split_off(end + 1);
+        let mut line = std::mem::replace(&mut self.bytes, rest);
+        line.truncate(end);
+        Some(line)
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,88 @@
+//! The real courier: the decision module on real sockets. Each part has one job; `courier` owns the module
+//! and the others tell it what happened.
+
+mod calls;
+mod config;
+mod courier;
+mod discovery;
+mod intake;
+mod journal;
+mod link;
+mod outcomes;
+
+use crate::brain::Brain;
+use calls::Calls;
+use config::{Config, Fault};
+use courier::{Courier, News};
+use intake::{Intake, Standing};
+use journal::Journal;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::runtime;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+/// News that may wait for the courier.
+const INBOX: usize = 1024;
+/// Sockets and files that are neither a client's nor an endpoint's.
+const SPARE_SOCKETS: usize = 32;
+const BACKLOG: u32 = 1024;
+/// Share of the endpoints' limit for which a connection may stand idle here.
+const KEEP_SHARE: f64 = 0.75;
+
+/// Reads the configuration, then serves until it is told to stop.
+pub fn run() -> Result<(), Fault> {
+    let config = Config::read()?;
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Fault::Bad("runtime", e.to_string()))?;
+    LocalSet::new().block_on(&runtime, serve(config))
+}
+
+fn listen(config: &Config) -> std::io::Result<TcpListener> {
+    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // The address of the process before this one may still be in use by its last connections.
+    socket.set_reuseaddr(true)?;
+    socket.bind(config.listen)?;
+    socket.listen(BACKLOG)
+}
+
+async fn serve(mut config: Config) -> Result<(), Fault> {
+    let disk = (config.limits.disk_mb * 1e6) as u64;
+    let opened = Journal::open(&config.state, disk);
+    let (journal, last) = opened.map_err(|e| Fault::Bad("LB_STATE", e.to_string()))?;
+    let keep = config.settings.keepalive.mul_f64(KEEP_SHARE);
+    // The module reckons with the connections that are kept here.
+    config.settings.keepalive = keep;
+    let brain = Brain::new(config.settings.clone(), config.seed);
+    let brain = brain.map_err(|e| Fault::Bad("LB_CONFIG", e))?;
+    let (news, inbox) = mpsc::channel(INBOX);
+    let for_calls = (config.limits.sockets / 3).max(16);
+    let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS).max(8);
+    let calls = Calls::new(config.settings.connect_timeout, keep, for_calls);
+    let standing = Rc::new(Standing::default());
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| Fault::Bad("SIGTERM", e.to_string()))?;
+    let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
+    let (name, at, kept) = (config.name.clone(), config.listen, journal.live().len());
+    let intake = Intake {
+        classes: config.classes.clone(),
+        standing: standing.clone(),
+        news: news.clone(),
+        sockets: for_clients,
+    };
+    let courier = Courier::new(config, brain, journal, last, calls, standing.clone(), news.clone());
+    standing.ready.set(true);
+    let accepting = tokio::task::spawn_local(intake.run(listener));
+    tokio::task::spawn_local(async move {
+        if terminate.recv().await.is_some() {
+            eprintln!("stopping");
+            let _ = news.send(News::Stop).await;
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            accepting.abort();
+        }
+    });
+    eprintln!("{name} serves {at}; {kept} messages resumed");
+    courier.run(inbox).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,184 @@
+//! The settings as the platform writes them: in the first message of the bench's line protocol, and in
+//! a real courier's configuration. Parsed here once, for both.
+
+use crate::interface::*;
+use serde::Deserialize;
+use std::time::Duration;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Conf {
+    #[serde(default)]
+    costs: Costs,
+    #[serde(default)]
+    customers: Vec<serde_json::Value>,
+    #[serde(default)]
+    dcs: Vec<String>,
+    family_info: FamilyInfo,
+    lanes: Vec<Lane>,
+    limits: Limits,
+    #[serde(default)]
+    membership_mode: String,
+    rules: Rules,
+    #[serde(default)]
+    siblings: usize,
+    #[serde(default)]
+    skus: Vec<String>,
+    #[serde(default)]
+    tick_ns: i64,
+    #[serde(default)]
+    weight_kind: String,
+}
+
+#[derive(Deserialize, Default)]
+struct Costs {
+    #[serde(default)]
+    handshake: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct FamilyInfo {
+    #[serde(default)]
+    bundle_max: Vec<usize>,
+    #[serde(default)]
+    fee_by_zone: Vec<f64>,
+    #[serde(default)]
+    loses_worth: String,
+    #[serde(default)]
+    separate_routes: Vec<bool>,
+    slots: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Lane {
+    #[serde(default)]
+    name: String,
+    aim_ns: i64,
+    #[serde(default)]
+    aim_stretch: f64,
+    credit: f64,
+    deadline_ns: i64,
+    effect: String,
+    #[serde(default)]
+    key_scope: String,
+    #[serde(default)]
+    key_ttl_ns: i64,
+    #[serde(default)]
+    late_share: f64,
+    #[serde(default)]
+    by_arrival: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Limits {
+    connect_timeout_ns: i64,
+    keepalive_ns: i64,
+    max_open: usize,
+    #[serde(default)]
+    probing: bool,
+    #[serde(default)]
+    cancel: bool,
+    send_cap: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Rules {
+    cold_from: f64,
+    cold_ns: i64,
+    drain_grace_ns: i64,
+    fall_multiple: f64,
+    fall_ns: i64,
+    #[serde(default)]
+    order_pause_ns: i64,
+}
+
+fn span(ns: i64, name: &str) -> Result<Duration, String> {
+    u64::try_from(ns).map(Duration::from_nanos).map_err(|_| format!("{name} is negative"))
+}
+
+impl Conf {
+    /// The names of the classes, in the order of their numbers.
+    pub fn class_names(&self) -> impl Iterator<Item = &str> {
+        self.lanes.iter().map(|l| l.name.as_str())
+    }
+
+    /// The names of the zones and of the kinds of destination, in the order of their numbers.
+    pub fn zone_names(&self) -> &[String] {
+        &self.dcs
+    }
+
+    pub fn kind_names(&self) -> &[String] {
+        &self.skus
+    }
+
+    /// The settings in the terms of the module. An error names what cannot be worked with.
+    pub fn settings(&self) -> Result<Settings, String> {
+        let conf = self;
+        let mut classes = Vec::new();
+        for lane in &conf.lanes {
+            let effect = match lane.effect.as_str() {
+                "repeatable" => Effect::Repeatable,
+                "by_key" => Effect::Keyed {
+                    scope: match lane.key_scope.as_str() {
+                        "all" => KeyScope::All,
+                        "zone" => KeyScope::Zone,
+                        _ => KeyScope::Endpoint,
+                    },
+                    window: span(lane.key_ttl_ns, "key-ttl-ns")?,
+                },
+                "once" => Effect::Once,
+                other => return Err(format!("unknown effect {other}")),
+            };
+            classes.push(Class {
+                aim: span(lane.aim_ns, "aim-ns")?,
+                deadline: span(lane.deadline_ns, "deadline-ns")?,
+                worth: lane.credit,
+                late_share: lane.late_share,
+                effect,
+                ordered: lane.by_arrival,
+                aim_stretch: lane.aim_stretch,
+            });
+        }
+        let (family, limits, rules) = (&conf.family_info, &conf.limits, &conf.rules);
+        let count = conf.skus.len().max(family.bundle_max.len()).max(family.separate_routes.len()).max(1);
+        let kind = |k| Kind {
+            separate_routes: family.separate_routes.get(k).copied().unwrap_or(false),
+            bundle_max: family.bundle_max.get(k).copied().unwrap_or(1),
+        };
+        Ok(Settings {
+            couriers: conf.siblings,
+            classes,
+            kinds: (0..count).map(kind).collect(),
+            tenants: conf.customers.len(),
+            slots: family.slots,
+            max_held: limits.max_open,
+            attempt_cap: limits.send_cap,
+            worth_loss: if family.loses_worth == "halves" { WorthLoss::Halves } else { WorthLoss::Line },
+            handshake_cost: conf.costs.handshake,
+            zone_fees: (0..conf.dcs.len().max(family.fee_by_zone.len()))
+                .map(|z| family.fee_by_zone.get(z).copied().unwrap_or(0.0))
+                .collect(),
+            weights: match conf.weight_kind.as_str() {
+                "nominal" => WeightKind::Nominal,
+                "rough" => WeightKind::Rough,
+                _ => WeightKind::None,
+            },
+            connect_timeout: span(limits.connect_timeout_ns, "connect-timeout-ns")?,
+            keepalive: span(limits.keepalive_ns, "keepalive-ns")?,
+            may_probe: limits.probing,
+            may_cancel: limits.cancel,
+            must_subscribe: conf.membership_mode == "subscribe",
+            tick: span(conf.tick_ns, "tick-ns")?,
+            drain_grace: span(rules.drain_grace_ns, "drain-grace-ns")?,
+            cold_from: rules.cold_from,
+            cold_span: span(rules.cold_ns, "cold-ns")?,
+            fall_multiple: rules.fall_multiple,
+            fall_span: span(rules.fall_ns, "fall-ns")?,
+            order_pause: span(rules.order_pause_ns, "order-pause-ns")?,
+        })
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,14 @@
     pub(crate) over: bool,
 }
 
+impl Message {
+    /// What is known of a message at the start: for a resumed one its attempts, and the one that may have run.
+    pub(crate) fn with_past(past: &Past, now: Ns) -> Self {
+        let ran = past.ran.map(|r| (r.endpoint, r.zone, now - ns(r.ago)));
+        Message { attempts: past.attempts, ran, ..Message::default() }
+    }
+}
+
 #[derive(Clone, Copy, Default, PartialEq)]
 pub(crate) enum Breaker {
     #[default]
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::brain::Brain;
 use crate::interface::*;
+use crate::settings::Conf;
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -94,95 +95,6 @@
     x1: Option<f64>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Conf {
-    #[serde(default)]
-    costs: Costs,
-    #[serde(default)]
-    customers: Vec<serde_json::Value>,
-    #[serde(default)]
-    dcs: Vec<String>,
-    family_info: FamilyInfo,
-    lanes: Vec<Lane>,
-    limits: Limits,
-    #[serde(default)]
-    membership_mode: String,
-    rules: Rules,
-    #[serde(default)]
-    siblings: usize,
-    #[serde(default)]
-    skus: Vec<String>,
-    #[serde(default)]
-    tick_ns: i64,
-    #[serde(default)]
-    weight_kind: String,
-}
-
-#[derive(Deserialize, Default)]
-struct Costs {
-    #[serde(default)]
-    handshake: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct FamilyInfo {
-    #[serde(default)]
-    bundle_max: Vec<usize>,
-    #[serde(default)]
-    fee_by_zone: Vec<f64>,
-    #[serde(default)]
-    loses_worth: String,
-    #[serde(default)]
-    separate_routes: Vec<bool>,
-    slots: usize,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Lane {
-    aim_ns: i64,
-    #[serde(default)]
-    aim_stretch: f64,
-    credit: f64,
-    deadline_ns: i64,
-    effect: String,
-    #[serde(default)]
-    key_scope: String,
-    #[serde(default)]
-    key_ttl_ns: i64,
-    #[serde(default)]
-    late_share: f64,
-    #[serde(default)]
-    by_arrival: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Limits {
-    connect_timeout_ns: i64,
-    keepalive_ns: i64,
-    max_open: usize,
-    #[serde(default)]
-    probing: bool,
-    #[serde(default)]
-    cancel: bool,
-    send_cap: u32,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Rules {
-    cold_from: f64,
-    cold_ns: i64,
-    drain_grace_ns: i64,
-    fall_multiple: f64,
-    fall_ns: i64,
-    #[serde(default)]
-    order_pause_ns: i64,
-}
-
 /// One line sent.
 #[derive(Serialize, Debug, PartialEq)]
 #[serde(tag = "what", rename_all = "SCREAMING_SNAKE_CASE", rename_all_fields = "kebab-case")]
@@ -244,79 +156,10 @@
     Done,
 }
 
-fn span(ns: i64, name: &str) -> Result<Duration, String> {
-    u64::try_from(ns).map(Duration::from_nanos).map_err(|_| format!("{name} is negative"))
-}
-
 fn nanos(d: Duration) -> u64 {
     u64::try_from(d.as_nanos()).unwrap_or(u64::MAX)
 }
 
-fn settings(conf: &Conf) -> Result<Settings, String> {
-    let mut classes = Vec::new();
-    for lane in &conf.lanes {
-        let effect = match lane.effect.as_str() {
-            "repeatable" => Effect::Repeatable,
-            "by_key" => Effect::Keyed {
-                scope: match lane.key_scope.as_str() {
-                    "all" => KeyScope::All,
-                    "zone" => KeyScope::Zone,
-                    _ => KeyScope::Endpoint,
-                },
-                window: span(lane.key_ttl_ns, "key-ttl-ns")?,
-            },
-            "once" => Effect::Once,
-            other => return Err(format!("unknown effect {other}")),
-        };
-        classes.push(Class {
-            aim: span(lane.aim_ns, "aim-ns")?,
-            deadline: span(lane.deadline_ns, "deadline-ns")?,
-            worth: lane.credit,
-            late_share: lane.late_share,
-            effect,
-            ordered: lane.by_arrival,
-            aim_stretch: lane.aim_stretch,
-        });
-    }
-    let (family, limits, rules) = (&conf.family_info, &conf.limits, &conf.rules);
-    let count = conf.skus.len().max(family.bundle_max.len()).max(family.separate_routes.len()).max(1);
-    let kind = |k| Kind {
-        separate_routes: family.separate_routes.get(k).copied().unwrap_or(false),
-        bundle_max: family.bundle_max.get(k).copied().unwrap_or(1),
-    };
-    Ok(Settings {
-        couriers: conf.siblings,
-        classes,
-        kinds: (0..count).map(kind).collect(),
-        tenants: conf.customers.len(),
-        slots: family.slots,
-        max_held: limits.max_open,
-        attempt_cap: limits.send_cap,
-        worth_loss: if family.loses_worth == "halves" { WorthLoss::Halves } else { WorthLoss::Line },
-        handshake_cost: conf.costs.handshake,
-        zone_fees: (0..conf.dcs.len().max(family.fee_by_zone.len()))
-            .map(|z| family.fee_by_zone.get(z).copied().unwrap_or(0.0))
-            .collect(),
-        weights: match conf.weight_kind.as_str() {
-            "nominal" => WeightKind::Nominal,
-            "rough" => WeightKind::Rough,
-            _ => WeightKind::None,
-        },
-        connect_timeout: span(limits.connect_timeout_ns, "connect-timeout-ns")?,
-        keepalive: span(limits.keepalive_ns, "keepalive-ns")?,
-        may_probe: limits.probing,
-        may_cancel: limits.cancel,
-        must_subscribe: conf.membership_mode == "subscribe",
-        tick: span(conf.tick_ns, "tick-ns")?,
-        drain_grace: span(rules.drain_grace_ns, "drain-grace-ns")?,
-        cold_from: rules.cold_from,
-        cold_span: span(rules.cold_ns, "cold-ns")?,
-        fall_multiple: rules.fall_multiple,
-        fall_span: span(rules.fall_ns, "fall-ns")?,
-        order_pause: span(rules.order_pause_ns, "order-pause-ns")?,
-    })
-}
-
 fn outcome(how: u64, detail: u64) -> Result<Outcome, String> {
     Ok(match how {
         10 => Outcome::Delivered,
@@ -424,12 +267,12 @@
                 self.tables.insert(buffer, elements);
             }
             News::NewInstance { courier_id, salt, conf } => {
-                let made = settings(&conf).and_then(|s| Brain::new(s, salt).map_err(|e| e.to_string()));
+                let made = conf.settings().and_then(|s| Brain::new(s, salt).map_err(|e| e.to_string()));
                 let (brain, fault) = match made {
                     Ok(brain) => (Some(brain), None),
                     Err(fault) => (None, Some(fault)),
                 };
-                let classes = conf.lanes.len();
+                let classes = conf.class_names().count();
                 let (names, numbers, news) = (Vec::new(), HashMap::new(), Vec::new());
                 self.instances.insert(courier_id, Instance { brain, classes, names, numbers, news, fault });
                 self.known(courier_id)?;
@@ -477,6 +320,7 @@
                     key: item,
                     time_left: Duration::from_nanos(time_budget_ns.max(0) as u64),
                     work: estimate_ns.filter(|_| marks & 1 != 0).map(Duration::from_nanos),
+                    past: Past::default(),
                 });
                 self.push(courier_id, event)?;
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -79,6 +79,7 @@
         key: None,
         time_left,
         work: None,
+        past: Past::default(),
     })
 }
 
