--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -49,9 +49,10 @@
 
 const CONNECT: Duration = Duration::from_millis(1000);
 /// Discovery works through calls in turn and gives one up after its own time-out.
-const FIRST_ANSWER: Duration = Duration::from_millis(4000);
-/// While nothing changes an empty line comes every 2 s.
-const SILENT: Duration = Duration::from_millis(5000);
+const FIRST_ANSWER: Duration = Duration::from_millis(2500);
+/// While nothing changes an empty line comes every 2 s. A machine that vanished leaves the connection open
+/// and silent; a change counts as told 6 s later, so silence must be found out before that.
+const SILENT: Duration = Duration::from_millis(4300);
 const BACKOFF_FIRST: f64 = 0.15;
 const BACKOFF_MOST: f64 = 2.0;
 /// No line is longer; guards memory against one without an end.
--- a/src/node/journal.rs
+++ b/src/node/journal.rs
@@ -367,3 +367,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "journal_test.rs"]
+mod tests;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -64,7 +64,8 @@
     let standing = Rc::new(Standing::default());
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| Fault::Bad("SIGTERM", e.to_string()))?;
     let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
-    let (name, at, kept) = (config.name.clone(), config.listen, journal.live().len());
+    let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
+    let (name, kept) = (config.name.clone(), journal.live().len());
     let intake = Intake {
         classes: config.classes.clone(),
         standing: standing.clone(),
--- /dev/null
+++ b/tests/courier.rs
@@ -0,0 +1,405 @@
+//! The courier as a process, against fakes on loopback sockets.
+
+mod rig;
+use rig::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::process::Stdio;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Instant;
+
+const FULL_TOLD: &str = "HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 700\r\nContent-Length: 0\r\n\r\n";
+const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+
+/// One endpoint of destination 7, and discovery that lists it.
+fn one(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (Folder, Endpoint, Discovery) {
+    let endpoint = Endpoint::new(act);
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    (Folder::new(), endpoint, discovery)
+}
+
+#[test]
+fn a_message_is_delivered_with_its_id_key_and_body() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("m1", "notice", 7, 20_000);
+    until("the call", || endpoint.calls().len() == 1);
+    let call = endpoint.calls().remove(0);
+    assert_eq!((call.id.as_str(), call.page.body.as_slice()), ("m1", b"bo\0dy".as_slice()));
+    assert!(call.page.first.starts_with("POST /inbox "));
+    assert_eq!(call.page.head("idempotency-key"), Some("key-m1"));
+    assert!(call.page.head("x-timeout").is_some_and(|t| t.ends_with('m')));
+    courier.take("m2", "payment", 7, 20_000);
+    until("the second call", || endpoint.calls().len() == 2);
+    assert_eq!(endpoint.calls()[1].connection, 0, "the connection is kept");
+    assert!(discovery.notices.lock().expect("notices").is_empty());
+}
+
+#[test]
+fn what_was_taken_outlives_sigkill_and_is_delivered_once() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let nowhere = Endpoint::new(|_| Act::Hang);
+    // Listed but draining: the messages are taken and held.
+    discovery.lines.lock().expect("lines")[0] = list(1, true, vec![host("s-0", &nowhere, 7, "draining")]);
+    let courier = Courier::start(&folder, &discovery);
+    for n in 0..5 {
+        courier.take(&format!("m{n}"), ["notice", "status", "payment"][n % 3], 7, 25_000);
+    }
+    courier.kill();
+    discovery.tell(list(2, false, vec![host("s-1", &endpoint, 7, "ready")]));
+    let courier = Courier::start(&folder, &discovery);
+    until("all five", || endpoint.calls().len() == 5);
+    courier.kill();
+    // Delivered is over: a further life sends nothing again.
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("last", "status", 7, 20_000);
+    until("the last", || endpoint.ids().contains(&"last".to_owned()));
+    let mut ids = endpoint.ids();
+    ids.sort();
+    assert_eq!(ids, ["last", "m0", "m1", "m2", "m3", "m4"]);
+    assert!(nowhere.calls().is_empty());
+}
+
+#[test]
+fn an_unsafe_message_that_was_out_at_sigkill_is_ended_dead_and_never_sent_again() {
+    let (folder, endpoint, discovery) = one(|n| if n < 2 { Act::Hang } else { Act::Answer(OK) });
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("pay", "payment", 7, 25_000);
+    courier.take("state", "status", 7, 25_000);
+    until("both calls", || endpoint.calls().len() == 2);
+    courier.kill();
+    let _courier = Courier::start(&folder, &discovery);
+    until("the notice", || discovery.results("pay") == ["dead"]);
+    until("the repeat of the other", || endpoint.calls().len() == 3);
+    assert_eq!(endpoint.ids()[2], "state", "what is safe to repeat is sent again");
+    assert!(discovery.results("state").is_empty());
+}
+
+#[test]
+fn a_keyed_message_that_may_have_run_stays_in_its_zone_after_a_restart() {
+    let (here, there) = (Endpoint::new(|_| Act::Hang), Endpoint::new(|_| Act::Answer(OK)));
+    let mut far = host("s-2", &there, 7, "ready");
+    far["site"] = json!("b");
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &here, 7, "ready")]));
+    let folder = Folder::new();
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("key", "notice", 7, 8_000);
+    until("the call", || here.calls().len() == 1);
+    courier.kill();
+    // Now only the other zone is ready; its endpoints do not drop a repeat.
+    discovery.lines.lock().expect("lines")[0] = list(2, true, vec![host("s-1", &here, 7, "draining"), far]);
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("new", "notice", 7, 20_000);
+    until("a new one goes there", || there.ids() == ["new"]);
+    until("its end", || discovery.results("key") == ["dead"]);
+    assert_eq!(there.ids(), ["new"]);
+}
+
+#[test]
+fn a_told_wait_is_heeded_for_every_message() {
+    let (folder, endpoint, discovery) = one(|n| Act::Answer(if n == 0 { FULL_TOLD } else { OK }));
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("first", "status", 7, 20_000);
+    until("the refusal", || endpoint.calls().len() == 1);
+    for n in 0..3 {
+        courier.take(&format!("m{n}"), "payment", 7, 20_000);
+    }
+    until("all", || endpoint.calls().len() == 5);
+    let calls = endpoint.calls();
+    let soonest = calls[1..].iter().map(|c| c.at).min().expect("calls");
+    // From the wait's end on; what left within 100 ms of the answer was let through.
+    let early = calls[1..].iter().filter(|c| c.at < calls[0].at + 690 * MS);
+    assert_eq!(early.count(), 0, "sent {:?} after a wait of 700 ms", soonest - calls[0].at);
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_endpoint_and_a_whole_list_replaces() {
+    let (a, b) = (Endpoint::new(|_| Act::Answer(OK)), Endpoint::new(|_| Act::Answer(OK)));
+    let discovery =
+        Discovery::new(list(1, true, vec![host("s-a", &a, 7, "ready"), host("s-b", &b, 8, "ready")]));
+    let folder = Folder::new();
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("m1", "status", 7, 20_000);
+    until("the call", || a.calls().len() == 1);
+    // It drains, and a new destination tells when the courier has heard of it.
+    let c = Endpoint::new(|_| Act::Answer(OK));
+    discovery.tell(list(2, false, vec![host("s-a", &a, 7, "draining"), host("s-c", &c, 9, "ready")]));
+    let mut n = 0;
+    until("the news", || {
+        n += 1;
+        courier.hand_in(&format!("c{n}"), "status", 9, 20_000).status() == 202
+    });
+    courier.take("m2", "status", 7, 1500);
+    until("the end of what cannot be sent", || discovery.results("m2") == ["bounced"]);
+    // A whole list without s-b: it is gone. One with s-a ready again: it serves.
+    discovery.tell(list(3, true, vec![host("s-a", &a, 7, "ready"), host("s-c", &c, 9, "ready")]));
+    courier.take("m3", "status", 7, 20_000);
+    until("it serves again", || a.calls().len() == 2);
+    courier.take("m4", "status", 8, 1500);
+    until("nothing is left there", || discovery.results("m4") == ["bounced"]);
+    assert!(b.calls().is_empty());
+    assert_eq!(a.ids(), ["m1", "m3"]);
+}
+
+#[test]
+fn a_connection_that_the_endpoint_closed_is_not_used_again() {
+    let (folder, endpoint, discovery) = one(|_| Act::AnswerAndClose(OK));
+    let courier = Courier::start(&folder, &discovery);
+    for n in 0..6 {
+        courier.take(&format!("pay{n}"), "payment", 7, 20_000);
+        until("the call", || endpoint.calls().len() == n + 1);
+    }
+    // On a stale connection an unsafe message would have ended as one that may have run.
+    courier.take("end", "status", 7, 20_000);
+    until("the end", || endpoint.calls().len() == 7);
+    assert!(discovery.notices.lock().expect("notices").is_empty());
+    let connections: Vec<_> = endpoint.calls().iter().map(|c| c.connection).collect();
+    assert_eq!(connections, [0, 1, 2, 3, 4, 5, 6]);
+}
+
+#[test]
+fn a_break_after_the_call_is_a_reset_and_an_error_may_have_run() {
+    for act in [|| Act::Break, || Act::Answer(ERROR)] {
+        let (folder, endpoint, discovery) = one(move |_| act());
+        let courier = Courier::start(&folder, &discovery);
+        courier.take("pay", "payment", 7, 20_000);
+        until("the notice", || discovery.results("pay") == ["dead"]);
+        assert_eq!(endpoint.calls().len(), 1);
+    }
+}
+
+#[test]
+fn a_timed_out_call_has_its_connection_closed_and_goes_again() {
+    let (folder, endpoint, discovery) = one(|n| if n == 0 { Act::Hang } else { Act::Answer(OK) });
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("m", "status", 7, 25_000);
+    until("the repeat", || endpoint.calls().len() == 2);
+    let calls = endpoint.calls();
+    assert_eq!((calls[0].connection, calls[1].connection), (0, 1));
+}
+
+#[test]
+fn a_refused_connection_never_ran_so_an_unsafe_message_is_tried_again() {
+    let closed = Endpoint { address: free(), seen: Default::default() };
+    let discovery = Discovery::new(list(1, true, vec![host("s-0", &closed, 7, "ready")]));
+    let folder = Folder::new();
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("pay", "payment", 7, 25_000);
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    thread::sleep(50 * MS);
+    discovery.tell(list(2, false, vec![host("s-1", &endpoint, 7, "ready")]));
+    until("the delivery", || endpoint.ids() == ["pay"]);
+    assert!(discovery.results("pay").is_empty());
+}
+
+/// An address where nobody listens.
+fn free() -> std::net::SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address")
+}
+
+#[test]
+fn notices_are_sent_until_acknowledged_also_by_the_next_life() {
+    let (folder, _endpoint, discovery) = one(|_| Act::Break);
+    discovery.refuse_posts.store(usize::MAX, Ordering::SeqCst);
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("pay", "payment", 7, 20_000);
+    until("tries", || discovery.posts.load(Ordering::SeqCst) >= 3);
+    courier.kill();
+    discovery.refuse_posts.store(0, Ordering::SeqCst);
+    let courier = Courier::start(&folder, &discovery);
+    until("the notice", || discovery.results("pay") == ["dead"]);
+    courier.kill();
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("bad", "payment", 7, 20_000);
+    until("another", || discovery.results("bad") == ["dead"]);
+    assert!(discovery.results("pay").len() <= 2, "acknowledged notices are not kept up");
+}
+
+#[test]
+fn the_watch_is_asked_for_again_when_it_ends() {
+    let (folder, _endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    until("a watch", || discovery.watches.load(Ordering::SeqCst) == 1);
+    discovery.cut.store(1, Ordering::SeqCst);
+    until("another", || discovery.watches.load(Ordering::SeqCst) >= 2);
+    let other = Endpoint::new(|_| Act::Answer(OK));
+    discovery.tell(list(5, false, vec![host("s-9", &other, 9, "ready")]));
+    let mut n = 0;
+    until("its news", || {
+        n += 1;
+        courier.hand_in(&format!("m{n}"), "status", 9, 20_000).status() == 202
+    });
+    until("the call", || !other.calls().is_empty());
+}
+
+#[test]
+fn sigterm_lets_calls_end_closes_connections_and_exits_cleanly() {
+    let (folder, endpoint, discovery) = one(|_| Act::Late(600 * MS, OK));
+    let mut courier = Courier::start(&folder, &discovery);
+    let mut idle = TcpStream::connect(courier.address).expect("a connection");
+    idle.set_read_timeout(Some(LIMIT)).expect("set");
+    idle.write_all(message("m0", "status", 7, 20_000).as_bytes()).expect("sent");
+    let mut idle = BufReader::new(idle);
+    assert_eq!(Page::read(&mut idle).expect("an answer").status(), 202);
+    courier.take("pay", "payment", 7, 20_000);
+    until("both calls", || endpoint.calls().len() == 2);
+    courier.signal("-TERM");
+    assert!(Page::read(&mut idle).is_none(), "an idle connection is closed");
+    // A connection that still comes is answered, and told to close.
+    if let Some(page) = raw(courier.address, message("m1", "status", 7, 20_000).as_bytes()) {
+        assert!([202, 429, 503].contains(&page.status()), "{page:?}");
+        assert_eq!(page.head("connection"), Some("close"));
+    }
+    assert_eq!(courier.exit(), 0);
+    drop(courier);
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("end", "payment", 7, 20_000);
+    until("the end", || endpoint.ids().contains(&"end".to_owned()));
+    assert_eq!(endpoint.ids().iter().filter(|id| *id == "pay").count(), 1);
+    assert!(discovery.results("pay").is_empty(), "its answer was waited for");
+}
+
+#[test]
+fn a_client_that_left_before_its_answer_has_nothing_sent() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    // The courier stands still while a request comes and its client gives up, as on a busy machine.
+    courier.signal("-STOP");
+    let mut client = TcpStream::connect(courier.address).expect("a connection");
+    client.write_all(message("gone", "payment", 7, 20_000).as_bytes()).expect("sent");
+    drop(client);
+    courier.signal("-CONT");
+    courier.take("here", "payment", 7, 20_000);
+    until("the other", || endpoint.ids().contains(&"here".to_owned()));
+    assert_eq!(endpoint.ids(), ["here"]);
+}
+
+#[test]
+fn bad_input_is_answered_and_costs_neither_connection_nor_process() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    until("the list", || discovery.watches.load(Ordering::SeqCst) == 1);
+    let good = message("x", "status", 7, 20_000);
+    let large =
+        good.replace("Content-Length: 5", "Content-Length: 70000").replace("bo\0dy", &"x".repeat(70_000));
+    let mut stream = TcpStream::connect(courier.address).expect("a connection");
+    stream.set_read_timeout(Some(LIMIT)).expect("set");
+    let mut answers = BufReader::new(stream.try_clone().expect("a handle"));
+    for (bad, status) in [
+        (good.replace("dest=7", "dest=77"), 404),
+        (good.replace("dest=7", "dest=x"), 400),
+        (good.replace("status", "nonsense"), 400),
+        (good.replace("POST /status", "POST /notice"), 400),
+        (good.replace("20000m", "20000"), 400),
+        (good.replace("20000m", "-5m"), 400),
+        (good.replace("X-Request-ID: x", "X-Request-ID:"), 400),
+        (good.replace("X-Request-ID: x", "X-Request-ID: \u{e9}"), 400),
+        (large, 413),
+        (good.replace("POST", "PUT"), 404),
+    ] {
+        stream.write_all(bad.as_bytes()).expect("the connection lives");
+        let mut page = Page::read(&mut answers).expect("an answer");
+        // Until the first list is here a destination may still become known.
+        while page.status() == 503 {
+            stream.write_all(bad.as_bytes()).expect("the connection lives");
+            page = Page::read(&mut answers).expect("an answer");
+        }
+        assert_eq!(page.status(), status, "{}", bad.lines().next().unwrap_or_default());
+    }
+    assert_eq!(raw(courier.address, b"nonsense\r\n\r\n").map(|p| p.status()), Some(400));
+    stream.write_all(good.as_bytes()).expect("the connection lives");
+    assert_eq!(Page::read(&mut answers).expect("an answer").status(), 202);
+    until("the call", || endpoint.ids() == ["x"]);
+}
+
+#[test]
+fn a_message_that_cannot_be_kept_is_refused_with_a_time_to_come_again() {
+    let (folder, endpoint, discovery) = one(|_| Act::Hang);
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let mut config = config(&discovery, known);
+    config["limits"]["disk_mb"] = json!(0.02);
+    let courier = Courier::with(&folder, &discovery, &config);
+    let mut statuses = BTreeMap::<u16, usize>::new();
+    for n in 0..30 {
+        let page = courier.hand_in(&format!("m{n}"), "payment", 7, 25_000);
+        *statuses.entry(page.status()).or_default() += 1;
+        if page.status() == 429 {
+            let again = page.head("retry-after").and_then(|v| v.parse::<f64>().ok());
+            assert!(again.is_some_and(|s| s > 0.0), "{page:?}");
+        }
+    }
+    assert_eq!(statuses.keys().copied().collect::<Vec<_>>(), [202, 429]);
+    let files = std::fs::read_dir(folder.0.join("state")).expect("the folder").flatten();
+    let size: u64 = files.filter_map(|f| f.metadata().ok()).map(|m| m.len().next_multiple_of(512)).sum();
+    assert!(size <= 20_000, "{size} bytes on disk");
+    until("what was taken is sent", || !endpoint.calls().is_empty());
+}
+
+#[test]
+fn a_start_without_its_configuration_ends_with_one_clear_line() {
+    let (folder, _endpoint, discovery) = one(|_| Act::Hang);
+    let good = config(&discovery, Value::Null);
+    let mut bad_slots = good.clone();
+    bad_slots["settings"]["family-info"]["slots"] = json!(0);
+    let mut no_rules = good.clone();
+    no_rules["settings"].as_object_mut().expect("settings").remove("rules");
+    let run = |config: &Value, spoil: &dyn Fn(&mut std::process::Command)| {
+        let mut command = command(&folder, &discovery, config);
+        spoil(&mut command);
+        let out = command.stderr(Stdio::piped()).output().expect("it runs");
+        (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+    };
+    let path = folder.0.join("none.json").display().to_string();
+    let cases: [(&Value, Box<dyn Fn(&mut std::process::Command)>, &str); 7] = [
+        (
+            &good,
+            Box::new(|c| {
+                c.env_remove("LB_CONFIG");
+            }),
+            "LB_CONFIG is not set",
+        ),
+        (
+            &good,
+            Box::new(move |c| {
+                c.env("LB_CONFIG", &path);
+            }),
+            "LB_CONFIG",
+        ),
+        (
+            &good,
+            Box::new(|c| {
+                c.env("LB_LISTEN", "nowhere");
+            }),
+            "LB_LISTEN",
+        ),
+        (
+            &good,
+            Box::new(|c| {
+                c.env("LB_STATE", "/nonexistent/folder");
+            }),
+            "LB_STATE",
+        ),
+        (&json!("x"), Box::new(|_| ()), "LB_CONFIG"),
+        (&bad_slots, Box::new(|_| ()), "no slots"),
+        (&no_rules, Box::new(|_| ()), "rules"),
+    ];
+    for (config, spoil, word) in &cases {
+        let (code, text) = run(config, &**spoil);
+        assert_eq!(code, Some(1), "{word}: {text}");
+        assert!(text.contains(word) && text.lines().count() == 1, "{word}: {text}");
+    }
+}
+
+#[test]
+fn many_idle_clients_do_not_keep_a_new_one_out() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    let idle: Vec<_> = (0..400).filter_map(|_| TcpStream::connect(courier.address).ok()).collect();
+    let from = Instant::now();
+    courier.take("m", "status", 7, 20_000);
+    until("the call", || endpoint.ids() == ["m"]);
+    assert!(from.elapsed() < LIMIT && idle.len() == 400);
+}
--- /dev/null
+++ b/tests/rig/mod.rs
@@ -0,0 +1,396 @@
+//! The courier's binary among small fakes on loopback sockets: a client, endpoints, discovery and the
+//! platform, each on port 0. Tests wait for conditions, with a limit that only a fault reaches.
+#![allow(dead_code)]
+
+use serde_json::{Value, json};
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const LIMIT: Duration = Duration::from_secs(60);
+pub const MS: Duration = Duration::from_millis(1);
+
+/// Waits until something holds; a fault if it never does.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < end, "never came: {what}");
+        thread::sleep(5 * MS);
+    }
+}
+
+/// A request or an answer, as it stood on the wire.
+#[derive(Clone, Debug, Default)]
+pub struct Page {
+    pub first: String,
+    pub heads: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Page {
+    pub fn head(&self, name: &str) -> Option<&str> {
+        self.heads.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn read(from: &mut impl BufRead) -> Option<Page> {
+        let mut page = Page::default();
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        page.first = line.trim_end().to_owned();
+        loop {
+            line.clear();
+            from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+            let Some((name, value)) = line.trim_end().split_once(':') else { break };
+            page.heads.push((name.to_owned(), value.trim().to_owned()));
+        }
+        let length = page.head("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        page.body = vec![0; length];
+        from.read_exact(&mut page.body).ok()?;
+        Some(page)
+    }
+}
+
+/// What a fake endpoint does with a call.
+pub enum Act {
+    Answer(&'static str),
+    AnswerAndClose(&'static str),
+    /// Answers once the time has passed.
+    Late(Duration, &'static str),
+    Hang,
+    Break,
+}
+
+pub const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub id: String,
+    pub page: Page,
+    pub at: Instant,
+    pub connection: usize,
+}
+
+pub struct Endpoint {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Endpoint {
+    /// `act` is asked with the number of the call, from 0.
+    pub fn new(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
+        let (act, all, connections) = (Arc::new(act), seen.clone(), AtomicUsize::new(0));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (act, all) = (act.clone(), all.clone());
+                let connection = connections.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || serve(stream, connection, &*act, &all));
+            }
+        });
+        Endpoint { address, seen }
+    }
+
+    pub fn calls(&self) -> Vec<Seen> {
+        self.seen.lock().expect("calls").clone()
+    }
+
+    pub fn ids(&self) -> Vec<String> {
+        self.calls().into_iter().map(|s| s.id).collect()
+    }
+}
+
+fn serve(stream: TcpStream, connection: usize, act: &dyn Fn(usize) -> Act, all: &Mutex<Vec<Seen>>) {
+    let mut out = stream.try_clone().expect("a handle");
+    let mut from = BufReader::new(stream);
+    while let Some(page) = Page::read(&mut from) {
+        let id = page.head("x-request-id").unwrap_or_default().to_owned();
+        let n = {
+            let mut all = all.lock().expect("calls");
+            all.push(Seen { id, page, at: Instant::now(), connection });
+            all.len() - 1
+        };
+        let sent = match act(n) {
+            Act::Answer(text) => out.write_all(text.as_bytes()),
+            Act::AnswerAndClose(text) => {
+                let _ = out.write_all(text.as_bytes());
+                return;
+            }
+            Act::Late(time, text) => {
+                thread::sleep(time);
+                out.write_all(text.as_bytes())
+            }
+            Act::Hang => {
+                let _ = from.read(&mut [0]);
+                return;
+            }
+            Act::Break => return,
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+/// Discovery and the platform in one.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    /// The lines that a watch gets, in order; the first is whole.
+    pub lines: Arc<Mutex<Vec<Value>>>,
+    pub notices: Arc<Mutex<Vec<Value>>>,
+    pub watches: Arc<AtomicUsize>,
+    /// Watches with a lower number are cut off.
+    pub cut: Arc<AtomicUsize>,
+    /// How many posts are answered 503 first.
+    pub refuse_posts: Arc<AtomicUsize>,
+    pub posts: Arc<AtomicUsize>,
+}
+
+impl Discovery {
+    pub fn new(list: Value) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let this = Discovery {
+            address: listener.local_addr().expect("an address"),
+            lines: Arc::new(Mutex::new(vec![list])),
+            notices: Arc::default(),
+            watches: Arc::default(),
+            cut: Arc::default(),
+            refuse_posts: Arc::default(),
+            posts: Arc::default(),
+        };
+        let own = this.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let own = own.clone();
+                thread::spawn(move || own.serve(stream));
+            }
+        });
+        this
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut out = stream.try_clone().expect("a handle");
+        let mut from = BufReader::new(stream);
+        while let Some(page) = Page::read(&mut from) {
+            if page.first.starts_with("GET /api/targets?stream=1") {
+                return self.watch(&mut out);
+            }
+            let none = self
+                .refuse_posts
+                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1))
+                .is_err();
+            self.posts.fetch_add(1, Ordering::SeqCst);
+            if none {
+                let text = String::from_utf8_lossy(&page.body).into_owned();
+                let lines = text.lines().map(|l| serde_json::from_str(l).expect("a notice"));
+                self.notices.lock().expect("notices").extend(lines);
+            }
+            let status = if none { "204 No Content" } else { "503 Service Unavailable" };
+            let _ = write!(out, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        }
+    }
+
+    fn watch(&self, out: &mut TcpStream) {
+        let number = self.watches.fetch_add(1, Ordering::SeqCst);
+        let _ = out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let (mut sent, mut beat) = (0, Instant::now());
+        while self.cut.load(Ordering::SeqCst) <= number {
+            let lines = self.lines.lock().expect("lines").clone();
+            let mut text: String =
+                lines[sent.min(lines.len())..].iter().map(|l| l.to_string() + "\n").collect();
+            sent = lines.len();
+            if text.is_empty() && beat.elapsed() > 1000 * MS {
+                text = "\n".to_owned();
+            }
+            if !text.is_empty() {
+                beat = Instant::now();
+                if write!(out, "{:x}\r\n{text}\r\n", text.len()).is_err() {
+                    return;
+                }
+            }
+            thread::sleep(5 * MS);
+        }
+    }
+
+    pub fn tell(&self, line: Value) {
+        self.lines.lock().expect("lines").push(line);
+    }
+
+    pub fn results(&self, id: &str) -> Vec<String> {
+        let notices = self.notices.lock().expect("notices");
+        let of = notices.iter().filter(|n| n["ref"] == id);
+        of.map(|n| n["result"].as_str().unwrap_or_default().to_owned()).collect()
+    }
+}
+
+pub fn host(name: &str, endpoint: &Endpoint, block: u64, health: &str) -> Value {
+    json!({"host": name, "dial": endpoint.address.to_string(), "site": "a", "class": "shops", "block": block,
+        "health": health, "share": 50.0, "born_ms": 0})
+}
+
+pub fn list(seq: u64, whole: bool, hosts: Vec<Value>) -> Value {
+    json!({"seq": seq, "whole": whole, "hosts": hosts})
+}
+
+pub fn settings() -> Value {
+    let lane = |name: &str, effect: &str| {
+        json!({"aim-ns": 2_000_000_000u64, "credit": 1.0, "deadline-ns": 28_000_000_000u64, "effect": effect,
+            "key-scope": "zone", "key-ttl-ns": 12_000_000_000u64, "late-share": 0.3, "name": name,
+            "streamed": false})
+    };
+    json!({
+        "costs": {"handshake": 0.04}, "customers": [], "dcs": ["a", "b"],
+        "family-info": {"bundle-max": [1], "fee-by-zone": [0.0, 0.03], "loses-worth": "line",
+            "separate-routes": [true], "slots": 8},
+        "lanes": [lane("notice", "by_key"), lane("status", "repeatable"), lane("payment", "once")],
+        "limits": {"cancel": true, "connect-timeout-ns": 1_000_000_000u64, "keepalive-ns": 10_000_000_000u64,
+            "max-open": 100, "probing": true, "send-cap": 6},
+        "membership-mode": "subscribe",
+        "rules": {"cold-from": 0.18, "cold-ns": 10_000_000_000u64, "drain-grace-ns": 1_000_000_000u64,
+            "fall-multiple": 2.0, "fall-ns": 3_000_000_000u64, "grace-to-answer-ns": 20_000_000u64},
+        "siblings": 1, "skus": ["shops"], "stats": {"fields": ["x0", "x1"], "how": "answers"},
+        "tick-ns": 5_000_000u64, "weight-kind": "nominal"
+    })
+}
+
+/// A folder of one test, removed with it.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("stairshed-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(path.join("state")).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A courier that runs; killed when dropped.
+pub struct Courier {
+    pub address: SocketAddr,
+    child: Child,
+    _log: Receiver<String>,
+}
+
+pub fn command(folder: &Folder, discovery: &Discovery, config: &Value) -> Command {
+    let path = folder.0.join("config.json");
+    fs::write(&path, config.to_string()).expect("a config");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_stairshed"));
+    command
+        .env("LB_NAME", "n1")
+        .env("LB_LISTEN", "127.0.0.1:0")
+        .env("LB_DISCOVERY", discovery.address.to_string())
+        .env("LB_STATE", folder.0.join("state"))
+        .env("LB_CONFIG", path)
+        .stdin(Stdio::null())
+        .stderr(Stdio::piped());
+    command
+}
+
+pub fn config(discovery: &Discovery, known: Value) -> Value {
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
+        "known": known, "settings": settings()})
+}
+
+impl Courier {
+    /// Starts one that knows the list as discovery has it, and waits until it is ready.
+    pub fn start(folder: &Folder, discovery: &Discovery) -> Self {
+        let known = discovery.lines.lock().expect("lines")[0].clone();
+        Self::with(folder, discovery, &config(discovery, known))
+    }
+
+    pub fn with(folder: &Folder, discovery: &Discovery, config: &Value) -> Self {
+        let mut child = command(folder, discovery, config).spawn().expect("the courier starts");
+        let log = BufReader::new(child.stderr.take().expect("its log"));
+        let (tell, lines) = channel();
+        thread::spawn(move || {
+            log.lines().map_while(Result::ok).for_each(|line| {
+                // Nobody may be reading any more.
+                let _ = tell.send(line);
+            })
+        });
+        let line = lines.recv_timeout(LIMIT).expect("it tells where it serves");
+        let address = line.split("serves ").nth(1).and_then(|l| l.split(';').next());
+        let address = address.and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("no address: {line}"));
+        let courier = Courier { address, child, _log: lines };
+        until("ready", || courier.get("/-/ready").is_some_and(|page| page.status() == 200));
+        courier
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    pub fn kill(mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("gone");
+    }
+
+    pub fn exit(&mut self) -> i32 {
+        let mut code = None;
+        until("the end of the process", || {
+            code = self.child.try_wait().expect("a status");
+            code.is_some()
+        });
+        code.and_then(|c| c.code()).unwrap_or(-1)
+    }
+
+    pub fn get(&self, path: &str) -> Option<Page> {
+        raw(self.address, format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes())
+    }
+
+    /// Hands in a message; the answer.
+    pub fn hand_in(&self, id: &str, class: &str, dest: u64, time_ms: u64) -> Page {
+        raw(self.address, message(id, class, dest, time_ms).as_bytes()).expect("an answer")
+    }
+
+    pub fn take(&self, id: &str, class: &str, dest: u64, time_ms: u64) {
+        assert_eq!(self.hand_in(id, class, dest, time_ms).status(), 202, "{id}");
+    }
+}
+
+impl Drop for Courier {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn message(id: &str, class: &str, dest: u64, time_ms: u64) -> String {
+    format!(
+        "POST /{class} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
+         X-Timeout: {time_ms}m\r\nIdempotency-Key: key-{id}\r\nContent-Length: 5\r\n\
+         Envelope: dest={dest}\r\n\r\nbo\0dy"
+    )
+}
+
+/// Sends bytes on a connection of their own; the answer, if one comes.
+pub fn raw(to: SocketAddr, bytes: &[u8]) -> Option<Page> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(LIMIT)).ok()?;
+    stream.write_all(bytes).ok()?;
+    Page::read(&mut BufReader::new(stream))
+}
