--- a/src/node/journal_test.rs
+++ b/src/node/journal_test.rs
@@ -30,7 +30,7 @@
         id: id.to_owned(),
         class: "notice".to_owned(),
         destination: 7,
-        key: (body % 2 == 0).then(|| format!("k-{id}")),
+        key: body.is_multiple_of(2).then(|| format!("k-{id}")),
         until: Duration::from_micros(1_790_000_000_000_001),
         body: Bytes::from(vec![b'x'; body]),
     })
@@ -41,14 +41,16 @@
     Attempt { host: host.to_owned(), zone: "a".to_owned(), sent, may_have_run: true }
 }
 
+type State = Vec<(u64, Letter, Vec<Attempt>, Option<Verdict>)>;
+
 /// What is live, in a form that can be compared.
-fn state(journal: &Journal) -> Vec<(u64, Letter, Vec<Attempt>, Option<Verdict>)> {
+fn state(journal: &Journal) -> State {
     let of = |(n, m): (&u64, &Live)| (*n, (*m.letter).clone(), m.attempts.clone(), m.verdict);
     journal.live().iter().map(of).collect()
 }
 
 /// Each kind of record once, each flushed by itself; the state after each, with the file's length.
-fn written(folder: &Folder) -> Vec<(usize, Vec<(u64, Letter, Vec<Attempt>, Option<Verdict>)>)> {
+fn written(folder: &Folder) -> Vec<(usize, State)> {
     let (mut j, _) = Journal::open(&folder.0, 3_000_000).expect("opens");
     let mut steps = vec![(0, Vec::new())];
     type Step = fn(&mut Journal);
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -353,7 +353,8 @@
         (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
     };
     let path = folder.0.join("none.json").display().to_string();
-    let cases: [(&Value, Box<dyn Fn(&mut std::process::Command)>, &str); 7] = [
+    type Spoil = Box<dyn Fn(&mut std::process::Command)>;
+    let cases: [(&Value, Spoil, &str); 7] = [
         (
             &good,
             Box::new(|c| {
