--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,6 +8,7 @@
 use crate::state::*;
 use rand::Rng;
 use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 
 // ---- constants: dimensionless, or in seconds where named so --------------------------------------
 
@@ -189,8 +190,7 @@
         }
         for entry in entries {
             let kind = entry.kind.min(self.set.kinds.len() - 1);
-            let lean = self.rng.random();
-            let (dest, zone) = (entry.destination, entry.zone);
+            let (dest, zone, lean) = (entry.destination, entry.zone, self.rng.random());
             let fresh = || Endpoint { dest, zone, kind, lean, ..Endpoint::default() };
             let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
             e.ready = entry.standing == Standing::Ready;
@@ -210,7 +210,7 @@
     }
 
     fn taken(&mut self, t: &Taken, out: &mut Vec<Action>) {
-        let id = t.message;
+        let (id, dest) = (t.message, t.destination);
         let class = t.class.min(self.set.classes.len() - 1);
         let c = &self.set.classes[class];
         let end = self.now + ns(t.time_left);
@@ -221,7 +221,6 @@
         if let Some(key) = &key {
             self.turns.entry(key.clone()).or_default().push_back(id);
         }
-        let dest = t.destination;
         let past = Message::with_past(&t.past, self.now);
         let message = Message { class, group, dest, key, aim, end, due: aim, ..past };
         self.tally(group, 0.0, 1.0);
@@ -287,8 +286,7 @@
         let e = self.endpoints.get_mut(&id).expect("a sent endpoint is known");
         let Some(open) = e.calls.get_mut(&call) else { return };
         open.1 -= 1;
-        let first = open.0 != Ns::MIN;
-        open.0 = Ns::MIN;
+        let counts = std::mem::replace(&mut open.0, Ns::MIN) != Ns::MIN && outcome != Outcome::Moot;
         if open.1 == 0 {
             e.calls.remove(&call);
             self.calls_out -= 1;
@@ -298,11 +296,9 @@
         let pool_id = self.pool_id(id);
         let (gap, slow) = (self.gap(id), 1.0 / (self.part(id)).max(1e-3));
         if outcome == Outcome::ConnectFailed {
-            let kind = self.endpoints[&id].kind;
-            self.tight[kind] = secs(now);
+            self.tight[self.endpoints[&id].kind] = secs(now);
         }
-        let e = self.endpoints.get_mut(&id).filter(|_| first && outcome != Outcome::Moot);
-        let Some(e) = e else { return };
+        let Some(e) = self.endpoints.get_mut(&id).filter(|_| counts) else { return };
         let d = self.dests.get_mut(&e.dest).expect("known");
         if !matches!(outcome, Outcome::Full { .. }) {
             let well = matches!(outcome, Outcome::Delivered | Outcome::Cancelled);
@@ -523,8 +519,7 @@
                 call
             }
         };
-        let e = &self.endpoints[&endpoint];
-        let patience = sec(self.patience(e));
+        let patience = sec(self.patience(&self.endpoints[&endpoint]));
         let m = self.messages.get_mut(&id).expect("held");
         let left = m.end - now - ns(self.set.tick) * 2;
         // What may run only once is given all its time: cutting it short can only fail it.
@@ -680,8 +675,7 @@
     }
 
     fn worked(&mut self, id: EndpointId) {
-        let now = self.now;
-        let doubt = self.doubt(&self.endpoints[&id]);
+        let (now, doubt) = (self.now, self.doubt(&self.endpoints[&id]));
         let e = self.endpoints.get_mut(&id).expect("known");
         (e.doubt, e.doubt_at) = (doubt * (1.0 - FAILURE_GAIN), now);
         e.last_ok = now;
@@ -696,8 +690,7 @@
     }
 
     fn failed(&mut self, id: EndpointId, call: u64) {
-        let now = self.now;
-        let doubt = self.doubt(&self.endpoints[&id]);
+        let (now, doubt) = (self.now, self.doubt(&self.endpoints[&id]));
         let e = self.endpoints.get_mut(&id).expect("known");
         let gain = if secs(now - e.last_ok) < 4.0 { FAILURE_GAIN } else { STALE_GAIN };
         (e.doubt, e.doubt_at) = (doubt + gain * (1.0 - doubt), now);
@@ -784,11 +777,19 @@
             Effect::Keyed { scope: KeyScope::All, .. } => m.flight.is_none(),
             _ => m.flight.is_none() && m.ran.is_none(),
         };
-        let refuse = Action::Refuse { message: id, wait: None };
+        let refuse = Action::Refuse { message: id, wait: Some(self.come_again(m.dest)) };
         out.push(if harmless { refuse } else { Action::Fail { message: id } });
         self.close(id);
     }
 
+    /// When a refused client may come again: what is held there has had time to go, and a wait is over.
+    fn come_again(&self, dest: DestinationId) -> Duration {
+        let (d, ready) = (&self.dests[&dest], |e: &&EndpointId| self.endpoints[*e].ready);
+        let waits = d.endpoints.iter().filter(ready).map(|e| self.pools[&self.pool_id(*e)].wait_until);
+        let wait = waits.min().unwrap_or(0) - self.now;
+        span(wait.max(self.sigma(dest) * d.chart.held.len() as Ns).max(sec(FULL_PAUSE)))
+    }
+
     fn close(&mut self, id: MessageId) {
         let Some(m) = self.messages.get_mut(&id) else { return };
         self.live -= usize::from(!std::mem::replace(&mut m.over, true));
@@ -829,8 +830,7 @@
         self.flow_at = now;
         self.oks.push_back(now);
         self.oks.retain(|t| *t > now - sec(RATE_SPAN));
-        let first = *self.first_ok.get_or_insert(now);
-        let span = secs(now - first).clamp(PACE_SPAN, RATE_SPAN);
+        let span = secs(now - *self.first_ok.get_or_insert(now)).clamp(PACE_SPAN, RATE_SPAN);
         self.peak = self.peak.max((self.oks.len() - 1) as f64 / span);
         // AIMD: grows only while it is the pace that holds messages back.
         if std::mem::take(&mut self.starved) {
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -316,9 +316,10 @@
             // A client that is gone hears nothing, and nothing was taken.
             let _ = offer.reply.send(reply);
         };
-        // Handed in twice under one id: it is taken already.
-        if self.ids.contains_key(&offer.letter.id) {
-            return answer(offer, Reply::Taken);
+        // Handed in twice under one id: it is taken already, or about to be judged.
+        if let Some(message) = self.ids.get(&offer.letter.id) {
+            let judged = !self.offers.contains_key(message);
+            return answer(offer, if judged { Reply::Taken } else { Reply::Unavailable });
         }
         if self.disk_failed.is_some() {
             return answer(offer, Reply::Unavailable);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -257,3 +257,19 @@
     assert_eq!(sends(&d.pass(MS * 2100)).len(), 1);
     assert!(wakes(&d) < 12, "{} wake-ups for one wait", wakes(&d));
 }
+
+#[test]
+fn a_refusal_tells_when_to_come_again() {
+    // One endpoint that has told a wait longer than the messages' time.
+    let mut drive = Drive::new(settings(), vec![entry(1, 7, 0, 0)]);
+    drive.feed(&[taken(1, 0, 7, MS * 8000)]);
+    drive.feed(&[ended(1, 1, Outcome::Full { wait: Some(MS * 9000) }, 20)]);
+    let actions = drive.pass(MS * 8000);
+    let waits = actions.iter().filter_map(|a| match a {
+        Action::Refuse { wait, .. } => Some(wait.expect("a time to come again")),
+        _ => None,
+    });
+    let waits: Vec<_> = waits.collect();
+    assert_eq!(waits.len(), 1);
+    assert!(waits[0] >= MS * 500 && waits[0] <= MS * 2000, "{waits:?}");
+}
