--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -45,6 +45,9 @@
     Ready,
     Draining,
     Gone,
+    /// A word that is not known here: nothing new is sent there.
+    #[serde(other)]
+    Unknown,
 }
 
 const CONNECT: Duration = Duration::from_millis(1000);
--- a/src/node/outcomes.rs
+++ b/src/node/outcomes.rs
@@ -65,21 +65,18 @@
     /// Posts a batch until it is acknowledged, then reports it.
     pub async fn post(self, mut batch: Vec<Notice>, news: Sender<News>) {
         let mut backoff = BACKOFF_FIRST;
-        let mut told = Vec::new();
-        while let Some(first) = batch.first().cloned() {
-            match self.once(&batch).await {
+        let (mut told, mut most) = (Vec::new(), batch.len());
+        while !batch.is_empty() {
+            let part = most.min(batch.len());
+            match self.once(&batch[..part]).await {
                 Some(StatusCode::NO_CONTENT | StatusCode::OK) => {
-                    told.extend(batch.drain(..).map(|n| n.message));
-                }
-                Some(StatusCode::BAD_REQUEST) if batch.len() > 1 => {
-                    // One line that cannot be read must not hold back the others: each by itself.
-                    for notice in batch.drain(..) {
-                        tokio::task::spawn_local(self.clone().post(vec![notice], news.clone()));
-                    }
+                    told.extend(batch.drain(..part).map(|n| n.message));
                 }
+                // One line that cannot be read must not hold back the others: each by itself.
+                Some(StatusCode::BAD_REQUEST) if part > 1 => most = 1,
                 Some(StatusCode::BAD_REQUEST) => {
-                    eprintln!("outcomes: the notice for {:?} cannot be read by the platform", first.id);
-                    told.extend(batch.drain(..).map(|n| n.message));
+                    eprintln!("outcomes: the platform cannot read the notice for {:?}", batch[0].id);
+                    told.extend(batch.drain(..part).map(|n| n.message));
                 }
                 _ => {
                     sleep(backoff).await;
--- a/tests/courier.rs
+++ b/tests/courier.rs
@@ -404,3 +404,63 @@
     until("the call", || endpoint.ids() == ["m"]);
     assert!(from.elapsed() < LIMIT && idle.len() == 400);
 }
+
+#[test]
+fn a_batch_that_the_platform_cannot_read_is_told_one_by_one() {
+    let (folder, _endpoint, discovery) = one(|_| Act::Break);
+    discovery.refuse_posts.store(usize::MAX, Ordering::SeqCst);
+    let courier = Courier::start(&folder, &discovery);
+    for n in 0..4 {
+        courier.take(&format!("p{n}"), "payment", 7, 3000);
+    }
+    until("tries", || discovery.posts.load(Ordering::SeqCst) >= 8);
+    thread::sleep(3500 * MS);
+    courier.kill();
+    // All have their end by now, and the next life starts with them in one batch.
+    discovery.picky.store(true, Ordering::SeqCst);
+    discovery.refuse_posts.store(0, Ordering::SeqCst);
+    let _courier = Courier::start(&folder, &discovery);
+    until("all", || (0..4).all(|n| discovery.results(&format!("p{n}")).len() == 1));
+}
+
+#[test]
+fn answers_that_prove_it_never_ran_let_an_unsafe_message_go_again() {
+    const SLOTS: &str = "HTTP/1.1 503 Service Unavailable\r\nSlots-Taken: 1\r\nContent-Length: 0\r\n\r\n";
+    const FULL: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    let (folder, endpoint, discovery) = one(|n| Act::Answer([SLOTS, FULL, OK][n.min(2)]));
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("pay", "payment", 7, 20_000);
+    until("the delivery", || endpoint.ids() == ["pay", "pay", "pay"]);
+    assert!(discovery.results("pay").is_empty());
+}
+
+#[test]
+fn a_message_that_is_over_elsewhere_is_owed_nothing_more() {
+    const OVER: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+    let (folder, endpoint, discovery) = one(|n| Act::Answer(if n == 0 { OVER } else { OK }));
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("over", "status", 7, 20_000);
+    until("the call", || endpoint.calls().len() == 1);
+    courier.take("next", "status", 7, 20_000);
+    until("the next call", || endpoint.calls().len() == 2);
+    courier.kill();
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("last", "status", 7, 20_000);
+    until("the last call", || endpoint.ids() == ["over", "next", "last"]);
+    assert!(discovery.notices.lock().expect("notices").is_empty());
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_asked_for_again() {
+    let (folder, _endpoint, discovery) = one(|_| Act::Answer(OK));
+    discovery.mute.store(1, Ordering::SeqCst);
+    let courier = Courier::start(&folder, &discovery);
+    until("another watch", || discovery.watches.load(Ordering::SeqCst) >= 2);
+    let other = Endpoint::new(|_| Act::Answer(OK));
+    discovery.tell(list(5, false, vec![host("s-9", &other, 9, "ready")]));
+    let mut n = 0;
+    until("its news", || {
+        n += 1;
+        courier.hand_in(&format!("m{n}"), "status", 9, 20_000).status() == 202
+    });
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -157,6 +157,10 @@
     /// How many posts are answered 503 first.
     pub refuse_posts: Arc<AtomicUsize>,
     pub posts: Arc<AtomicUsize>,
+    /// Posts with more than one notice are answered 400.
+    pub picky: Arc<AtomicBool>,
+    /// Watches with a lower number fall silent after their first line, and stay open.
+    pub mute: Arc<AtomicUsize>,
 }
 
 impl Discovery {
@@ -170,6 +174,8 @@
             cut: Arc::default(),
             refuse_posts: Arc::default(),
             posts: Arc::default(),
+            picky: Arc::default(),
+            mute: Arc::default(),
         };
         let own = this.clone();
         thread::spawn(move || {
@@ -193,6 +199,10 @@
                 .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1))
                 .is_err();
             self.posts.fetch_add(1, Ordering::SeqCst);
+            if none && self.picky.load(Ordering::SeqCst) && page.body.split(|b| *b == b'\n').count() > 2 {
+                let _ = write!(out, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
             if none {
                 let text = String::from_utf8_lossy(&page.body).into_owned();
                 let lines = text.lines().map(|l| serde_json::from_str(l).expect("a notice"));
@@ -211,6 +221,11 @@
             let lines = self.lines.lock().expect("lines").clone();
             let mut text: String =
                 lines[sent.min(lines.len())..].iter().map(|l| l.to_string() + "\n").collect();
+            let silent = sent > 0 && number < self.mute.load(Ordering::SeqCst);
+            if silent {
+                thread::sleep(5 * MS);
+                continue;
+            }
             sent = lines.len();
             if text.is_empty() && beat.elapsed() > 1000 * MS {
                 text = "\n".to_owned();
