SIGHUP: the configuration is read again, watch and notices move with discovery

Cause: no handler in node/mod.rs, so the default action ends the process; and the address of discovery was copied at the start into Platform, Watch and Config, from LB_DISCOVERY only.

Now handlers stand before anything else; Platform's address is shared by its batches; the watch is replaced by one at the new address that asks for the whole list; the file's discovery holds over LB_DISCOVERY at a start.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,4 +1,5 @@
-//! What the platform tells a courier at its start: environment and `LB_CONFIG`.
+//! What the platform tells a courier: environment and `LB_CONFIG`, at its start and when it is told to read
+//! the file again.
 
 use super::discovery::List;
 use crate::interface::Settings;
@@ -8,7 +9,7 @@
 use std::fmt;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Why a start cannot go on.
 #[derive(Debug)]
@@ -38,6 +39,7 @@
 struct Page {
     #[serde(default)]
     seed: String,
+    discovery: Option<String>,
     limits: Limits,
     known: Option<List>,
     settings: Conf,
@@ -47,6 +49,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// The file that `LB_CONFIG` names.
+    pub file: PathBuf,
     pub discovery: SocketAddr,
     pub state: PathBuf,
     pub seed: u64,
@@ -67,8 +71,11 @@
 }
 
 fn address(name: &'static str) -> Result<SocketAddr, Fault> {
-    let value = text(name)?;
-    value.parse().map_err(|_| Fault::Bad(name, format!("{value:?} is no address with a port")))
+    place(&text(name)?).map_err(|why| Fault::Bad(name, why))
+}
+
+fn place(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{text:?} is no address with a port"))
 }
 
 /// The seed is hexadecimal; any other text still gives one.
@@ -78,24 +85,46 @@
     u64::from_str_radix(text, 16).unwrap_or_else(|_| mixed())
 }
 
+impl Page {
+    /// Reads the whole file, or tells what is wrong with it.
+    fn read(path: &Path) -> Result<(Self, Settings, Option<SocketAddr>), Fault> {
+        let bad = |why: String| Fault::Bad("LB_CONFIG", format!("{}: {why}", path.display()));
+        let page = fs::read(path).map_err(|e| bad(e.to_string()))?;
+        let page: Page = serde_json::from_slice(&page).map_err(|e| bad(e.to_string()))?;
+        let settings = page.settings.settings().map_err(|e| bad(format!("settings: {e}")))?;
+        if page.limits.sockets < 64 || page.limits.disk_mb <= 0.0 {
+            return Err(bad("limits: too few sockets or no disk".to_owned()));
+        }
+        let discovery = page.discovery.as_deref().map(place).transpose();
+        let discovery = discovery.map_err(|why| bad(format!("discovery: {why}")))?;
+        Ok((page, settings, discovery))
+    }
+}
+
+/// Where the file says that discovery is, as it stands now. An error changes nothing.
+pub fn discovery_again(path: &Path) -> Result<Option<SocketAddr>, Fault> {
+    Page::read(path).map(|(_, _, discovery)| discovery)
+}
+
 impl Config {
     pub fn read() -> Result<Self, Fault> {
-        let (name, listen, discovery) = (text("LB_NAME")?, address("LB_LISTEN")?, address("LB_DISCOVERY")?);
+        let (name, listen) = (text("LB_NAME")?, address("LB_LISTEN")?);
         let state = PathBuf::from(text("LB_STATE")?);
         if !state.is_dir() {
             return Err(Fault::Bad("LB_STATE", format!("{} is no folder", state.display())));
         }
-        let path = text("LB_CONFIG")?;
-        let bad = |why: String| Fault::Bad("LB_CONFIG", format!("{path}: {why}"));
-        let page = fs::read(&path).map_err(|e| bad(e.to_string()))?;
-        let page: Page = serde_json::from_slice(&page).map_err(|e| bad(e.to_string()))?;
-        let settings = page.settings.settings().map_err(|e| bad(format!("settings: {e}")))?;
-        if page.limits.sockets < 64 || page.limits.disk_mb <= 0.0 {
-            return Err(bad("limits: too few sockets or no disk".to_owned()));
-        }
+        let file = PathBuf::from(text("LB_CONFIG")?);
+        let (page, settings, named) = Page::read(&file)?;
+        // The file may have been replaced since the environment was set, so it holds where it names one: a
+        // courier that restarts after a reload must not fall back to the address before.
+        let discovery = match named {
+            Some(discovery) => discovery,
+            None => address("LB_DISCOVERY")?,
+        };
         Ok(Config {
             name,
             listen,
+            file,
             discovery,
             state,
             seed: seed(&page.seed),
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
 
 /// After SIGTERM: how long new attempts are begun, and when it ends whatever is still out. SIGKILL comes
@@ -47,6 +48,8 @@
     Listed(List),
     /// The platform has acknowledged the notices for these.
     Told(Vec<u64>),
+    /// The configuration was read again: where discovery is now.
+    Moved(SocketAddr),
     Stop,
 }
 
@@ -84,7 +87,7 @@
     wakes: BinaryHeap<Reverse<(Instant, u64)>>,
     notices: VecDeque<Notice>,
     posts: usize,
-    watching: bool,
+    watch: Option<AbortHandle>,
     /// Discovery has answered since the start.
     listed: bool,
     stopping: Option<Instant>,
@@ -126,7 +129,7 @@
             wakes: BinaryHeap::new(),
             notices: VecDeque::new(),
             posts: 0,
-            watching: false,
+            watch: None,
             listed: false,
             stopping: None,
             disk_failed: None,
@@ -295,6 +298,7 @@
                     self.end(message);
                 }
             }
+            News::Moved(discovery) => self.moved(discovery),
             News::Stop => {
                 self.standing.stop();
                 self.stopping.get_or_insert(Instant::now());
@@ -537,11 +541,28 @@
 
     /// One watch lasts for good and asks again by itself.
     fn watch(&mut self) {
-        if !std::mem::replace(&mut self.watching, true) {
+        if self.watch.is_none() {
             let known = self.config.known.as_ref();
-            let (seq, fresh) = (known.map_or(0, |l| l.seq), known.is_none());
-            let watch = Watch { address: self.config.discovery, seed: self.config.seed, seq, fresh };
-            tokio::task::spawn_local(watch.run(self.news.clone()));
+            self.watch_from(known.map_or(0, |l| l.seq), known.is_none());
+        }
+    }
+
+    fn watch_from(&mut self, seq: u64, fresh: bool) {
+        let watch = Watch { address: self.config.discovery, seed: self.config.seed, seq, fresh };
+        let task = tokio::task::spawn_local(watch.run(self.news.clone()));
+        self.watch = Some(task.abort_handle());
+    }
+
+    /// Discovery has another address. A watch that went on at the old one would hear of drains only once
+    /// that has closed it; and the new one's versions need not continue the old one's, so all is asked for.
+    fn moved(&mut self, discovery: SocketAddr) {
+        if std::mem::replace(&mut self.config.discovery, discovery) == discovery {
+            return;
+        }
+        self.platform.move_to(discovery);
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+            self.watch_from(0, true);
         }
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -16,11 +16,12 @@
 use courier::{Courier, News};
 use intake::{Intake, Standing};
 use journal::Journal;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
@@ -48,7 +49,28 @@
     socket.listen(BACKLOG)
 }
 
+fn on(kind: SignalKind, name: &'static str) -> Result<Signal, Fault> {
+    signal(kind).map_err(|e| Fault::Bad(name, e.to_string()))
+}
+
+/// Reads the configuration again at each SIGHUP. A file that cannot be read changes nothing.
+async fn reload(mut hangup: Signal, file: PathBuf, news: mpsc::Sender<News>) {
+    while hangup.recv().await.is_some() {
+        match config::discovery_again(&file) {
+            Ok(Some(discovery)) => {
+                eprintln!("configuration read again: discovery at {discovery}");
+                let _ = news.send(News::Moved(discovery)).await;
+            }
+            Ok(None) => eprintln!("configuration read again: it names no discovery"),
+            Err(fault) => eprintln!("configuration not read again, the old one stays: {fault}"),
+        }
+    }
+}
+
 async fn serve(mut config: Config) -> Result<(), Fault> {
+    // First of all: without a handler either signal ends the process at once.
+    let mut terminate = on(SignalKind::terminate(), "SIGTERM")?;
+    let hangup = on(SignalKind::hangup(), "SIGHUP")?;
     let disk = (config.limits.disk_mb * 1e6) as u64;
     let opened = Journal::open(&config.state, disk);
     let (journal, last) = opened.map_err(|e| Fault::Bad("LB_STATE", e.to_string()))?;
@@ -62,7 +84,6 @@
     let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS).max(8);
     let calls = Calls::new(config.settings.connect_timeout, keep, for_calls);
     let standing = Rc::new(Standing::default());
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| Fault::Bad("SIGTERM", e.to_string()))?;
     let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let (name, kept) = (config.name.clone(), journal.live().len());
@@ -72,6 +93,7 @@
         news: news.clone(),
         sockets: for_clients,
     };
+    tokio::task::spawn_local(reload(hangup, config.file.clone(), news.clone()));
     let courier = Courier::new(config, brain, journal, last, calls, standing.clone(), news.clone());
     standing.ready.set(true);
     let accepting = tokio::task::spawn_local(intake.run(listener));
--- a/src/node/outcomes.rs
+++ b/src/node/outcomes.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
 use serde::Serialize;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -52,14 +52,21 @@
 
 #[derive(Clone)]
 pub struct Platform {
-    address: SocketAddr,
+    /// Shared by all batches on their way: it moves at a reload.
+    address: Rc<Cell<SocketAddr>>,
     /// A connection that stands idle, if there is one.
     kept: Rc<RefCell<Option<(Link, Instant)>>>,
 }
 
 impl Platform {
     pub fn new(address: SocketAddr) -> Self {
-        Platform { address, kept: Rc::default() }
+        Platform { address: Rc::new(Cell::new(address)), kept: Rc::default() }
+    }
+
+    /// From now on notices go to another address, those that are tried again among them.
+    pub fn move_to(&self, address: SocketAddr) {
+        self.address.set(address);
+        self.kept.borrow_mut().take();
     }
 
     /// Posts a batch until it is acknowledged, then reports it.
@@ -88,19 +95,21 @@
     }
 
     async fn once(&self, batch: &[Notice]) -> Option<StatusCode> {
+        let to = self.address.get();
         let kept = self.kept.borrow_mut().take().filter(|(link, at)| at.elapsed() < KEEP && link.sound());
         let mut link = match kept {
             Some((link, _)) => link,
-            None => Link::open(self.address, CONNECT, None).await?,
+            None => Link::open(to, CONNECT, None).await?,
         };
         let text: String = batch.iter().map(Notice::line).collect();
         let request = Request::post("/v1/outcomes")
-            .header(header::HOST, self.address.to_string())
+            .header(header::HOST, to.to_string())
             .header(header::CONTENT_TYPE, "application/x-ndjson")
             .body(Full::new(Bytes::from(text)))
             .ok()?;
         let answer = link.ask(request, Instant::now() + ANSWER).await.ok()?;
-        if answer.reusable {
+        // After a reload the next batch would go to the old address on it.
+        if answer.reusable && to == self.address.get() {
             *self.kept.borrow_mut() = Some((link, Instant::now()));
         }
         Some(answer.status)
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -152,6 +152,8 @@
     pub lines: Arc<Mutex<Vec<Value>>>,
     pub notices: Arc<Mutex<Vec<Value>>>,
     pub watches: Arc<AtomicUsize>,
+    /// What each watch asked for.
+    pub asked: Arc<Mutex<Vec<String>>>,
     /// Watches with a lower number are cut off.
     pub cut: Arc<AtomicUsize>,
     /// How many posts are answered 503 first.
@@ -171,6 +173,7 @@
             lines: Arc::new(Mutex::new(vec![list])),
             notices: Arc::default(),
             watches: Arc::default(),
+            asked: Arc::default(),
             cut: Arc::default(),
             refuse_posts: Arc::default(),
             posts: Arc::default(),
@@ -192,6 +195,7 @@
         let mut from = BufReader::new(stream);
         while let Some(page) = Page::read(&mut from) {
             if page.first.starts_with("GET /api/targets?stream=1") {
+                self.asked.lock().expect("asked").push(page.first.clone());
                 return self.watch(&mut out);
             }
             let none = self
@@ -304,7 +308,7 @@
 pub struct Courier {
     pub address: SocketAddr,
     child: Child,
-    _log: Receiver<String>,
+    log: Receiver<String>,
 }
 
 pub fn command(folder: &Folder, discovery: &Discovery, config: &Value) -> Command {
@@ -337,7 +341,11 @@
     }
 
     pub fn with(folder: &Folder, discovery: &Discovery, config: &Value) -> Self {
-        let mut child = command(folder, discovery, config).spawn().expect("the courier starts");
+        Self::spawn(&mut command(folder, discovery, config))
+    }
+
+    pub fn spawn(command: &mut Command) -> Self {
+        let mut child = command.spawn().expect("the courier starts");
         let log = BufReader::new(child.stderr.take().expect("its log"));
         let (tell, lines) = channel();
         thread::spawn(move || {
@@ -349,7 +357,7 @@
         let line = lines.recv_timeout(LIMIT).expect("it tells where it serves");
         let address = line.split("serves ").nth(1).and_then(|l| l.split(';').next());
         let address = address.and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("no address: {line}"));
-        let courier = Courier { address, child, _log: lines };
+        let courier = Courier { address, child, log: lines };
         until("ready", || courier.get("/-/ready").is_some_and(|page| page.status() == 200));
         courier
     }
@@ -359,6 +367,24 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
+    /// Waits for a line of its log.
+    pub fn says(&self, words: &str) {
+        let end = Instant::now() + LIMIT;
+        while let Ok(line) = self.log.recv_timeout(end.saturating_duration_since(Instant::now())) {
+            if line.contains(words) {
+                return;
+            }
+        }
+        panic!("never said: {words}");
+    }
+
+    /// Replaces its configuration and tells it to read it again.
+    pub fn reload(&self, folder: &Folder, text: &str) {
+        fs::write(folder.0.join("config.next"), text).expect("a config");
+        fs::rename(folder.0.join("config.next"), folder.0.join("config.json")).expect("in its place");
+        self.signal("-HUP");
+    }
+
     pub fn kill(mut self) {
         self.child.kill().expect("killed");
         self.child.wait().expect("gone");
