Module: shut endpoints of one destination take turns at trials

Ruled out by the log: max_open, slots, told waits, pace. Cause: Brain::open put every other shut endpoint behind the failed one's own next trial, each time anew.

The test in tests/scenarios.rs fails without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -714,15 +714,16 @@
         let pause = (OPEN_FIRST + OPEN_GROWTH * secs(now - e.ailing_from)).min(1.0 / rate).max(OPEN_LEAST);
         e.cold = cold || (e.cold && !closed);
         e.warm_from = e.warm_from.filter(|_| !e.cold);
-        let turn_at = now + sec(pause * jitter);
-        (e.breaker, e.turn_at) = (Breaker::Open, turn_at);
-        // Outages mostly take a destination whole: one trial speaks for all its open endpoints.
-        let dest = e.dest;
-        for other in &self.dests[&dest].endpoints {
-            let e = self.endpoints.get_mut(other).expect("known");
-            if e.breaker == Breaker::Open && *other != id {
-                e.turn_at = e.turn_at.max(turn_at + sec(TRIAL_APART * pause));
-            }
+        let (turn_at, apart) = (now + sec(pause * jitter), sec(TRIAL_APART * pause));
+        e.breaker = Breaker::Open;
+        // Outages mostly take a destination whole: one trial speaks for all its open endpoints. They take
+        // turns, what failed last comes last: else it alone is tried, and others that are back stay shut.
+        let others = self.dests[&e.dest].endpoints.iter().map(|o| (*o, &self.endpoints[o]));
+        let shut = others.filter(|(o, e)| *o != id && e.ready && e.breaker == Breaker::Open);
+        let mut turns: Vec<_> = shut.map(|(o, e)| (e.turn_at, o)).collect();
+        turns.sort();
+        for (n, (at, other)) in turns.into_iter().chain([(turn_at, id)]).enumerate() {
+            self.endpoints.get_mut(&other).expect("known").turn_at = at.max(turn_at + apart * n as Ns);
         }
     }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -273,3 +273,24 @@
     assert_eq!(waits.len(), 1);
     assert!(waits[0] >= MS * 500 && waits[0] <= MS * 2000, "{waits:?}");
 }
+
+#[test]
+fn endpoints_of_one_destination_that_are_shut_take_turns_at_trials() {
+    // Found on a day with replaced endpoints: a failed trial put the others behind its own next one, so that
+    // one endpoint that stayed down was tried for ever and one that was back never.
+    let known = |id| Entry { weight: 20.0, ..entry(id, 1, 0, 1) };
+    let mut d =
+        Drive::new(Settings { weights: WeightKind::Nominal, ..settings() }, (0..3).map(known).collect());
+    let mut late = Vec::new();
+    for id in 0..600 {
+        let mut actions = d.feed(&[taken(id, 0, 1, MS * 8000)]);
+        actions.extend(d.pass(MS * 50));
+        while let Some((message, endpoint)) = sends(&actions).first().copied() {
+            late.extend((id > 300).then_some(endpoint));
+            actions.retain(|a| !matches!(a, Action::Send { message: m, .. } if m.0 == message));
+            actions.extend(d.feed(&[ended(message, endpoint, Outcome::ConnectFailed, 1)]));
+        }
+    }
+    let trials = |endpoint| late.iter().filter(|e| **e == endpoint).count();
+    assert!((0..3).all(|e| trials(e) >= 3), "{late:?}");
+}
