Bad clients: time limits within 3 s, frames in doubt refused, room made at once

By reading and by tests: a head could take 30 s and a body 5 s; hyper drops a Content-Length beside a Transfer-Encoding unseen and keeps what follows a body as the next request; doubled identifying headers were not noticed; at the limit one idle connection was closed every 5 ms, the usual clients' first, and half-sent heads never (intake.rs run, shed).

Now: 1.2 s of silence, 0.7 s for a head and for a body; the raw bytes are watched for the head's end and its lengths; a request whose end is in doubt is answered 4xx and closed; at the limit the connection of least use goes at once, silent ones before those that have served; bodies in flight share an eighth of limits.memory_mb.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -33,6 +33,13 @@
 pub struct Limits {
     pub sockets: usize,
     pub disk_mb: f64,
+    #[serde(default = "memory")]
+    pub memory_mb: f64,
+}
+
+/// Where the file tells none: the most that a courier gets.
+fn memory() -> f64 {
+    192.0
 }
 
 #[derive(Deserialize)]
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -9,13 +9,16 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::io;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{Notify, oneshot};
@@ -24,9 +27,15 @@
 pub const BODY_MOST: usize = 64 * 1024;
 /// A longer body is read no further and costs its connection.
 const BODY_DRAINED: usize = 1024 * 1024;
-const BODY_TIME: Duration = Duration::from_secs(5);
-/// A connection that has sent no whole head for so long is closed: slow clients must not hold memory.
-const HEAD_TIME: Duration = Duration::from_secs(30);
+/// A client is owed an answer or a close within 3 s of connecting: so long it may stay silent, a head may
+/// take from its first byte, and a body from the end of its head.
+const SILENT_TIME: Duration = Duration::from_millis(1200);
+const HEAD_TIME: Duration = Duration::from_millis(700);
+const BODY_TIME: Duration = Duration::from_millis(700);
+/// A connection without an open request may be closed after this time, where room is needed.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+/// A new connection's request is mostly there already and read by then.
+const FRESH_TIME: Duration = Duration::from_millis(100);
 const HEAD_MOST: usize = 16 * 1024;
 const ID_MOST: usize = 256;
 /// No class has a time-out near this.
@@ -66,14 +75,164 @@
     /// Told to all connections when the courier stops.
     pub open: RefCell<BTreeMap<u64, Rc<Line>>>,
     next: Cell<u64>,
+    /// Bytes of bodies that are being read or have no answer yet.
+    bodies: Cell<usize>,
+}
+
+/// Where a client's connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Nothing has come on it yet.
+    Silent,
+    /// Part of a head has come.
+    Head,
+    /// A request is being read or judged.
+    Busy,
+    /// Between requests; `well` if the last one was not at fault.
+    Idle { well: bool },
 }
 
 /// One client's connection.
-#[derive(Default)]
 pub struct Line {
-    /// Since when it stands idle.
-    idle: Cell<Option<Instant>>,
+    stage: Cell<Stage>,
+    /// Since when it stands there.
+    since: Cell<Instant>,
+    framing: RefCell<Framing>,
     close: Notify,
+    /// Closes it whatever has come on it.
+    drop: Notify,
+}
+
+impl Line {
+    fn new() -> Self {
+        Line {
+            stage: Cell::new(Stage::Silent),
+            since: Cell::new(Instant::now()),
+            framing: RefCell::default(),
+            close: Notify::new(),
+            drop: Notify::new(),
+        }
+    }
+
+    fn enter(&self, stage: Stage) {
+        self.stage.set(stage);
+        self.since.set(Instant::now());
+    }
+
+    fn heard(&self, bytes: &[u8]) {
+        self.framing.borrow_mut().hear(bytes);
+        if matches!(self.stage.get(), Stage::Silent | Stage::Idle { .. }) {
+            self.enter(Stage::Head);
+        }
+    }
+
+    /// When it is closed for want of a request.
+    fn due(&self) -> Option<Instant> {
+        match self.stage.get() {
+            Stage::Silent => Some(self.since.get() + SILENT_TIME),
+            Stage::Head => Some(self.since.get() + HEAD_TIME),
+            Stage::Busy | Stage::Idle { .. } => None,
+        }
+    }
+
+    /// How readily it is closed to make room: low first, None not at all. What has never handed in anything
+    /// goes before a usual client's connection.
+    fn use_of(&self) -> Option<u8> {
+        let age = self.since.get().elapsed();
+        match self.stage.get() {
+            Stage::Silent if age > FRESH_TIME => Some(0),
+            Stage::Idle { well: false } => Some(1),
+            Stage::Idle { .. } if age > IDLE_TIME => Some(2),
+            Stage::Head if age > FRESH_TIME => Some(3),
+            Stage::Silent => Some(4),
+            _ => None,
+        }
+    }
+}
+
+/// What can be seen of a request's frame only in its raw bytes: hyper drops a length beside a transfer
+/// coding, or a second equal one, without a word, and keeps what follows a body for the next request.
+#[derive(Default)]
+struct Framing {
+    line: Vec<u8>,
+    begun: bool,
+    /// The head has ended.
+    ended: bool,
+    lengths: usize,
+    /// Bytes since the head's end.
+    behind: usize,
+}
+
+const LENGTH: &[u8] = b"content-length";
+
+impl Framing {
+    fn hear(&mut self, bytes: &[u8]) {
+        for (n, byte) in bytes.iter().enumerate() {
+            if self.ended {
+                self.behind += bytes.len() - n;
+                return;
+            }
+            match byte {
+                b'\n' if self.line.is_empty() => self.ended = self.begun,
+                b'\n' => {
+                    let name = self.line.get(..LENGTH.len());
+                    self.lengths += usize::from(name.is_some_and(|l| l.eq_ignore_ascii_case(LENGTH)));
+                    self.line.clear();
+                }
+                b'\r' => {}
+                _ => {
+                    self.begun = true;
+                    self.line.extend((self.line.len() < LENGTH.len()).then_some(*byte));
+                }
+            }
+        }
+    }
+
+    /// Why a request with a body of this length must not be taken: its end is in doubt, and another may be
+    /// hidden behind it. Clients send one at a time.
+    fn fault(&self, length: Option<u64>) -> Option<(StatusCode, &'static str)> {
+        match length {
+            None => {
+                Some((StatusCode::LENGTH_REQUIRED, "a Content-Length, and nothing else, tells the length\n"))
+            }
+            _ if self.lengths > 1 => Some((StatusCode::BAD_REQUEST, "more than one length\n")),
+            Some(length) if self.behind as u64 > length => {
+                Some((StatusCode::BAD_REQUEST, "more than the length says\n"))
+            }
+            Some(_) => None,
+        }
+    }
+}
+
+/// A client's socket, with its connection told what comes.
+struct Ear {
+    stream: TcpStream,
+    line: Rc<Line>,
+}
+
+impl AsyncRead for Ear {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.filled().len() > before {
+            self.line.heard(&buf.filled()[before..]);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Ear {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
 }
 
 impl Standing {
@@ -83,17 +242,32 @@
         self.stopping.set(true);
         self.open.borrow().values().for_each(|line| line.close.notify_one());
     }
+
+    /// Closes the connection that is of least use, if one can go.
+    fn shed(&self) -> bool {
+        let mut open = self.open.borrow_mut();
+        let least = open.iter().filter_map(|(id, line)| Some((line.use_of()?, line.since.get(), *id))).min();
+        let line = least.and_then(|(_, _, id)| open.remove(&id));
+        line.inspect(|line| line.drop.notify_one()).is_some()
+    }
 }
 
-impl Standing {
-    /// Closes the connection that has stood idle for longest.
-    fn shed(&self) {
-        let open = self.open.borrow();
-        let idle = open.values().filter_map(|line| Some((line.idle.get()?, line)));
-        if let Some((_, line)) = idle.min_by_key(|(since, _)| *since) {
-            line.idle.set(None);
-            line.close.notify_one();
-        }
+/// Room for one body, given back when dropped.
+struct Room<'a>(&'a Standing, usize);
+
+impl<'a> Room<'a> {
+    fn take(standing: &'a Standing, bytes: usize, most: usize) -> Option<Self> {
+        let after = standing.bodies.get() + bytes;
+        (after <= most).then(|| {
+            standing.bodies.set(after);
+            Room(standing, bytes)
+        })
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.0.bodies.set(self.0.bodies.get() - self.1);
     }
 }
 
@@ -103,6 +277,8 @@
     pub news: Sender<News>,
     /// Clients' connections at most.
     pub sockets: usize,
+    /// Bytes of bodies in flight at most.
+    pub bodies: usize,
 }
 
 impl Intake {
@@ -110,15 +286,17 @@
     pub async fn run(self, listener: TcpListener) {
         let this = Rc::new(self);
         loop {
-            // Out of sockets is backpressure: the longest idle makes room, else the newcomer waits outside.
-            if this.standing.open.borrow().len() >= this.sockets {
-                this.standing.shed();
+            // Out of sockets is backpressure: the one of least use makes room, else the newcomer waits
+            // outside. Each closed one lets one in at once, so that hundreds that say nothing starve nobody.
+            if this.standing.open.borrow().len() >= this.sockets && !this.standing.shed() {
                 sleep(Duration::from_millis(5)).await;
                 continue;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
                     tokio::task::spawn_local(this.clone().serve(stream));
+                    // A newcomer's request is read before the next may push it out.
+                    tokio::task::yield_now().await;
                 }
                 Err(e) => {
                     eprintln!("intake: cannot accept: {e}");
@@ -130,7 +308,7 @@
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let line = Rc::new(Line { idle: Cell::new(Some(Instant::now())), ..Line::default() });
+        let line = Rc::new(Line::new());
         let id = self.standing.next.get();
         self.standing.next.set(id + 1);
         self.standing.open.borrow_mut().insert(id, line.clone());
@@ -138,35 +316,41 @@
         let service = service_fn(move |request| {
             let (this, line) = (this.clone(), of.clone());
             async move {
-                line.idle.set(None);
-                let answer = this.handle(request).await;
-                line.idle.set(Some(Instant::now()));
+                line.enter(Stage::Busy);
+                let answer = this.handle(request, &line).await;
+                *line.framing.borrow_mut() = Framing::default();
+                line.enter(Stage::Idle { well: !answer.status().is_client_error() });
                 Ok::<_, Infallible>(answer)
             }
         });
         let conn = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIME)
             .max_buf_size(HEAD_MOST)
             .keep_alive(!self.standing.stopping.get())
-            .serve_connection(TokioIo::new(stream), service);
-        let mut conn = pin!(conn);
+            .serve_connection(TokioIo::new(Ear { stream, line: line.clone() }), service);
+        let (mut conn, mut late) = (pin!(conn), pin!(sleep(SILENT_TIME)));
         loop {
             tokio::select! {
+                biased;
+                () = line.drop.notified() => break,
                 _ = conn.as_mut() => break,
                 () = line.close.notified() => conn.as_mut().graceful_shutdown(),
+                () = late.as_mut() => match line.due() {
+                    // A head without an end, or nothing at all, must not hold a socket.
+                    Some(due) if due <= Instant::now() => break,
+                    due => late.as_mut().reset(due.unwrap_or_else(|| Instant::now() + HEAD_TIME)),
+                },
             }
         }
         self.standing.open.borrow_mut().remove(&id);
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, request: Request<Incoming>, line: &Line) -> Response<Full<Bytes>> {
         let mut answer = match (request.method(), request.uri().path()) {
             (&Method::GET, "/-/ready") => match self.standing.ready.get() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             },
-            (&Method::POST, _) => self.take(request).await,
+            (&Method::POST, _) => self.take(request, line).await,
             _ => plain(StatusCode::NOT_FOUND, "no such page\n"),
         };
         if self.standing.stopping.get() {
@@ -175,19 +359,32 @@
         answer
     }
 
-    async fn take(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn take(&self, request: Request<Incoming>, line: &Line) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
+        let length = body.size_hint().exact();
+        if let Some((status, why)) = line.framing.borrow().fault(length) {
+            return closing(status, why);
+        }
+        let length = length.unwrap_or_default();
+        if length > BODY_DRAINED as u64 {
+            return closing(StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB\n");
+        }
+        // Many large bodies at once must not take the memory: together they have a fixed room.
+        let kept = if length > BODY_MOST as u64 { 0 } else { length as usize };
+        let Some(_room) = Room::take(&self.standing, kept, self.bodies) else {
+            return respond(Reply::Unavailable);
+        };
         // Read even if the head is at fault, so that the connection can go on.
         let body = match timeout(BODY_TIME, read(body)).await {
             Ok(Ok(body)) => body,
             Ok(Err(Unread::Large)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB\n"),
-            Ok(Err(Unread::Broken)) => return plain(StatusCode::BAD_REQUEST, "the body broke off\n"),
-            Err(_) => {
-                let mut answer = plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n");
-                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                return answer;
-            }
+            Ok(Err(Unread::Broken)) => return closing(StatusCode::BAD_REQUEST, "the body broke off\n"),
+            Err(_) => return closing(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
         };
+        // Once more: what is behind the body may have come with it.
+        if let Some((status, why)) = line.framing.borrow().fault(Some(length)) {
+            return closing(status, why);
+        }
         let at = Instant::now();
         let (letter, class, time_left) = match self.letter(parts.uri.path(), &parts.headers, body) {
             Ok(read) => read,
@@ -209,6 +406,12 @@
         headers: &HeaderMap,
         body: Bytes,
     ) -> Result<(Letter, usize, Duration), &'static str> {
+        // Two that name different messages: one reader would take the first and another the last.
+        for name in ["X-Request-ID", "X-Priority-Class", "X-Timeout", "Envelope", "Idempotency-Key"] {
+            if headers.get_all(name).iter().nth(1).is_some() {
+                return Err("a header that may come once comes twice\n");
+            }
+        }
         let head = |name| headers.get(name).map(|v| v.to_str().map(str::trim));
         let id = head("X-Request-ID").ok_or("no X-Request-ID\n")?.map_err(|_| "X-Request-ID is no text\n")?;
         if id.is_empty() || id.len() > ID_MOST {
@@ -244,9 +447,6 @@
 }
 
 async fn read(mut body: Incoming) -> Result<Bytes, Unread> {
-    if body.size_hint().lower() > BODY_DRAINED as u64 {
-        return Err(Unread::Large);
-    }
     let (mut kept, mut seen) = (Vec::new(), 0);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
@@ -291,6 +491,13 @@
     answer
 }
 
+/// An answer after which the connection is of no more use.
+fn closing(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut answer = plain(status, text);
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 fn respond(reply: Reply) -> Response<Full<Bytes>> {
     let again = |status, text, wait: Option<Duration>| {
         let mut answer = plain(status, text);
@@ -324,6 +531,24 @@
         }
     }
 
+    #[test]
+    fn frames_that_could_hide_a_request_are_seen() {
+        let framing = |text: &str, size| {
+            let mut framing = Framing::default();
+            text.as_bytes().chunks(size).for_each(|piece| framing.hear(piece));
+            framing
+        };
+        for size in [1, 7, 1000] {
+            let good = framing("\r\nPOST / HTTP/1.1\r\nContent-Length: 3\r\nContent: x\r\n\r\nabc", size);
+            assert_eq!((good.lengths, good.behind), (1, 3));
+            assert!(
+                good.fault(Some(3)).is_none() && good.fault(Some(2)).is_some() && good.fault(None).is_some()
+            );
+            let two = framing("POST / HTTP/1.1\ncontent-length: 3\nCONTENT-LENGTH: 3\n\nabc", size);
+            assert!(two.fault(Some(3)).is_some());
+        }
+    }
+
     #[test]
     fn envelopes_name_a_destination() {
         assert_eq!(envelope("dest=7"), Some(7));
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -30,6 +30,8 @@
 /// Sockets and files that are neither a client's nor an endpoint's.
 const SPARE_SOCKETS: usize = 32;
 const BACKLOG: u32 = 1024;
+/// Share of the memory that bodies of clients may take while they are read.
+const BODIES_SHARE: f64 = 0.125;
 /// Share of the endpoints' limit for which a connection may stand idle here.
 const KEEP_SHARE: f64 = 0.75;
 
@@ -92,6 +94,7 @@
         standing: standing.clone(),
         news: news.clone(),
         sockets: for_clients,
+        bodies: (config.limits.memory_mb * 1e6 * BODIES_SHARE) as usize,
     };
     tokio::task::spawn_local(reload(hangup, config.file.clone(), news.clone()));
     let courier = Courier::new(config, brain, journal, last, calls, standing.clone(), news.clone());
--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -4,8 +4,11 @@
 mod rig;
 use rig::*;
 use serde_json::Value;
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Instant;
 
 /// One endpoint of destination 7, and discovery that lists it.
 fn one(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (Folder, Endpoint, Discovery) {
@@ -131,7 +134,7 @@
 fn a_head_without_an_end_does_not_hold_its_slot_until_the_time_out() {
     let (folder, endpoint, discovery) = first("HTTP/1.1 500 No\r\nX-One: a\r\n");
     let courier = Courier::start(&folder, &discovery);
-    let from = std::time::Instant::now();
+    let from = Instant::now();
     courier.take("pay", "payment", 7, 50_000);
     until("the notice", || discovery.results("pay") == ["dead"]);
     assert!(from.elapsed() < 25_000 * MS, "its message had 50 s");
@@ -200,3 +203,81 @@
     until("the call", || endpoint.calls().len() == 2);
     assert_eq!(endpoint.calls()[1].connection, 1);
 }
+
+// ---- bad clients ---------------------------------------------------------------------------------------
+
+fn open(courier: &Courier, bytes: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(courier.address).expect("a connection");
+    stream.set_read_timeout(Some(LIMIT)).expect("set");
+    stream.write_all(bytes.as_bytes()).expect("sent");
+    stream
+}
+
+#[test]
+fn what_never_becomes_a_request_is_answered_or_closed_soon() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    let good = message("m", "status", 7, 20_000);
+    let from = Instant::now();
+    let cases = ["", "POST /sta", &good[..60], &good[..good.len() - 3]];
+    let open = cases.map(|bytes| open(&courier, bytes));
+    for (mut stream, case) in open.into_iter().zip(cases) {
+        let mut answer = Vec::new();
+        // A reset is a close, too.
+        let _ = stream.read_to_end(&mut answer);
+        assert!(answer.is_empty() || answer.starts_with(b"HTTP/1.1 4"), "{case:?}: {answer:?}");
+    }
+    assert!(from.elapsed() < 20_000 * MS, "{:?}", from.elapsed());
+    courier.take("end", "status", 7, 20_000);
+    until("the call", || endpoint.ids() == ["end"]);
+}
+
+#[test]
+fn a_request_whose_end_or_name_is_in_doubt_is_refused_and_never_passed_on() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    let good = message("bad", "status", 7, 20_000);
+    let length = "Content-Length: 5\r\n";
+    let hidden = message("hidden", "status", 7, 20_000);
+    let coded = format!("0\r\n\r\n{hidden}");
+    for bad in [
+        good.replace(length, &format!("{length}Transfer-Encoding: chunked\r\n")).replace("bo\0dy", &coded),
+        good.replace(length, &format!("Transfer-Encoding: chunked\r\n{length}")).replace("bo\0dy", &coded),
+        good.replace(length, &format!("{length}{length}")),
+        good.replace(length, "Content-Length: 5\r\nContent-Length: 6\r\n"),
+        good.replace(length, "Content-Length: -5\r\n"),
+        good.replace(length, "Content-Length: 99999999999999999999\r\n"),
+        good.replace(length, "Content-Length: 60000000\r\n"),
+        format!("{good}{hidden}"),
+    ] {
+        let page = raw(courier.address, bad.as_bytes()).unwrap_or_else(|| panic!("no answer to {bad}"));
+        assert!((400..500).contains(&page.status()), "{} to {bad}", page.first);
+        assert_eq!(page.head("connection"), Some("close"), "{bad}");
+    }
+    for twice in ["X-Request-ID: a", "X-Timeout: 9m", "Envelope: dest=7", "Idempotency-Key: b"] {
+        let bad = good.replace(length, &format!("{twice}\r\n{length}"));
+        assert_eq!(raw(courier.address, bad.as_bytes()).map(|p| p.status()), Some(400), "{bad}");
+    }
+    courier.take("end", "status", 7, 20_000);
+    until("the call", || !endpoint.calls().is_empty());
+    assert_eq!(endpoint.ids(), ["end"]);
+}
+
+#[test]
+fn hundreds_that_send_half_a_head_or_nothing_keep_no_usual_client_out() {
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    let mut usual = open(&courier, &message("m0", "status", 7, 20_000));
+    let mut answers = BufReader::new(usual.try_clone().expect("a handle"));
+    assert_eq!(Page::read(&mut answers).expect("an answer").status(), 202);
+    let from = Instant::now();
+    let half = &message("half", "status", 7, 20_000)[..40];
+    let crowd: Vec<_> = (0..500).map(|n| open(&courier, if n % 2 == 0 { half } else { "" })).collect();
+    courier.take("m1", "status", 7, 20_000);
+    assert!(from.elapsed() < 20_000 * MS, "{:?}", from.elapsed());
+    // The connection that has served before them is still there.
+    usual.write_all(message("m2", "status", 7, 20_000).as_bytes()).expect("sent");
+    assert_eq!(Page::read(&mut answers).expect("it was kept open").status(), 202);
+    until("the calls", || endpoint.calls().len() == 3);
+    drop(crowd);
+}
