Growth: endpoints long gone are forgotten, links to endpoints not ready are closed

Cause, by reading: Courier.endpoints and numbers, and the module's endpoints and pools, kept a row for each endpoint ever listed; superseded wake-ups stayed until their time and each cost a turn. Now the module forgets an endpoint gone for cold_span that no call, wait or message names, and says so (Action::Forget; the wire has no word for it); the courier keeps one wake-up, as the module has; links to what is not ready are closed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -158,14 +158,14 @@
         self.calls_out < self.set.slots && d.calls < self.cap(d)
     }
 
-    fn pool_id(&self, id: EndpointId) -> PoolId {
+    pub(crate) fn pool_id(&self, id: EndpointId) -> PoolId {
         let e = &self.endpoints[&id];
         (e.dest, self.set.kinds[e.kind].separate_routes.then_some(id))
     }
 
     fn learn(&mut self, event: &Event, out: &mut Vec<Action>) {
         match event {
-            Event::Listed { whole, entries } => self.listed(*whole, entries),
+            Event::Listed { whole, entries } => self.listed(*whole, entries, out),
             Event::ListFailed => {
                 let pause = self.ask_pause * self.jitter();
                 self.ask_at = self.set.must_subscribe.then_some(self.now + sec(pause));
@@ -180,20 +180,20 @@
         }
     }
 
-    fn listed(&mut self, whole: bool, entries: &[Entry]) {
+    fn listed(&mut self, whole: bool, entries: &[Entry], out: &mut Vec<Action>) {
         // The cached list of the start comes before anything was asked for; later news are answers.
         if self.now > 0 {
             (self.ask_at, self.ask_pause) = (None, LIST_RETRY);
         }
         if whole {
-            self.endpoints.values_mut().for_each(|e| e.ready = false);
+            self.endpoints.values_mut().for_each(|e| e.leave(self.now));
         }
         for entry in entries {
             let kind = entry.kind.min(self.set.kinds.len() - 1);
             let (dest, zone, lean) = (entry.destination, entry.zone, self.rng.random());
             let fresh = || Endpoint { dest, zone, kind, lean, ..Endpoint::default() };
             let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
-            e.ready = entry.standing == Standing::Ready;
+            e.stand(entry.standing, self.now);
             self.dest(entry.destination).endpoints.insert(entry.endpoint);
             let id = self.pool_id(entry.endpoint);
             let pool = self.pools.entry(id).or_insert_with(|| Pool { tokens: 1.0, ..Pool::default() });
@@ -201,6 +201,7 @@
                 pool.limit = Some(entry.weight);
             }
         }
+        self.forget(out);
         self.touched.extend(self.dests.iter().filter(|(_, d)| !d.members.is_empty()).map(|(id, _)| *id));
     }
 
@@ -720,8 +721,7 @@
         // turns, what failed last comes last: else it alone is tried, and others that are back stay shut.
         let others = self.dests[&e.dest].endpoints.iter().map(|o| (*o, &self.endpoints[o]));
         let shut = others.filter(|(o, e)| *o != id && e.ready && e.breaker == Breaker::Open);
-        let mut turns: Vec<_> = shut.map(|(o, e)| (e.turn_at, o)).collect();
-        turns.sort();
+        let turns: BTreeSet<_> = shut.map(|(o, e)| (e.turn_at, o)).collect();
         for (n, (at, other)) in turns.into_iter().chain([(turn_at, id)]).enumerate() {
             self.endpoints.get_mut(&other).expect("known").turn_at = at.max(turn_at + apart * n as Ns);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -281,6 +281,10 @@
     Close {
         endpoint: EndpointId,
     },
+    /// An endpoint that is long gone is known no more: nothing refers to it.
+    Forget {
+        endpoint: EndpointId,
+    },
     /// A note of 256 bytes at most to one courier, or to all.
     Tell {
         to: Option<u64>,
--- a/src/node/courier.rs
+++ b/src/node/courier.rs
@@ -9,8 +9,7 @@
 use super::outcomes::{Notice, Platform};
 use crate::brain::Brain;
 use crate::interface::{self, *};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -57,6 +56,8 @@
     host: String,
     address: Option<SocketAddr>,
     zone: usize,
+    /// As the list has it: elsewhere no connection to it is kept.
+    ready: bool,
 }
 
 struct Held {
@@ -77,14 +78,17 @@
     origin: Instant,
     events: Vec<Event>,
     offers: BTreeMap<u64, Offer>,
-    endpoints: Vec<Endpoint>,
+    /// Those that the module knows; it says when one is forgotten. Numbers are never used again.
+    endpoints: HashMap<EndpointId, Endpoint>,
+    numbered: u32,
     numbers: HashMap<String, EndpointId>,
     destinations: BTreeSet<u64>,
     held: BTreeMap<u64, Held>,
     /// Messages by the id that their clients gave them, until they have ended.
     ids: HashMap<String, u64>,
     next: u64,
-    wakes: BinaryHeap<Reverse<(Instant, u64)>>,
+    /// The module's one wake-up; a later request for one takes its place.
+    wake: Option<(Instant, u64)>,
     notices: VecDeque<Notice>,
     posts: usize,
     watch: Option<AbortHandle>,
@@ -120,13 +124,14 @@
             origin: Instant::now(),
             events: Vec::new(),
             offers: BTreeMap::new(),
-            endpoints: Vec::new(),
+            endpoints: HashMap::new(),
+            numbered: 0,
             numbers: HashMap::new(),
             destinations: BTreeSet::new(),
             held: BTreeMap::new(),
             ids: HashMap::new(),
             next: last + 1,
-            wakes: BinaryHeap::new(),
+            wake: None,
             notices: VecDeque::new(),
             posts: 0,
             watch: None,
@@ -185,32 +190,52 @@
         if let Some(id) = self.numbers.get(host) {
             return *id;
         }
-        let id = EndpointId(self.endpoints.len() as u32);
-        self.endpoints.push(Endpoint { host: host.to_owned(), address: None, zone: 0 });
+        let id = EndpointId(self.numbered);
+        self.numbered += 1;
+        self.endpoints.insert(id, Endpoint { host: host.to_owned(), address: None, zone: 0, ready: false });
         self.numbers.insert(host.to_owned(), id);
         id
     }
 
     fn list(&mut self, list: List) {
         let mut entries = Vec::new();
+        let before: Vec<_> = self.endpoints.iter().filter(|(_, e)| e.ready).map(|(id, _)| *id).collect();
+        if list.whole {
+            self.endpoints.values_mut().for_each(|e| e.ready = false);
+        }
         for host in list.hosts {
             let (endpoint, zone) = (self.number(&host.host), self.zone(&host.site));
             let kinds = &self.config.kinds;
             let kind = kinds.iter().position(|k| *k == host.class).unwrap_or(kinds.len());
-            let e = &mut self.endpoints[endpoint.0 as usize];
+            let Some(e) = self.endpoints.get_mut(&endpoint) else { continue };
             e.zone = zone;
-            e.address = host.dial.parse().ok().or(e.address);
+            let address = host.dial.parse().ok().or(e.address);
+            if std::mem::replace(&mut e.address, address) != address {
+                self.calls.close(endpoint);
+            }
             // An address that cannot be read leaves nowhere to send to.
             let standing = match host.health {
                 Health::Ready if e.address.is_some() => interface::Standing::Ready,
                 Health::Gone => interface::Standing::Gone,
                 _ => interface::Standing::Draining,
             };
+            e.ready = standing == interface::Standing::Ready;
             self.destinations.insert(host.block);
             let (destination, weight) = (DestinationId(host.block), host.share);
             entries.push(Entry { endpoint, destination, zone, kind, standing, weight });
         }
         self.events.push(Event::Listed { whole: list.whole, entries });
+        for endpoint in before {
+            self.part(endpoint);
+        }
+    }
+
+    /// Nothing new goes to an endpoint that is not ready: connections kept for it would only take room, and
+    /// whatever comes to its address next is another.
+    fn part(&self, endpoint: EndpointId) {
+        if !self.endpoints.get(&endpoint).is_some_and(|e| e.ready) {
+            self.calls.close(endpoint);
+        }
     }
 
     /// Runs until the courier has stopped.
@@ -219,7 +244,7 @@
         let mut last: Option<Instant> = None;
         self.post();
         loop {
-            let due = self.wakes.peek().map(|Reverse((at, _))| *at);
+            let due = self.wake.map(|(at, _)| at);
             let due = if self.events.is_empty() { due } else { Some(Instant::now()) };
             let due = due.map(|at| last.map_or(at, |t| at.max(t + tick)));
             let retry = self.disk_failed.map(|t| t + DISK_RETRY);
@@ -361,6 +386,8 @@
         if end.over {
             self.end(message);
         }
+        // It may have gone while the call was out, and its connection was kept after that.
+        self.part(endpoint);
         let Some(m) = self.held.get_mut(&message) else { return };
         let Some((sent, _)) = m.out.take() else { return };
         self.events.push(Event::Ended(Ended {
@@ -379,9 +406,7 @@
 
     /// One batch: what happened goes in, and what the module asks for is carried out.
     fn turn(&mut self, now: Instant) {
-        while let Some(Reverse((_, token))) = self.wakes.peek().copied().filter(|Reverse((at, _))| *at <= now)
-        {
-            self.wakes.pop();
+        if let Some((_, token)) = self.wake.take_if(|(at, _)| *at <= now) {
             self.events.push(Event::Woken { token });
         }
         self.drop_deserted();
@@ -403,7 +428,13 @@
                 Action::Close { endpoint } => self.calls.close(endpoint),
                 Action::Subscribe { active: true } | Action::Fetch => self.watch(),
                 Action::Subscribe { active: false } | Action::Tell { .. } => {}
-                Action::Wake { token, after } => self.wakes.push(Reverse((now + after, token))),
+                Action::Wake { token, after } => self.wake = Some((now + after, token)),
+                Action::Forget { endpoint } => {
+                    self.calls.close(endpoint);
+                    if let Some(e) = self.endpoints.remove(&endpoint) {
+                        self.numbers.remove(&e.host);
+                    }
+                }
                 Action::Note { text } => eprintln!("note: {text}"),
             }
         }
@@ -489,14 +520,15 @@
         let late = self.stopping.is_some_and(|t| now >= t + STOP_SENDING);
         let mut ready = Vec::new();
         for (message, endpoint, timeout) in sends {
-            let e = &self.endpoints[endpoint.0 as usize];
-            let zone = self.config.zones.get(e.zone).cloned().unwrap_or_default();
-            let attempt = Attempt { host: e.host.clone(), zone, sent: unix(), may_have_run: true };
-            let Some((m, address)) = self.held.get_mut(&message).zip(e.address) else {
+            let e = self.endpoints.get(&endpoint);
+            let to = e.and_then(|e| Some((e, e.address?)));
+            let Some((m, (e, address))) = self.held.get_mut(&message).zip(to) else {
                 // Its client left in this very batch: the module hears that nothing was sent.
                 self.events.push(never_sent(message, endpoint));
                 continue;
             };
+            let zone = self.config.zones.get(e.zone).cloned().unwrap_or_default();
+            let attempt = Attempt { host: e.host.clone(), zone, sent: unix(), may_have_run: true };
             m.out = Some((now, None));
             if late {
                 // This process ends before an answer could come: it is left to the next, as never sent.
@@ -529,7 +561,7 @@
     }
 
     fn probe(&mut self, endpoint: EndpointId) {
-        if let Some(address) = self.endpoints[endpoint.0 as usize].address {
+        if let Some(address) = self.endpoints.get(&endpoint).and_then(|e| e.address) {
             let timeout = self.config.settings.connect_timeout * 2;
             tokio::task::spawn_local(self.calls.clone().probe(endpoint, address, timeout, self.news.clone()));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,6 +77,8 @@
     pub(crate) zone: usize,
     pub(crate) kind: usize,
     pub(crate) ready: bool,
+    /// Since when the list has it no more.
+    pub(crate) gone: Option<Ns>,
     pub(crate) latency: f64,
     /// Calls out: when sent and messages without an outcome.
     pub(crate) calls: BTreeMap<u64, (Ns, usize)>,
@@ -221,6 +223,51 @@
     }
 }
 
+impl Endpoint {
+    pub(crate) fn leave(&mut self, now: Ns) {
+        self.ready = false;
+        self.gone.get_or_insert(now);
+    }
+
+    /// Takes its standing from the list.
+    pub(crate) fn stand(&mut self, standing: Standing, now: Ns) {
+        match standing {
+            Standing::Gone => self.leave(now),
+            _ => (self.ready, self.gone) = (standing == Standing::Ready, None),
+        }
+    }
+}
+
+impl Brain {
+    /// Drops the rows of endpoints that are long gone and that no call, wait or message names: where
+    /// endpoints are replaced all day, the tables would grow and each choice walk ever more of them.
+    pub(crate) fn forget(&mut self, out: &mut Vec<Action>) {
+        let (now, span) = (self.now, ns(self.set.cold_span));
+        let old = |e: &Endpoint| e.gone.is_some_and(|t| now - t > span) && e.calls.is_empty();
+        let mut gone: BTreeSet<_> =
+            self.endpoints.iter().filter(|(_, e)| old(e)).map(|(id, _)| *id).collect();
+        if gone.is_empty() {
+            return;
+        }
+        for m in self.messages.values() {
+            let named = [m.last, m.ran.map(|r| r.0), m.flight.as_ref().map(|f| f.endpoint)];
+            gone.retain(|id| !named.contains(&Some(*id)));
+        }
+        for id in gone {
+            let (dest, route) = self.pool_id(id);
+            if self.pools.get(&(dest, route)).is_some_and(|p| p.wait_until > now) {
+                continue;
+            }
+            if route.is_some() {
+                self.pools.remove(&(dest, route));
+            }
+            self.endpoints.remove(&id);
+            self.dests.get_mut(&dest).map(|d| d.endpoints.remove(&id));
+            out.push(Action::Forget { endpoint: id });
+        }
+    }
+}
+
 impl Settings {
     /// Names the first figure that cannot be worked with.
     pub(crate) fn check(&self) -> Result<(), String> {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -386,7 +386,9 @@
                 }
             }
             for action in &actions {
-                write_line(output, &deed(id, action, &instance.names))?;
+                if let Some(deed) = deed(id, action, &instance.names) {
+                    write_line(output, &deed)?;
+                }
             }
             if let Some(message) = instance.fault.take() {
                 write_line(output, &Deed::Bug { courier_id: id, message })?;
@@ -397,9 +399,12 @@
     }
 }
 
-fn deed<'a>(courier_id: u64, action: &Action, names: &'a [String]) -> Deed<'a> {
+/// What the wire says of an action; nothing where it has no word for it.
+fn deed<'a>(courier_id: u64, action: &Action, names: &'a [String]) -> Option<Deed<'a>> {
     let name = |e: EndpointId| names[e.0 as usize].as_str();
-    match action {
+    Some(match action {
+        // An endpoint that was once listed stays known to the bench.
+        Action::Forget { .. } => return None,
         Action::Send { message, endpoint, timeout } => Deed::SubmitTo {
             courier_id,
             job: message.0,
@@ -424,7 +429,7 @@
             Deed::WakeAt { courier_id, name: token.to_string(), from_now_ns: nanos(*after) }
         }
         Action::Note { text } => Deed::NoteDown { courier_id, message: text.clone() },
-    }
+    })
 }
 
 fn write_line(output: &mut impl Write, deed: &Deed) -> io::Result<()> {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -294,3 +294,25 @@
     let trials = |endpoint| late.iter().filter(|e| **e == endpoint).count();
     assert!((0..3).all(|e| trials(e) >= 3), "{late:?}");
 }
+
+#[test]
+fn an_endpoint_long_gone_is_forgotten_once_nothing_names_it() {
+    let mut d = Drive::new(settings(), vec![entry(0, 1, 0, 1), entry(1, 1, 0, 1)]);
+    let forgotten = |actions: &[Action]| -> Vec<u32> {
+        let one = |a: &Action| if let Action::Forget { endpoint } = a { Some(endpoint.0) } else { None };
+        actions.iter().filter_map(one).collect()
+    };
+    let sent = sends(&d.feed(&[taken(1, 2, 1, MS * 60_000)]));
+    let (out, other) = (sent[0].1, 1 - sent[0].1);
+    let list = |entries: Vec<Entry>| Event::Listed { whole: true, entries };
+    assert!(forgotten(&d.feed(&[list(vec![entry(2, 1, 0, 1)])])).is_empty(), "it may come back cold");
+    let mut seen = d.pass(MS * 11_000);
+    seen.extend(d.feed(&[list(vec![entry(2, 1, 0, 1)])]));
+    assert_eq!(forgotten(&seen), [other], "a call is still out at the first");
+    d.feed(&[ended(1, out, Outcome::Delivered, 50)]);
+    d.pass(MS * 20);
+    assert_eq!(forgotten(&d.feed(&[list(vec![entry(2, 1, 0, 1)])])), [out]);
+    // Listed again it is new, and serves.
+    d.feed(&[list(vec![entry(out, 1, 0, 1)])]);
+    assert_eq!(sends(&d.feed(&[taken(2, 0, 1, MS * 8000)])), [(2, out)]);
+}
