--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -311,3 +311,20 @@
     until("the calls", || endpoint.calls().len() == 3);
     drop(crowd);
 }
+
+#[test]
+fn clients_that_ask_once_and_keep_their_connection_do_not_shut_out_others() {
+    let (folder, _endpoint, discovery) = one(|_| Act::Answer(OK));
+    let courier = Courier::start(&folder, &discovery);
+    let from = Instant::now();
+    let mut kept = Vec::new();
+    for n in 0..700 {
+        let stream = open(&courier, &message(&format!("m{n}"), "status", 7, 20_000));
+        let mut answers = BufReader::new(stream);
+        let page = Page::read(&mut answers).expect("an answer");
+        assert!([202, 429].contains(&page.status()), "{page:?}");
+        kept.push(answers);
+    }
+    // With room made only by what has stood for 2 s, this takes 8 s.
+    assert!(from.elapsed() < 6_000 * MS, "{:?}", from.elapsed());
+}
