Sigma: no less than the paces allow

The trace: destination 7 holds 133 and 211 messages on average at a pace of 50 a second and a limit of 74 for both couriers, while its chart reckons with latency / cap, 8.5 ms a message, some three times as fast. The loopback test fails without the change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -364,10 +364,15 @@
 
     // ---- chart: place, set back, shed -------------------------------------------------------------
 
-    /// Sigma: the smoothed latency over the calls that may run at once.
+    /// Sigma: the smoothed latency over the calls that may run at once, and no less than paces under a known
+    /// limit allow: else a chart believes in rates it has not. Hurts where a pace is far below the limit.
     fn sigma(&self, id: DestinationId) -> Ns {
         let d = &self.dests[&id];
-        sec(d.latency / self.cap(d) as f64).max(1)
+        let ready = d.endpoints.iter().filter(|e| self.endpoints[e].ready).map(|e| self.pool_id(*e));
+        let paces: BTreeSet<_> = ready.collect();
+        let pace = paces.iter().map(|p| self.pools[p].limit.and(self.pools[p].rate)).sum::<Option<f64>>();
+        let paced = pace.filter(|r| *r > 0.0).map_or(0.0, |r| 1.0 / r);
+        sec((d.latency / self.cap(d) as f64).max(paced)).max(1)
     }
 
     /// Calls that this courier may have out at a destination.
--- a/tests/rough.rs
+++ b/tests/rough.rs
@@ -360,3 +360,24 @@
     let away = endpoint.calls().len() - served();
     assert!(away <= ALL / 2, "{away} calls were turned away");
 }
+
+// ---- more than a destination takes ----------------------------------------------------------------------
+
+#[test]
+fn what_the_pace_cannot_serve_in_time_is_refused_when_it_is_handed_in() {
+    const SLOW: &str = "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT x0=0.5, x1=5\r\nContent-Length: 0\r\n\r\n";
+    let (folder, endpoint, discovery) = one(|_| Act::Answer(SLOW));
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("first", "status", 7, 20_000);
+    until("the first call", || endpoint.calls().len() == 1);
+    // Its answer tells of 5 calls a second; some have been taken before that was heard.
+    let mut page = Page::default();
+    let mut taken = 0;
+    while page.status() != 429 && taken < 80 {
+        page = courier.hand_in(&format!("m{taken}"), "status", 7, 8_000);
+        taken += 1;
+    }
+    assert_eq!(page.status(), 429, "{taken} were taken, and 48 can be served");
+    let wait = page.head("retry-after").and_then(|w| w.parse::<f64>().ok());
+    assert!(wait.is_some_and(|w| w > 0.0), "told when to come again: {wait:?}");
+}
