--- a/src/wire.rs
+++ b/crates/adapter/src/lib.rs
@@ -1,10 +1,10 @@
-//! Translates the line protocol of the bench to and from [`crate::interface`]. It decides nothing.
+//! Translates the line protocol of the bench to and from [`stairshed_decide::interface`]. It decides nothing.
 
-use crate::brain::Brain;
-use crate::interface::*;
-use crate::settings::Conf;
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde::{Deserialize, Serialize};
+use stairshed_decide::brain::Brain;
+use stairshed_decide::interface::*;
+use stairshed_decide::settings::Conf;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
--- a/src/bin/walnutshift-wirehost.rs
+++ b/crates/adapter/src/main.rs
@@ -1,8 +1,8 @@
 //! Hosts the decision module on the bench's line protocol: standard input in, standard output out.
 
+use stairshed_adapter::Host;
 use std::io::{self, BufWriter};
 use std::process::ExitCode;
-use walnutshift::wire::Host;
 
 fn main() -> ExitCode {
     // A panic in the module is told on the wire as a fault, so no trace is printed for it.
@@ -10,7 +10,7 @@
     match Host::default().run(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("walnutshift-wirehost: {fault}");
+            eprintln!("stairshed-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -1,7 +1,7 @@
 //! Round trips through the adapter, and its plain refusals of malformed input.
 
 use serde_json::{Value, json};
-use walnutshift::wire::Host;
+use stairshed_adapter::Host;
 
 fn conf() -> Value {
     json!({
--- a/src/node/calls.rs
+++ b/crates/courier/src/calls.rs
@@ -1,14 +1,14 @@
 //! Calls to endpoints and probes, and the connections kept for them. One call a connection at a time; what
 //! may have run is told apart from what never did.
 
-use super::courier::News;
-use super::journal::Letter;
-use super::link::{Answer, Link, Lost};
-use crate::interface::{EndpointId, Outcome, Report};
+use crate::link::{Answer, Link, Lost};
+use crate::news::{CallEnd, News};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HOST};
 use hyper::{HeaderMap, Request, StatusCode};
+use stairshed_decide::interface::{EndpointId, Outcome, Report};
+use stairshed_journal::Letter;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,16 +22,6 @@
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
 
-/// How a call ended.
-#[derive(Debug)]
-pub struct CallEnd {
-    pub outcome: Outcome,
-    /// The message is over, whatever else is tried.
-    pub over: bool,
-    pub report: Option<Report>,
-    pub at: Instant,
-}
-
 /// What an attempt needs to know.
 pub struct Call {
     pub message: u64,
--- a/src/node/config.rs
+++ b/crates/courier/src/config.rs
@@ -1,10 +1,10 @@
 //! What the platform tells a courier: environment and `LB_CONFIG`, at its start and when it is told to read
 //! the file again.
 
-use super::discovery::List;
-use crate::interface::Settings;
-use crate::settings::Conf;
+use crate::news::List;
 use serde::Deserialize;
+use stairshed_decide::interface::Settings;
+use stairshed_decide::settings::Conf;
 use std::env;
 use std::fmt;
 use std::fs;
--- a/src/node/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -1,14 +1,15 @@
 //! The only owner of the decision module. Feeds it what happened, no oftener than once a tick, and carries
 //! out what it asks for; holds bodies, ids and timers. It decides nothing about a message itself.
 
-use super::calls::{Call, CallEnd, Calls};
-use super::config::Config;
-use super::discovery::{Health, List, Watch};
-use super::intake::{Offer, Reply, Standing};
-use super::journal::{Attempt, Journal, Letter, Live, Verdict};
-use super::outcomes::{Notice, Platform};
-use crate::brain::Brain;
-use crate::interface::{self, *};
+use crate::calls::{Call, Calls};
+use crate::config::Config;
+use crate::discovery::Watch;
+use crate::intake::Standing;
+use crate::news::{CallEnd, Health, List, News, Offer, Reply};
+use crate::outcomes::{Notice, Platform};
+use stairshed_decide::brain::Brain;
+use stairshed_decide::interface::{self, *};
+use stairshed_journal::{Attempt, Journal, Letter, Live, Verdict};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,28 +31,6 @@
 /// When a disk that failed is tried again.
 const DISK_RETRY: Duration = Duration::from_millis(200);
 
-/// What reaches the courier from its other parts.
-pub enum News {
-    Offered(Offer),
-    Called {
-        message: u64,
-        attempt: u32,
-        endpoint: EndpointId,
-        end: CallEnd,
-    },
-    Probed {
-        endpoint: EndpointId,
-        sent: Instant,
-        end: CallEnd,
-    },
-    Listed(List),
-    /// The platform has acknowledged the notices for these.
-    Told(Vec<u64>),
-    /// The configuration was read again: where discovery is now.
-    Moved(SocketAddr),
-    Stop,
-}
-
 struct Endpoint {
     host: String,
     address: Option<SocketAddr>,
--- a/src/node/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -1,55 +1,17 @@
 //! The watch on the list of endpoints. It lasts until its connection ends or falls silent; then it is
 //! asked for again, with backoff.
 
-use super::courier::News;
-use super::link::Link;
+use crate::link::Link;
+use crate::news::{List, News};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep};
 
-/// A list, or its changes, as discovery writes it.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct List {
-    #[serde(default)]
-    pub seq: u64,
-    #[serde(default)]
-    pub whole: bool,
-    #[serde(default)]
-    pub hosts: Vec<Host>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-pub struct Host {
-    pub host: String,
-    #[serde(default)]
-    pub dial: String,
-    #[serde(default)]
-    pub site: String,
-    #[serde(default)]
-    pub class: String,
-    pub block: u64,
-    pub health: Health,
-    #[serde(default)]
-    pub share: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Health {
-    Ready,
-    Draining,
-    Gone,
-    /// A word that is not known here: nothing new is sent there.
-    #[serde(other)]
-    Unknown,
-}
-
 const CONNECT: Duration = Duration::from_millis(1000);
 /// Discovery works through calls in turn and gives one up after its own time-out.
 const FIRST_ANSWER: Duration = Duration::from_millis(2500);
--- a/src/node/intake.rs
+++ b/crates/courier/src/intake.rs
@@ -1,7 +1,6 @@
 //! The clients' side: takes messages in over HTTP, and tells whether the courier is ready.
 
-use super::courier::News;
-use super::journal::Letter;
+use crate::news::{News, Offer, Reply};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -10,6 +9,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use stairshed_journal::Letter;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -46,28 +46,6 @@
 /// When to come again, where the module has not said it.
 const COME_AGAIN: Duration = Duration::from_millis(500);
 
-/// A message that is offered, and where its answer goes.
-pub struct Offer {
-    pub letter: Rc<Letter>,
-    pub class: usize,
-    pub time_left: Duration,
-    pub at: Instant,
-    pub reply: oneshot::Sender<Reply>,
-}
-
-/// What a client is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reply {
-    Taken,
-    Refused {
-        wait: Option<Duration>,
-    },
-    /// The courier cannot take anything just now.
-    Unavailable,
-    NoDestination,
-    Failed,
-}
-
 /// Standing of the program, as clients may know it.
 #[derive(Default)]
 pub struct Standing {
--- a/src/node/outcomes.rs
+++ b/crates/courier/src/outcomes.rs
@@ -1,13 +1,13 @@
 //! Notices to the platform: what was taken on and is not delivered ends by one. Sent until it is
 //! acknowledged, however long that takes.
 
-use super::courier::News;
-use super::journal::Verdict;
-use super::link::Link;
+use crate::link::Link;
+use crate::news::News;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
 use serde::Serialize;
+use stairshed_journal::Verdict;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -1,8 +1,7 @@
 //! The courier as a process, against fakes on loopback sockets.
 
-mod rig;
-use rig::*;
 use serde_json::{Value, json};
+use stairshed_rig::*;
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
--- a/tests/rough.rs
+++ b/crates/courier/tests/rough.rs
@@ -1,9 +1,8 @@
 //! Days that are not calm: configurations read again, bad clients, spoilt answers, endpoints replaced. The
 //! courier as a process, against fakes on loopback sockets.
 
-mod rig;
-use rig::*;
 use serde_json::Value;
+use stairshed_rig::*;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
--- a/examples/embed.rs
+++ b/crates/decide/examples/embed.rs
@@ -1,8 +1,8 @@
 //! A courier in miniature: one destination with one endpoint, one message, answered at once.
 
+use stairshed_decide::brain::Brain;
+use stairshed_decide::interface::*;
 use std::time::Duration;
-use walnutshift::brain::Brain;
-use walnutshift::interface::*;
 
 fn main() -> Result<(), String> {
     let settings = Settings {
--- a/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -2,9 +2,9 @@
 //! what happens, and reads what the module asks for.
 #![allow(dead_code)]
 
+use stairshed_decide::brain::Brain;
+use stairshed_decide::interface::*;
 use std::time::Duration;
-use walnutshift::brain::Brain;
-use walnutshift::interface::*;
 
 pub const MS: Duration = Duration::from_millis(1);
 pub const DEST: DestinationId = DestinationId(7);
--- a/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use stairshed_decide::interface::*;
 use std::time::Duration;
-use walnutshift::interface::*;
 
 const COURIERS: usize = 300;
 
--- a/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -4,10 +4,10 @@
 mod common;
 use common::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use stairshed_decide::brain::Brain;
+use stairshed_decide::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
-use walnutshift::brain::Brain;
-use walnutshift::interface::*;
 
 struct Open {
     class: usize,
--- a/tests/scenarios.rs
+++ b/crates/decide/tests/scenarios.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use walnutshift::brain::Brain;
-use walnutshift::interface::*;
+use stairshed_decide::brain::Brain;
+use stairshed_decide::interface::*;
 
 /// Answers every send with `outcome` after `ms`, for `rounds` messages of a class.
 fn serve(
--- a/tests/rig/mod.rs
+++ b/crates/rig/src/lib.rs
@@ -1,6 +1,5 @@
 //! The courier's binary among small fakes on loopback sockets: a client, endpoints, discovery and the
 //! platform, each on port 0. Tests wait for conditions, with a limit that only a fault reaches.
-#![allow(dead_code)]
 
 use serde_json::{Value, json};
 use std::fs;
@@ -307,6 +306,12 @@
     }
 }
 
+impl Default for Folder {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Drop for Folder {
     fn drop(&mut self) {
         let _ = fs::remove_dir_all(&self.0);
@@ -320,10 +325,17 @@
     log: Receiver<String>,
 }
 
+/// The courier's program, built beside the one that runs: a test stands in `deps/` under it.
+pub fn program() -> PathBuf {
+    let own = std::env::current_exe().expect("a path");
+    let beside = own.ancestors().skip(1).take(2).map(|folder| folder.join("stairshed"));
+    beside.into_iter().find(|path| path.is_file()).expect("stairshed is built beside this program")
+}
+
 pub fn command(folder: &Folder, discovery: &Discovery, config: &Value) -> Command {
     let path = folder.0.join("config.json");
     fs::write(&path, config.to_string()).expect("a config");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_stairshed"));
+    let mut command = Command::new(program());
     command
         .env("LB_NAME", "n1")
         .env("LB_LISTEN", "127.0.0.1:0")
