--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -9,7 +9,7 @@
 use crate::outcomes::{Notice, Platform};
 use stairshed_decide::brain::Brain;
 use stairshed_decide::interface::{self, *};
-use stairshed_journal::{Attempt, Journal, Letter, Live, Verdict};
+use stairshed_journal::{Attempt, Journal, Letter, Live, Refusal, Synced, Verdict};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,6 +28,9 @@
 /// Batches of notices on their way at once, and notices in one.
 const POSTS_MOST: usize = 4;
 const BATCH_MOST: usize = 200;
+/// Bytes that a step of compaction copies: some 50 us. And the pause before the next when nothing else is on.
+const COMPACT_STEP: u64 = 64 * 1024;
+const COMPACT_PAUSE: Duration = Duration::from_millis(1);
 /// When a disk that failed is tried again.
 const DISK_RETRY: Duration = Duration::from_millis(200);
 
@@ -46,6 +49,12 @@
     out: Option<(Instant, Option<oneshot::Sender<()>>)>,
 }
 
+/// What must not be done before a record is kept.
+enum Waiting {
+    Reply { message: u64, reply: oneshot::Sender<Reply> },
+    Call { call: Call, cancelled: oneshot::Receiver<()> },
+}
+
 pub struct Courier {
     config: Config,
     brain: Brain,
@@ -68,7 +77,10 @@
     next: u64,
     /// The module's one wake-up; a later request for one takes its place.
     wake: Option<(Instant, u64)>,
-    notices: VecDeque<Notice>,
+    /// Each with the record that must be kept before it goes out.
+    notices: VecDeque<(u64, Notice)>,
+    /// What waits for a sync, in the order of the records that it needs.
+    waiting: VecDeque<(u64, Waiting)>,
     posts: usize,
     watch: Option<AbortHandle>,
     /// Discovery has answered since the start.
@@ -86,12 +98,12 @@
         config: Config,
         brain: Brain,
         journal: Journal,
-        last: u64,
         calls: Calls,
         standing: Rc<Standing>,
         news: Sender<News>,
     ) -> Self {
         let platform = Platform::new(config.discovery);
+        let last = journal.last();
         let mut courier = Courier {
             config,
             brain,
@@ -112,6 +124,7 @@
             next: last + 1,
             wake: None,
             notices: VecDeque::new(),
+            waiting: VecDeque::new(),
             posts: 0,
             watch: None,
             listed: false,
@@ -126,8 +139,9 @@
 
     /// Hands back what the journal holds, with what is known of its attempts.
     fn resume(&mut self) {
-        let live: Vec<(u64, Live)> = self.journal.live().iter().map(|(n, m)| (*n, m.clone())).collect();
-        let now = unix();
+        let live: Vec<(u64, Live)> = self.journal.live().map(|(n, m)| (n, m.clone())).collect();
+        // A clock that has jumped back since must not give what is held more time than it had.
+        let now = unix().max(self.journal.latest());
         for (message, m) in live {
             let letter = m.letter;
             self.ids.insert(letter.id.clone(), message);
@@ -136,7 +150,11 @@
             // deliver what a client was told to hand in again.
             let verdict = m.verdict.or(class.is_none().then_some(Verdict::Dead));
             if let Some(verdict) = verdict {
-                self.notices.push_back(Notice { message, id: letter.id.clone(), verdict });
+                if m.verdict.is_none() {
+                    self.journal.judge(message, verdict);
+                }
+                let seq = self.journal.last_seq();
+                self.notices.push_back((seq, Notice { message, id: letter.id.clone(), verdict }));
                 continue;
             }
             let ran = m.attempts.iter().find(|a| a.may_have_run).map(|a| Ran {
@@ -227,8 +245,10 @@
             let due = if self.events.is_empty() { due } else { Some(Instant::now()) };
             let due = due.map(|at| last.map_or(at, |t| at.max(t + tick)));
             let retry = self.disk_failed.map(|t| t + DISK_RETRY);
+            let compact = self.journal.wants_compaction() && self.disk_failed.is_none();
+            let compact = compact.then(|| Instant::now() + COMPACT_PAUSE);
             let stop = self.stopping.map(|_| Instant::now() + Duration::from_millis(20));
-            let at = [due, retry, stop].into_iter().flatten().min();
+            let at = [due, retry, stop, compact].into_iter().flatten().min();
             let nap = async {
                 match at {
                     Some(at) => sleep_until(at).await,
@@ -258,12 +278,53 @@
                     }
                 }
             }
+            self.compact();
             if self.stopped() {
                 return;
             }
         }
     }
 
+    /// A step of compaction, so short that nobody notices it.
+    fn compact(&mut self) {
+        if self.disk_failed.is_none() && self.journal.wants_compaction() {
+            self.journal.compact(COMPACT_STEP);
+            self.settle();
+        }
+    }
+
+    /// Begins the sync that is due. It runs on a thread of its own, so that nobody waits who need not.
+    fn sync(&mut self) {
+        if let Some(job) = self.journal.begin_sync() {
+            let news = self.news.clone();
+            tokio::task::spawn_local(async move {
+                if let Ok(done) = tokio::task::spawn_blocking(|| job.run()).await {
+                    // Nobody is left to hear it once the courier has stopped.
+                    let _ = news.send(News::Synced(done)).await;
+                }
+            });
+        }
+    }
+
+    fn synced(&mut self, done: Synced) {
+        if let Err(e) = self.journal.finish_sync(done) {
+            eprintln!("journal: {e}");
+        }
+        self.settle();
+        self.release();
+    }
+
+    /// Does what has waited for records that are kept now.
+    fn release(&mut self) {
+        let durable = self.journal.durable();
+        while let Some((_, waiting)) = self.waiting.pop_front_if(|(seq, _)| *seq <= durable) {
+            match waiting {
+                Waiting::Reply { message, reply } => self.taken(message, reply),
+                Waiting::Call { call, cancelled } => self.call(call, cancelled),
+            }
+        }
+    }
+
     /// Brings the records into the file; after an error nothing more is taken on until it works again.
     fn settle(&mut self) -> bool {
         match self.journal.flush() {
@@ -279,6 +340,9 @@
             }
         }
         let well = self.disk_failed.is_none();
+        if well {
+            self.sync();
+        }
         self.standing.ready.set(well && self.stopping.is_none());
         well
     }
@@ -303,6 +367,7 @@
                 }
             }
             News::Moved(discovery) => self.moved(discovery),
+            News::Synced(done) => self.synced(done),
             News::Stop => {
                 self.standing.stop();
                 self.stopping.get_or_insert(Instant::now());
@@ -312,7 +377,7 @@
 
     /// Nothing more is owed for the message.
     fn end(&mut self, message: u64) {
-        if let Some(m) = self.journal.live().get(&message) {
+        if let Some(m) = self.journal.get(message) {
             let id = m.letter.id.clone();
             self.ids.remove(&id);
             self.journal.end(message);
@@ -330,16 +395,19 @@
             return answer(offer, if judged { Reply::Taken } else { Reply::Unavailable });
         }
         if self.disk_failed.is_some() {
-            return answer(offer, Reply::Unavailable);
+            return answer(offer, Reply::NoRecord(Refusal::DiskFails));
         }
         if !self.destinations.contains(&offer.letter.destination) {
             let reply = if self.listed { Reply::NoDestination } else { Reply::Unavailable };
             return answer(offer, reply);
         }
         let full = self.held.len() + self.offers.len() >= self.config.settings.max_held;
-        if full || !self.journal.fits(&offer.letter) {
+        if full {
             return answer(offer, Reply::Refused { wait: None });
         }
+        if let Err(why) = self.journal.fits(&offer.letter) {
+            return answer(offer, Reply::NoRecord(why));
+        }
         let message = self.next;
         self.next += 1;
         self.ids.insert(offer.letter.id.clone(), message);
@@ -378,7 +446,7 @@
             report: end.report,
         }));
         // The module drops a message with its last outcome, and so does the courier.
-        if self.journal.live().get(&message).is_none_or(|m| m.verdict.is_some()) {
+        if self.journal.get(message).is_none_or(|m| m.verdict.is_some()) {
             self.held.remove(&message);
         }
     }
@@ -458,6 +526,13 @@
                 let _ = reply.send(told);
                 continue;
             }
+            // Others of this batch may have taken the room since it was offered.
+            if let Err(why) = self.journal.fits(&letter) {
+                self.ids.remove(&letter.id);
+                self.events.push(Event::Withdrawn { message: MessageId(message) });
+                let _ = reply.send(Reply::NoRecord(why));
+                continue;
+            }
             self.journal.accept(message, letter.clone());
             self.held.insert(message, Held { letter, attempts: 0, out: None });
             taken.push((message, reply));
@@ -465,15 +540,28 @@
         if taken.is_empty() {
             return;
         }
+        let seq = self.journal.last_seq();
         let recorded = self.settle();
         for (message, reply) in taken {
-            let told = if recorded { Reply::Taken } else { Reply::Unavailable };
-            if reply.send(told).is_err() || !recorded {
+            if !recorded {
+                // Whether its client hears this or not, it is not taken on.
+                let _ = reply.send(Reply::NoRecord(Refusal::DiskFails));
                 self.withdraw(message);
+            } else if self.journal.durable() >= seq {
+                self.taken(message, reply);
+            } else {
+                self.waiting.push_back((seq, Waiting::Reply { message, reply }));
             }
         }
     }
 
+    /// Tells a client that its message is taken on. One that has left counts it as not taken.
+    fn taken(&mut self, message: u64, reply: oneshot::Sender<Reply>) {
+        if reply.send(Reply::Taken).is_err() {
+            self.withdraw(message);
+        }
+    }
+
     /// Nobody is owed anything for the message.
     fn withdraw(&mut self, message: u64) {
         self.end(message);
@@ -484,7 +572,7 @@
     /// The module has ended a message undelivered: on record first, then told.
     fn judge(&mut self, message: u64, verdict: Verdict) {
         let Some(m) = self.held.get(&message) else { return };
-        if self.journal.live().get(&message).is_none_or(|m| m.verdict.is_some()) {
+        if self.journal.get(message).is_none_or(|m| m.verdict.is_some()) {
             return;
         }
         let id = m.letter.id.clone();
@@ -492,7 +580,7 @@
             self.held.remove(&message);
         }
         self.journal.judge(message, verdict);
-        self.notices.push_back(Notice { message, id, verdict });
+        self.notices.push_back((self.journal.last_seq(), Notice { message, id, verdict }));
     }
 
     fn send(&mut self, sends: Vec<(u64, EndpointId, Duration)>, now: Instant) {
@@ -513,15 +601,20 @@
                 // This process ends before an answer could come: it is left to the next, as never sent.
                 continue;
             }
-            let number = m.attempts;
+            let Ok(number) = self.journal.attempt(message, attempt) else {
+                // Names so long that no room was kept for them, and there is no other.
+                m.out = None;
+                self.events.push(never_sent(message, endpoint));
+                continue;
+            };
             m.attempts += 1;
             let letter = m.letter.clone();
             let class = self.config.classes.iter().position(|c| *c == letter.class);
             let class = class.and_then(|c| self.config.settings.classes.get(c));
             let once = class.is_some_and(|c| c.effect == Effect::Once);
-            self.journal.attempt(message, attempt);
             ready.push(Call { message, attempt: number, endpoint, address, letter, timeout, once });
         }
+        let seq = self.journal.last_seq();
         // The attempts are on record before their first byte goes out; the verdicts before their notice.
         if !self.settle() {
             for call in ready {
@@ -538,10 +631,17 @@
             if let Some(m) = self.held.get_mut(&call.message) {
                 m.out = Some((now, Some(cancel)));
             }
-            tokio::task::spawn_local(self.calls.clone().call(call, cancelled, self.news.clone()));
+            match self.journal.durable() >= seq {
+                true => self.call(call, cancelled),
+                false => self.waiting.push_back((seq, Waiting::Call { call, cancelled })),
+            }
         }
     }
 
+    fn call(&self, call: Call, cancelled: oneshot::Receiver<()>) {
+        tokio::task::spawn_local(self.calls.clone().call(call, cancelled, self.news.clone()));
+    }
+
     fn probe(&mut self, endpoint: EndpointId) {
         if let Some(address) = self.endpoints.get(&endpoint).and_then(|e| e.address) {
             let timeout = self.config.settings.connect_timeout * 2;
@@ -578,8 +678,13 @@
 
     fn post(&mut self) {
         // A notice must not go out before its verdict is on record.
-        while self.posts < POSTS_MOST && !self.notices.is_empty() && self.disk_failed.is_none() {
-            let batch: Vec<_> = self.notices.drain(..self.notices.len().min(BATCH_MOST)).collect();
+        let durable = self.journal.durable();
+        while self.posts < POSTS_MOST && self.disk_failed.is_none() {
+            let kept = self.notices.iter().take(BATCH_MOST).take_while(|(seq, _)| *seq <= durable).count();
+            if kept == 0 {
+                return;
+            }
+            let batch: Vec<_> = self.notices.drain(..kept).map(|(_, notice)| notice).collect();
             self.posts += 1;
             tokio::task::spawn_local(self.platform.clone().post(batch, self.news.clone()));
         }
@@ -589,7 +694,7 @@
     fn stopped(&mut self) -> bool {
         let Some(since) = self.stopping else { return false };
         let since = since.elapsed();
-        let told = self.notices.is_empty() && self.posts == 0;
+        let told = self.notices.is_empty() && self.posts == 0 && self.waiting.is_empty();
         let quiet =
             since >= STOP_LISTENING && self.standing.open.borrow().is_empty() && self.offers.is_empty();
         let calls = self.held.values().any(|m| matches!(m.out, Some((_, Some(_)))));
--- a/crates/courier/src/intake.rs
+++ b/crates/courier/src/intake.rs
@@ -9,7 +9,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use stairshed_journal::Letter;
+use stairshed_journal::{Letter, Refusal};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -495,6 +495,18 @@
         Reply::Taken => plain(StatusCode::ACCEPTED, ""),
         Reply::Refused { wait } => again(StatusCode::TOO_MANY_REQUESTS, "refused\n", wait),
         Reply::Unavailable => again(StatusCode::SERVICE_UNAVAILABLE, "not now\n", None),
+        // The client is owed the reason, since waiting is all that it can do about it.
+        Reply::NoRecord(Refusal::Full) => again(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not taken on: the journal is full of messages that have not ended\n",
+            None,
+        ),
+        Reply::NoRecord(Refusal::DiskFull) => {
+            again(StatusCode::SERVICE_UNAVAILABLE, "not taken on: the disk is full\n", None)
+        }
+        Reply::NoRecord(Refusal::DiskFails) => {
+            again(StatusCode::SERVICE_UNAVAILABLE, "not taken on: the disk cannot be written\n", None)
+        }
         Reply::NoDestination => plain(StatusCode::NOT_FOUND, "no such destination\n"),
         Reply::Failed => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed\n"),
     }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -9,16 +9,19 @@
 mod link;
 mod news;
 mod outcomes;
+pub mod settings;
 
 use calls::Calls;
 use config::{Config, Fault};
 use courier::Courier;
 use intake::{Intake, Standing};
 use news::News;
+use settings::Settings;
 use stairshed_decide::brain::Brain;
-use stairshed_journal::Journal;
-use std::path::PathBuf;
+use stairshed_journal::{Files, Journal, Report};
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime;
@@ -37,11 +40,12 @@
 const KEEP_SHARE: f64 = 0.75;
 
 /// Reads the configuration, then serves until it is told to stop.
-pub fn run() -> Result<(), Fault> {
+pub fn run(settings: Option<&Path>) -> Result<(), Fault> {
     let config = Config::read()?;
+    let settings = Settings::read(settings).map_err(|e| Fault::Bad("--settings", e.to_string()))?;
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Fault::Bad("runtime", e.to_string()))?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, serve(config, settings))
 }
 
 fn listen(config: &Config) -> std::io::Result<TcpListener> {
@@ -70,13 +74,35 @@
     }
 }
 
-async fn serve(mut config: Config) -> Result<(), Fault> {
+/// What the start found in the journal, for whoever reads the log.
+fn tell(report: &Report) {
+    if let Some(messages) = report.taken_over {
+        eprintln!("journal: {messages} messages taken over from the old format");
+    }
+    if report.cut_bytes > 0 {
+        eprintln!("journal: a torn tail of {} bytes was cut off, as a crash leaves it", report.cut_bytes);
+    }
+    for damage in &report.damages {
+        eprintln!("journal: DAMAGED: {damage}");
+    }
+    for message in &report.lost {
+        eprintln!("journal: LOST: message {message} was accepted, and its id and body cannot be read");
+    }
+    if !report.suspected.is_empty() {
+        let n = report.suspected.len();
+        eprintln!("journal: {n} messages count as sent, since a lost record may say so");
+    }
+}
+
+async fn serve(mut config: Config, settings: Settings) -> Result<(), Fault> {
     // First of all: without a handler either signal ends the process at once.
     let mut terminate = on(SignalKind::terminate(), "SIGTERM")?;
     let hangup = on(SignalKind::hangup(), "SIGHUP")?;
     let disk = (config.limits.disk_mb * 1e6) as u64;
-    let opened = Journal::open(&config.state, disk);
-    let (journal, last) = opened.map_err(|e| Fault::Bad("LB_STATE", e.to_string()))?;
+    let options = settings.journal.options(disk, u64::from(config.settings.attempt_cap));
+    let opened = Files::lock(&config.state).and_then(|files| Journal::open(Arc::new(files), options));
+    let (journal, report) = opened.map_err(|e| Fault::Bad("LB_STATE", e.to_string()))?;
+    tell(&report);
     let keep = config.settings.keepalive.mul_f64(KEEP_SHARE);
     // The module reckons with the connections that are kept here.
     config.settings.keepalive = keep;
@@ -89,7 +115,7 @@
     let standing = Rc::new(Standing::default());
     let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
-    let (name, kept) = (config.name.clone(), journal.live().len());
+    let (name, kept) = (config.name.clone(), journal.len());
     let intake = Intake {
         classes: config.classes.clone(),
         standing: standing.clone(),
@@ -98,7 +124,7 @@
         bodies: (config.limits.memory_mb * 1e6 * BODIES_SHARE) as usize,
     };
     tokio::task::spawn_local(reload(hangup, config.file.clone(), news.clone()));
-    let courier = Courier::new(config, brain, journal, last, calls, standing.clone(), news.clone());
+    let courier = Courier::new(config, brain, journal, calls, standing.clone(), news.clone());
     standing.ready.set(true);
     let accepting = tokio::task::spawn_local(intake.run(listener));
     tokio::task::spawn_local(async move {
--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -3,7 +3,7 @@
 
 use serde::Deserialize;
 use stairshed_decide::interface::{EndpointId, Outcome, Report};
-use stairshed_journal::Letter;
+use stairshed_journal::{Letter, Refusal, Synced};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +29,8 @@
     Told(Vec<u64>),
     /// The configuration was read again: where discovery is now.
     Moved(SocketAddr),
+    /// What became of the journal's sync.
+    Synced(Synced),
     Stop,
 }
 
@@ -50,6 +52,8 @@
     },
     /// The courier cannot take anything just now.
     Unavailable,
+    /// It cannot be put on record.
+    NoRecord(Refusal),
     NoDestination,
     Failed,
 }
--- /dev/null
+++ b/crates/journal/src/error.rs
@@ -0,0 +1,70 @@
+//! What can go wrong, with the file it went wrong in and what to do.
+
+use std::io;
+
+/// Why the journal cannot be opened or written.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("{file}: {call}: {source}")]
+    Io { file: String, call: &'static str, source: io::Error },
+    #[error("{folder}: another process holds the lock of this folder; stop it, or name another folder")]
+    InUse { folder: String },
+    #[error("{folder}: is not a folder; name one that exists and can be written")]
+    NoFolder { folder: String },
+    #[error(
+        "{file}: format version {found}, and this program knows {known} at most; nothing was changed. Start \
+         the newer program on this folder"
+    )]
+    NewerFormat { file: String, found: u16, known: u16 },
+    #[error(
+        "journal: a file of the old format stands beside segments that it was not taken over into; nothing \
+         was changed. Move away the one that is out of date"
+    )]
+    BothFormats,
+    #[error("journal: room of {room} bytes is too small; at least {least} are needed")]
+    RoomTooSmall { room: u64, least: u64 },
+    #[error("{0}; nothing was changed (on_damage = \"stop\")")]
+    Damaged(Damage),
+    #[error(
+        "journal: the device failed {failures} syncs in a row; nothing is taken on or sent until it works"
+    )]
+    SyncFailed { failures: u32 },
+}
+
+impl Error {
+    pub(crate) fn io(file: &str, call: &'static str, source: io::Error) -> Self {
+        Error::Io { file: file.to_owned(), call, source }
+    }
+
+    /// Whether the device or the quota has no room.
+    pub fn is_full(&self) -> bool {
+        use io::ErrorKind::{FileTooLarge, QuotaExceeded, StorageFull};
+        matches!(self, Error::Io { source, .. }
+            if matches!(source.kind(), StorageFull | QuotaExceeded | FileTooLarge))
+    }
+}
+
+/// A part of the journal that cannot be read although it had been written: not the torn tail that a crash
+/// leaves. What it hid is told; messages that it may have been about count as sent.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{file}: byte {offset}: {why}; records {first_lost} to {last_lost} are lost")]
+pub struct Damage {
+    pub file: String,
+    /// Where in the file, or 0 if it is missing.
+    pub offset: u64,
+    pub why: &'static str,
+    /// Sequence numbers of the records that it hid. None are lost if the second is the smaller.
+    pub first_lost: u64,
+    pub last_lost: u64,
+}
+
+/// Why a new message is not taken on just now. What was accepted before is not touched by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    #[error("the journal's room is taken up by messages that have not ended")]
+    Full,
+    #[error("the disk has no room for what the message may still need on record")]
+    DiskFull,
+    #[error("the disk does not keep what is written to it")]
+    DiskFails,
+}
--- /dev/null
+++ b/crates/journal/src/frame.rs
@@ -0,0 +1,237 @@
+//! Segment files: their names, their header and the frames that hold records, and how a file is read that a
+//! crash or a fault of the disk may have left behind.
+
+use crate::record::Record;
+use bytes::BufMut;
+
+/// The version that is written. A higher one in a file ends the start.
+pub const VERSION: u16 = 1;
+const MAGIC: &[u8; 8] = b"SHEDJRNL";
+pub(crate) const HEADER: usize = 8 + 2 + 2 + 8 + 8 + 8 + 8 + 4;
+/// Length, checksum and sequence number.
+pub(crate) const FRAME: usize = 4 + 4 + 8;
+/// No record is longer, whatever the settings: a copy holds its attempts, too, and a folder may come from a
+/// courier with other settings.
+const RECORD_MOST: usize = 16 * 1024 * 1024;
+/// A frame that says: this segment is whole, and the next one exists. Its sequence number is the next
+/// segment's first, and is not used up by it.
+const SEAL: &[u8] = b"sealed";
+pub(crate) const SEAL_FRAME: usize = FRAME + SEAL.len();
+const SUFFIX: &str = ".seg";
+
+/// What a segment says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Header {
+    /// Written with syncs: what was not synced may be missing, in any order.
+    pub machine: bool,
+    /// Written while an old format was being taken over.
+    pub takeover: bool,
+    pub number: u64,
+    /// Sequence number of its first record.
+    pub first: u64,
+    /// Segments below this number were not needed any more when it was begun.
+    pub oldest: u64,
+    /// Records up to this sequence number were on the device.
+    pub synced: u64,
+}
+
+impl Header {
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut to = Vec::with_capacity(HEADER);
+        to.put_slice(MAGIC);
+        to.put_u16_le(VERSION);
+        to.put_u16_le(u16::from(self.machine) | u16::from(self.takeover) << 1);
+        to.put_u64_le(self.number);
+        to.put_u64_le(self.first);
+        to.put_u64_le(self.oldest);
+        to.put_u64_le(self.synced);
+        to.put_u32_le(crc32fast::hash(&to));
+        to
+    }
+
+    pub fn read(bytes: &[u8]) -> Result<Header, BadHeader> {
+        if bytes.len() < HEADER {
+            return Err(BadHeader::Short);
+        }
+        let u16_at = |at: usize| u16::from_le_bytes([bytes[at], bytes[at + 1]]);
+        let sum = u32::from_le_bytes([bytes[44], bytes[45], bytes[46], bytes[47]]);
+        let sound = crc32fast::hash(&bytes[..HEADER - 4]) == sum;
+        if &bytes[..8] != MAGIC {
+            return Err(BadHeader::Spoilt);
+        }
+        // All versions keep these bytes and their checksum: a flipped bit must not look like a newer format.
+        if sound && u16_at(8) > VERSION {
+            return Err(BadHeader::Newer(u16_at(8)));
+        }
+        if !sound {
+            return Err(BadHeader::Spoilt);
+        }
+        let u64_at = |at: usize| u64_le(&bytes[at..at + 8]);
+        let flags = u16_at(10);
+        Ok(Header {
+            machine: flags & 1 != 0,
+            takeover: flags & 2 != 0,
+            number: u64_at(12),
+            first: u64_at(20),
+            oldest: u64_at(28),
+            synced: u64_at(36),
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BadHeader {
+    Short,
+    Spoilt,
+    Newer(u16),
+}
+
+fn u64_le(bytes: &[u8]) -> u64 {
+    bytes.try_into().map_or(0, u64::from_le_bytes)
+}
+
+pub(crate) fn segment_name(number: u64) -> String {
+    format!("{number:016x}{SUFFIX}")
+}
+
+/// The number that a file's name gives, if it is a segment's.
+pub(crate) fn segment_number(name: &str) -> Option<u64> {
+    let digits = name.strip_suffix(SUFFIX).filter(|d| d.len() == 16)?;
+    // Names are compared as they are written: other spellings of a number are other files.
+    let number = u64::from_str_radix(digits, 16).ok()?;
+    (segment_name(number) == name).then_some(number)
+}
+
+/// Puts a frame round what `fill` writes.
+pub(crate) fn put_frame(to: &mut Vec<u8>, seq: u64, fill: impl FnOnce(&mut Vec<u8>)) {
+    let at = to.len();
+    to.put_bytes(0, FRAME);
+    fill(to);
+    let length = (to.len() - at - FRAME) as u32;
+    to[at..at + 4].copy_from_slice(&length.to_le_bytes());
+    to[at + 8..at + FRAME].copy_from_slice(&seq.to_le_bytes());
+    let sum = checksum(&to[at..]);
+    to[at + 4..at + 8].copy_from_slice(&sum.to_le_bytes());
+}
+
+pub(crate) fn seal_frame(next: u64) -> Vec<u8> {
+    let mut to = Vec::with_capacity(SEAL_FRAME);
+    put_frame(&mut to, next, |to| to.put_slice(SEAL));
+    to
+}
+
+/// Over all of a frame but the checksum itself, so that a flipped bit in the length or the number shows too.
+fn checksum(frame: &[u8]) -> u32 {
+    let mut sum = crc32fast::Hasher::new();
+    sum.update(&frame[..4]);
+    sum.update(&frame[8..]);
+    sum.finalize()
+}
+
+/// What stands in a frame.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Content {
+    Record(Record),
+    Seal,
+}
+
+/// One sound frame.
+#[derive(Debug)]
+pub(crate) struct Frame {
+    pub at: usize,
+    pub end: usize,
+    pub seq: u64,
+    pub content: Content,
+}
+
+/// Reads the frame at `at`, if a sound one stands there.
+pub(crate) fn frame_at(bytes: &[u8], at: usize) -> Option<Frame> {
+    let rest = bytes.get(at..)?;
+    if rest.len() <= FRAME {
+        return None;
+    }
+    let length = u32::from_le_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
+    // A length that no record has is part of a torn or spoilt frame, not a reason to read on.
+    if length == 0 || length > RECORD_MOST || FRAME + length > rest.len() {
+        return None;
+    }
+    let frame = &rest[..FRAME + length];
+    let sum = u32::from_le_bytes([rest[4], rest[5], rest[6], rest[7]]);
+    if checksum(frame) != sum {
+        return None;
+    }
+    let (seq, payload) = (u64_le(&rest[8..FRAME]), &frame[FRAME..]);
+    let content = match payload == SEAL {
+        true => Content::Seal,
+        false => Content::Record(Record::read(payload)?),
+    };
+    Some(Frame { at, end: at + frame.len(), seq, content })
+}
+
+/// The first sound frame at or behind `at` that goes on from `expected` or later, after bytes that cannot be
+/// read. Few offsets look like a frame at all, so few checksums are taken.
+pub(crate) fn next_frame(bytes: &[u8], at: usize, expected: u64) -> Option<Frame> {
+    // Each lost record took a byte at least.
+    let seqs = expected..=expected.saturating_add(bytes.len() as u64);
+    (at..bytes.len().saturating_sub(FRAME)).find_map(|at| {
+        seqs.contains(&u64_le(&bytes[at + 8..at + FRAME])).then(|| frame_at(bytes, at)).flatten()
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_header_reads_back_and_shows_every_flipped_bit() {
+        let header = Header { machine: true, takeover: false, number: 3, first: 9, oldest: 2, synced: 8 };
+        let bytes = header.bytes();
+        assert_eq!(bytes.len(), HEADER);
+        assert_eq!(Header::read(&bytes), Ok(header));
+        for bit in 0..HEADER * 8 {
+            let mut spoilt = bytes.clone();
+            spoilt[bit / 8] ^= 1 << (bit % 8);
+            assert!(Header::read(&spoilt).is_err(), "bit {bit}");
+        }
+        assert_eq!(Header::read(&bytes[..HEADER - 1]), Err(BadHeader::Short));
+    }
+
+    #[test]
+    fn a_frame_shows_every_flipped_bit_and_every_cut() {
+        let mut bytes = Vec::new();
+        put_frame(&mut bytes, 7, |to| Record::Ended { message: 5 }.put(to));
+        let frame = frame_at(&bytes, 0).expect("a frame");
+        assert_eq!((frame.seq, frame.content), (7, Content::Record(Record::Ended { message: 5 })));
+        for bit in 0..bytes.len() * 8 {
+            let mut spoilt = bytes.clone();
+            spoilt[bit / 8] ^= 1 << (bit % 8);
+            assert!(frame_at(&spoilt, 0).is_none(), "bit {bit}");
+        }
+        for cut in 0..bytes.len() {
+            assert!(frame_at(&bytes[..cut], 0).is_none(), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn names_are_one_to_one() {
+        assert_eq!(segment_number(&segment_name(0xabc)), Some(0xabc));
+        for name in ["0000000000000ABC.seg", "abc.seg", "0000000000000abc.seg.damaged", "journal", "lock"] {
+            assert_eq!(segment_number(name), None, "{name}");
+        }
+    }
+
+    #[test]
+    fn reading_goes_on_behind_what_is_spoilt() {
+        let mut bytes = Vec::new();
+        put_frame(&mut bytes, 1, |to| Record::Ended { message: 1 }.put(to));
+        let second = bytes.len();
+        put_frame(&mut bytes, 2, |to| Record::Ended { message: 2 }.put(to));
+        let third = bytes.len();
+        put_frame(&mut bytes, 3, |to| Record::Ended { message: 3 }.put(to));
+        bytes[second + 20] ^= 1;
+        let next = next_frame(&bytes, second, 2).expect("the third");
+        assert_eq!((next.at, next.seq), (third, 3));
+        // A frame of the past, a copy say, is not what comes next.
+        assert!(next_frame(&bytes, third, 4).is_none());
+    }
+}
--- /dev/null
+++ b/crates/journal/src/journal.rs
@@ -0,0 +1,667 @@
+//! The journal itself: takes records, plans them into the log, brings them to the disk, keeps room for what
+//! is owed, and copies what lives out of old segments in bounded steps.
+
+use crate::error::{Damage, Error, Refusal};
+use crate::frame;
+use crate::legacy;
+use crate::log::{FRAME_BYTES, Log, Op, Shape};
+use crate::options::{Durability, OnDamage, Options};
+use crate::record::{self, Attempt, Letter, Live, Record, Verdict};
+use crate::recover::{Recovered, recover};
+use crate::state::State;
+use crate::storage::{Storage, StoredFile, read_all};
+use crate::sync::{SyncJob, Synced, Trust};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Room set aside on the disk for what is owed.
+const ASIDE: &str = "set-aside";
+/// It grows and shrinks by this much, bytes: a call for each message would be too dear.
+const ASIDE_STEP: u64 = 256 * 1024;
+/// What is left of a segment that could not be read all through.
+const DAMAGED: &str = ".damaged";
+/// With less room than this such a segment is not kept for the operator: it would take the messages' room.
+const KEEP_DAMAGED_FROM: u64 = 64 * 1024 * 1024;
+/// The head, seal and padding of a new segment, bytes.
+const ROLL: u64 = 1024;
+/// Failed syncs after which the log says that nothing works.
+const SYNC_FAILURES: u32 = 3;
+
+/// What a start found.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Parts that could not be read.
+    pub damages: Vec<Damage>,
+    /// Messages that were accepted and cannot be told any more: their beginning is lost.
+    pub lost: Vec<u64>,
+    /// Messages that live and count as sent, since a lost record may say so.
+    pub suspected: Vec<u64>,
+    /// Bytes of a torn tail that were cut off.
+    pub cut_bytes: u64,
+    /// Messages taken over from the old format; None if there was no file of it.
+    pub taken_over: Option<usize>,
+    pub read_bytes: u64,
+}
+
+/// How the journal stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Usage {
+    pub room: u64,
+    /// Bytes of all files, each counted in whole 512.
+    pub used: u64,
+    /// Bytes of records that are needed, and what the messages may still add.
+    pub live: u64,
+    pub owed: u64,
+    /// What live and owed may come to.
+    pub live_most: u64,
+    pub messages: u64,
+    pub segments: u64,
+    /// Bytes written since the start: all, and copies among them.
+    pub written: u64,
+    pub copied: u64,
+}
+
+pub struct Journal {
+    storage: Arc<dyn Storage>,
+    options: Options,
+    state: State,
+    log: Log,
+    files: BTreeMap<u64, Arc<dyn StoredFile>>,
+    /// Records up to here are written.
+    written: u64,
+    /// The last record that asks for a sync.
+    wanted: u64,
+    /// Segments that were written to since the last sync began, and whether names changed.
+    dirty: BTreeSet<u64>,
+    names_dirty: bool,
+    sync_out: bool,
+    trust: Trust,
+    failures: u32,
+    /// Segments below this number are to be emptied, whatever is in them.
+    empty_below: u64,
+    aside: u64,
+    /// Segments to be kept under another name when they are removed, and the room that such files take.
+    damaged: BTreeSet<u64>,
+    damaged_bytes: u64,
+    put_bytes: u64,
+    copied_bytes: u64,
+}
+
+impl Journal {
+    /// Opens the journal in `storage`, taking over a folder of the old format.
+    ///
+    /// # Errors
+    /// See [`Error`]. A folder of a newer format, and with [`OnDamage::Stop`] a damaged one, is left as it is.
+    pub fn open(storage: Arc<dyn Storage>, options: Options) -> Result<(Self, Report), Error> {
+        options.check()?;
+        let names = storage.list().map_err(|e| Error::io("journal", "list", e))?;
+        let old = names.iter().any(|n| n == legacy::NAME);
+        let mut found = recover(&*storage, &options)?;
+        if options.on_damage == OnDamage::Stop
+            && let Some(damage) = found.damages.first()
+        {
+            return Err(Error::Damaged(damage.clone()));
+        }
+        let remove = |name: &str| storage.remove(name).map_err(|e| Error::io(name, "remove", e));
+        if old {
+            if !found.takeover {
+                return Err(Error::BothFormats);
+            }
+            // Written by a take-over that was cut short: the old file still holds all.
+            let begun: Vec<u64> = found.segments.keys().chain(&found.stale).copied().collect();
+            for number in begun {
+                remove(&frame::segment_name(number))?;
+            }
+            found = Recovered { next_number: 1, next_seq: 1, ..Recovered::default() };
+        }
+        for name in names.iter().filter(|n| *n == legacy::NEXT || *n == ASIDE) {
+            remove(name)?;
+        }
+        for number in &found.stale {
+            remove(&frame::segment_name(*number))?;
+        }
+        let mut journal = Self::over(storage.clone(), options, &mut found, old, &names)?;
+        let mut report = Report {
+            damages: found.damages,
+            lost: found.lost,
+            cut_bytes: found.cut_bytes,
+            read_bytes: found.read,
+            ..Report::default()
+        };
+        if old {
+            report.taken_over = Some(journal.take_over(&mut report)?);
+        }
+        if !report.damages.is_empty() {
+            report.suspected = journal.salvage(found.lost_before)?;
+        }
+        journal.flush()?;
+        if journal.options.durability == Durability::Machine {
+            journal.sync_now()?;
+        }
+        Ok((journal, report))
+    }
+
+    /// The journal as recovered, with a torn tail cut off.
+    fn over(
+        storage: Arc<dyn Storage>,
+        options: Options,
+        found: &mut Recovered,
+        takeover: bool,
+        names: &[String],
+    ) -> Result<Self, Error> {
+        let mut files = BTreeMap::new();
+        for number in found.segments.keys() {
+            let name = frame::segment_name(*number);
+            files.insert(*number, storage.open(&name).map_err(|e| Error::io(&name, "open", e))?);
+        }
+        if let Some((number, size)) = found.cut
+            && let Some(file) = files.get(&number)
+        {
+            file.set_size(size).map_err(|e| Error::io(&frame::segment_name(number), "truncate", e))?;
+        }
+        let mut damaged_bytes = 0;
+        for name in names.iter().filter(|n| n.ends_with(DAMAGED)) {
+            let size = storage.open(name).and_then(|f| f.size());
+            damaged_bytes += size.map_err(|e| Error::io(name, "size", e))?.next_multiple_of(512);
+        }
+        let shape = Shape {
+            segment: options.segment(),
+            machine: options.durability == Durability::Machine,
+            takeover,
+        };
+        let segments = std::mem::take(&mut found.segments);
+        let dirty: BTreeSet<u64> = segments.keys().copied().collect();
+        let log = Log::new(shape, segments, (found.next_number, found.next_seq), found.go_on);
+        let written = log.last_seq();
+        Ok(Journal {
+            storage,
+            options,
+            state: std::mem::take(&mut found.state),
+            log,
+            files,
+            written,
+            wanted: written,
+            dirty,
+            names_dirty: true,
+            sync_out: false,
+            trust: Trust::Well,
+            failures: 0,
+            empty_below: 0,
+            aside: 0,
+            damaged: std::mem::take(&mut found.damaged),
+            damaged_bytes,
+            put_bytes: 0,
+            copied_bytes: 0,
+        })
+    }
+
+    /// Copies what the old format's file holds, then removes that: until then it is what counts.
+    fn take_over(&mut self, report: &mut Report) -> Result<usize, Error> {
+        let file = self.storage.open(legacy::NAME).map_err(|e| Error::io(legacy::NAME, "open", e))?;
+        let bytes = read_all(&*file).map_err(|e| Error::io(legacy::NAME, "read", e))?;
+        let (live, _, sound) = legacy::replay(&bytes);
+        report.cut_bytes += (bytes.len() - sound) as u64;
+        let messages = live.len();
+        for (message, live) in live {
+            self.snapshot(message, live);
+        }
+        self.flush()?;
+        if self.options.durability == Durability::Machine {
+            self.sync_now()?;
+        }
+        self.storage.remove(legacy::NAME).map_err(|e| Error::io(legacy::NAME, "remove", e))?;
+        if self.options.durability == Durability::Machine {
+            // A power cut must not bring the old file back beside what comes next.
+            self.storage.sync_names().map_err(|e| Error::io("journal", "sync", e))?;
+        }
+        // What comes from now on must not be taken for part of the take-over, should the old program run
+        // here once more.
+        self.log.end_takeover();
+        Ok(messages)
+    }
+
+    /// After damage: what may have been sent counts as sent, and all that lives moves away from what cannot
+    /// be read.
+    fn salvage(&mut self, lost_before: u64) -> Result<Vec<u64>, Error> {
+        let suspected = self.state.undecided_before(lost_before);
+        for message in &suspected {
+            let sent = self.state.latest();
+            if let Some(slot) = self.state.get(*message) {
+                let index = slot.live.attempts.len().min(usize::from(u16::MAX)) as u16;
+                self.put(0, Record::Attempt { message: *message, index, attempt: Attempt::unknown(sent) });
+            }
+        }
+        self.empty_below = self.log.newest();
+        while self.log.oldest_below(self.empty_below) {
+            self.empty_oldest(true);
+        }
+        self.empty_below = 0;
+        self.flush()?;
+        Ok(suspected)
+    }
+
+    /// The live messages, by number.
+    pub fn live(&self) -> impl Iterator<Item = (u64, &Live)> {
+        self.state.live()
+    }
+
+    pub fn get(&self, message: u64) -> Option<&Live> {
+        self.state.get(message).map(|slot| &slot.live)
+    }
+
+    /// How many messages live.
+    pub fn len(&self) -> usize {
+        self.state.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The highest number that any record names.
+    pub fn last(&self) -> u64 {
+        self.state.last()
+    }
+
+    /// The latest time that a record tells, Unix time: a clock that shows less has jumped back.
+    pub fn latest(&self) -> Duration {
+        self.state.latest()
+    }
+
+    pub fn usage(&self) -> Usage {
+        Usage {
+            room: self.options.room,
+            used: self.used(),
+            live: self.state.bytes(),
+            owed: self.state.owed(),
+            live_most: self.options.live_most(),
+            messages: self.state.len() as u64,
+            segments: self.log.count() as u64,
+            written: self.put_bytes,
+            copied: self.copied_bytes,
+        }
+    }
+
+    fn used(&self) -> u64 {
+        self.log.used() + self.aside + self.damaged_bytes
+    }
+
+    /// Whether a message can be taken on, with room for all that it may still need.
+    ///
+    /// # Errors
+    /// Why it cannot just now.
+    pub fn fits(&mut self, letter: &Letter) -> Result<(), Refusal> {
+        if self.trust != Trust::Well {
+            return Err(Refusal::DiskFails);
+        }
+        if record::snapshot_bytes(letter) > self.options.record_most as u64
+            || self.state.weight() + self.options.weight(letter) > self.options.live_most()
+        {
+            return Err(Refusal::Full);
+        }
+        match self.options.set_aside {
+            true => self.set_aside(self.options.trail(self.options.attempts)),
+            false => Ok(()),
+        }
+    }
+
+    /// Sets room aside for what is owed and `more`.
+    fn set_aside(&mut self, more: u64) -> Result<(), Refusal> {
+        let wanted = self.aside_wanted(more);
+        if wanted > self.aside {
+            let to = wanted + ASIDE_STEP;
+            self.storage.set_aside(ASIDE, to).map_err(|_| Refusal::DiskFull)?;
+            self.names_dirty = true;
+            self.aside = to;
+        }
+        Ok(())
+    }
+
+    fn aside_wanted(&self, more: u64) -> u64 {
+        (self.state.owed() + more + self.options.copy_room()).next_multiple_of(ASIDE_STEP)
+    }
+
+    /// Takes a message on. Ask [`Journal::fits`] first.
+    pub fn accept(&mut self, message: u64, letter: Rc<Letter>) {
+        self.snapshot(message, Live { letter, attempts: Vec::new(), verdict: None });
+    }
+
+    fn snapshot(&mut self, message: u64, live: Live) -> u64 {
+        let weight = self.state.get(message).map_or(0, |slot| slot.weight);
+        let weight = weight.max(self.options.weight(&live.letter));
+        self.put(weight, Record::Snapshot { message, live })
+    }
+
+    /// Records an attempt, before its first byte goes out. Returns its place among the message's attempts.
+    ///
+    /// # Errors
+    /// If it is beyond what room was kept for and there is no other. It must not be made then.
+    pub fn attempt(&mut self, message: u64, attempt: Attempt) -> Result<u32, Refusal> {
+        let Some(slot) = self.state.get(message) else { return Ok(0) };
+        let names = (attempt.host.len() + attempt.zone.len()) as u64;
+        let outcome = FRAME_BYTES + record::NEVER_RAN_BYTES;
+        let end = 2 * FRAME_BYTES + record::JUDGED_BYTES + record::ENDED_BYTES;
+        let needed = slot.bytes + FRAME_BYTES + record::attempt_bytes(names) + outcome + end;
+        let more = needed.saturating_sub(slot.weight);
+        let index = slot.live.attempts.len();
+        if index >= usize::from(u16::MAX) || self.state.weight() + more > self.options.live_most() {
+            return Err(Refusal::Full);
+        }
+        self.state.weigh(message, more);
+        self.put(0, Record::Attempt { message, index: index as u16, attempt });
+        Ok(index as u32)
+    }
+
+    /// An attempt has proof that it never ran. One that may have run needs no record: that is what is assumed.
+    pub fn never_ran(&mut self, message: u64, attempt: u32) {
+        let open = self.get(message).and_then(|m| m.attempts.get(attempt as usize));
+        if open.is_some_and(|a| a.may_have_run) {
+            self.put(0, Record::NeverRan { message, index: attempt as u16 });
+        }
+    }
+
+    /// Records how a message ends that is not delivered.
+    pub fn judge(&mut self, message: u64, verdict: Verdict) {
+        if self.get(message).is_some() {
+            self.put(0, Record::Judged { message, verdict });
+        }
+    }
+
+    /// Nothing more is owed for the message.
+    pub fn end(&mut self, message: u64) {
+        if self.get(message).is_some() {
+            self.put(0, Record::Ended { message });
+        }
+    }
+
+    fn put(&mut self, weight: u64, record: Record) -> u64 {
+        let mut bytes = Vec::with_capacity(256);
+        record.put(&mut bytes);
+        self.make_room(FRAME_BYTES + bytes.len() as u64);
+        self.put_planned(weight, record, &bytes)
+    }
+
+    fn put_planned(&mut self, weight: u64, record: Record, bytes: &[u8]) -> u64 {
+        let (seq, size) = self.log.put(weight, bytes);
+        self.put_bytes += size;
+        self.wanted = seq;
+        self.state.apply(record, seq, size, &self.options);
+        seq
+    }
+
+    /// Bytes that the log may take while nothing is being copied.
+    fn usable(&self) -> u64 {
+        let machine = match self.options.durability {
+            Durability::Process => 0,
+            // After a failed sync all that lives is written anew before anything old can go.
+            Durability::Machine => self.state.weight(),
+        };
+        let taken = self.options.copy_room() + self.aside + self.damaged_bytes + machine;
+        self.options.room.saturating_sub(taken)
+    }
+
+    /// Frees segments until a record fits. Room for the copies is always there: no more than
+    /// [`Options::copy_room`] begins in one segment.
+    fn make_room(&mut self, bytes: u64) {
+        for _ in 0..=self.log.count() {
+            if self.log.used() + bytes + ROLL <= self.usable() || self.dead() == 0 {
+                return;
+            }
+            self.empty_oldest(true);
+        }
+    }
+
+    fn dead(&self) -> u64 {
+        self.log.size().saturating_sub(self.state.bytes())
+    }
+
+    /// Copies all that lives out of the oldest segment, and gives it up.
+    fn empty_oldest(&mut self, at_once: bool) {
+        if self.log.second().is_none() {
+            self.log.roll();
+        }
+        while self.copy_first().is_some() {}
+        self.log.retire(at_once);
+    }
+
+    /// Copies one message out of the oldest segment; its bytes, or None if none is left there.
+    fn copy_first(&mut self) -> Option<u64> {
+        let end = self.log.second()?;
+        let (_, message) = self.state.first().filter(|(seq, _)| *seq < end)?;
+        let slot = self.state.get(message)?;
+        let (weight, live) = (slot.weight, slot.live.clone());
+        let mut bytes = Vec::with_capacity(256 + live.letter.body.len());
+        record::put_snapshot(&mut bytes, message, &live);
+        self.put_planned(weight, Record::Snapshot { message, live }, &bytes);
+        self.copied_bytes += FRAME_BYTES + bytes.len() as u64;
+        Some(FRAME_BYTES + bytes.len() as u64)
+    }
+
+    /// Whether old segments hold so much that is dead that copying what lives out of them is worth it. So
+    /// much dead is let stand as lives, or three quarters of what the live ones leave of the room: each byte
+    /// is then copied once at most for each that is freed, more where room is short.
+    pub fn wants_compaction(&self) -> bool {
+        let spare = self.usable().saturating_sub(self.state.bytes());
+        let live = self.state.bytes().max(self.options.segment());
+        let worth = self.log.oldest_below(self.empty_below)
+            || self.oldest_is_dead()
+            || self.dead() > live.min(spare / 4 * 3);
+        worth && self.trust != Trust::Probing && self.log.second().is_some()
+    }
+
+    fn oldest_is_dead(&self) -> bool {
+        let first = self.state.first().map_or(u64::MAX, |(seq, _)| seq);
+        self.log.second().is_some_and(|end| first >= end)
+    }
+
+    /// Does a step of compaction: copies `most` bytes, or one message more, and frees what is empty by then.
+    /// Says whether more is to be done. Call [`Journal::flush`] behind it.
+    pub fn compact(&mut self, most: u64) -> bool {
+        if !self.log.queue.is_empty() {
+            // The disk does not take what is planned already.
+            return false;
+        }
+        let (mut copied, mut freed) = (0, 0);
+        while self.wants_compaction() && copied < most && freed < most {
+            match self.copy_first() {
+                Some(bytes) => copied += bytes,
+                None => {
+                    // Removing costs by the size of what is removed.
+                    freed += self.options.segment();
+                    self.log.retire(false);
+                }
+            }
+        }
+        if self.trust == Trust::Rewriting && !self.log.oldest_below(self.empty_below) {
+            self.trust = Trust::Rewritten(self.log.last_seq());
+        }
+        if self.options.set_aside && self.aside > self.aside_wanted(0) + 4 * ASIDE_STEP {
+            let to = self.aside_wanted(0) + ASIDE_STEP;
+            if self.storage.set_aside(ASIDE, to).is_ok() {
+                self.aside = to;
+            }
+        }
+        self.wants_compaction()
+    }
+
+    /// Copies all that lives into fresh segments and removes the others, in one go: for a journal that
+    /// serves nobody.
+    ///
+    /// # Errors
+    /// As [`Journal::flush`].
+    pub fn compact_all(&mut self) -> Result<(), Error> {
+        self.log.roll();
+        let below = self.log.newest();
+        while self.log.oldest_below(below) {
+            self.empty_oldest(true);
+            self.flush()?;
+        }
+        Ok(())
+    }
+
+    /// Brings all records to the disk: when it returns they outlast the process. After an error they wait
+    /// here, in order, and go first the next time; nothing that depends on them may be done until then.
+    ///
+    /// # Errors
+    /// [`Error::Io`] with the file and the call.
+    pub fn flush(&mut self) -> Result<(), Error> {
+        while let Some(op) = self.log.queue.pop_front() {
+            let mut done = self.execute(&op);
+            while self.aside > 0 && done.as_ref().is_err_and(Error::is_full) {
+                // This is what the room was set aside for.
+                let to = self.aside.saturating_sub(ASIDE_STEP);
+                let name = ASIDE;
+                self.storage.set_aside(name, to).map_err(|e| Error::io(name, "shrink", e))?;
+                self.aside = to;
+                done = self.execute(&op);
+            }
+            if let Err(e) = done {
+                self.log.queue.push_front(op);
+                return Err(e);
+            }
+        }
+        self.written = self.log.last_seq();
+        Ok(())
+    }
+
+    fn execute(&mut self, op: &Op) -> Result<(), Error> {
+        match op {
+            Op::Create { number } => {
+                let name = frame::segment_name(*number);
+                let file = self.storage.create(&name).map_err(|e| Error::io(&name, "create", e))?;
+                self.names_dirty = true;
+                self.files.insert(*number, file);
+            }
+            Op::Write { number, at, bytes } => {
+                // A segment that is gone by now needs no seal.
+                let Some(file) = self.files.get(number) else { return Ok(()) };
+                let mut done = 0;
+                while done < bytes.len() {
+                    match file.write_at(at + done as u64, &bytes[done..]) {
+                        Ok(n) => done += n,
+                        Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                        Err(e) => {
+                            // What is half there would come back as taken on after a crash, though its client
+                            // was refused. If this fails too, the next try still writes over it.
+                            let _ = file.set_size(*at);
+                            return Err(Error::io(&frame::segment_name(*number), "write", e));
+                        }
+                    }
+                }
+                self.dirty.insert(*number);
+            }
+            Op::Sync => self.sync_files()?,
+            Op::Remove { number } => {
+                let name = frame::segment_name(*number);
+                let size = self.files.get(number).map_or(Ok(0), |f| f.size());
+                let size = size.map_err(|e| Error::io(&name, "size", e))?;
+                let kept = self.damaged.contains(number) && self.options.room >= KEEP_DAMAGED_FROM;
+                match kept {
+                    true => self.storage.rename(&name, &format!("{name}{DAMAGED}")),
+                    false => self.storage.remove(&name),
+                }
+                .map_err(|e| Error::io(&name, "remove", e))?;
+                self.damaged_bytes += if kept { size.next_multiple_of(512) } else { 0 };
+                self.files.remove(number);
+                self.dirty.remove(number);
+                self.names_dirty = true;
+            }
+        }
+        Ok(())
+    }
+
+    fn sync_files(&mut self) -> Result<(), Error> {
+        for number in std::mem::take(&mut self.dirty) {
+            if let Some(file) = self.files.get(&number) {
+                file.sync().map_err(|e| Error::io(&frame::segment_name(number), "sync", e))?;
+            }
+        }
+        if std::mem::take(&mut self.names_dirty) {
+            self.storage.sync_names().map_err(|e| Error::io("journal", "sync", e))?;
+        }
+        Ok(())
+    }
+
+    /// Syncs here and now: at the start, when nobody waits.
+    fn sync_now(&mut self) -> Result<(), Error> {
+        self.sync_files()?;
+        self.log.synced(self.written);
+        Ok(())
+    }
+
+    /// The sequence number of the last record that was put.
+    pub fn last_seq(&self) -> u64 {
+        self.log.last_seq()
+    }
+
+    /// Records up to this sequence number are kept, as the settings mean it. What depends on a later one must
+    /// wait.
+    pub fn durable(&self) -> u64 {
+        match self.options.durability {
+            Durability::Process => self.written,
+            Durability::Machine => self.log.synced,
+        }
+    }
+
+    /// Whether all that was done is kept.
+    pub fn is_durable(&self) -> bool {
+        self.durable() >= self.wanted
+    }
+
+    /// The sync that is due, if one is and none is under way: one for all that waits.
+    pub fn begin_sync(&mut self) -> Option<SyncJob> {
+        let machine = self.options.durability == Durability::Machine;
+        let due = self.wanted > self.log.synced && self.written >= self.wanted;
+        if !machine || self.sync_out || !due {
+            return None;
+        }
+        self.sync_out = true;
+        let files = std::mem::take(&mut self.dirty);
+        let files = files.iter().filter_map(|n| self.files.get(n).cloned()).collect();
+        let names = std::mem::take(&mut self.names_dirty);
+        Some(SyncJob { storage: self.storage.clone(), files, names, upto: self.written })
+    }
+
+    /// Takes in what became of a sync. [`Journal::flush`] and [`Journal::compact`] carry on from there.
+    ///
+    /// # Errors
+    /// [`Error::SyncFailed`] once several failed in a row. The journal goes on trying.
+    pub fn finish_sync(&mut self, done: Synced) -> Result<(), Error> {
+        self.sync_out = false;
+        if done.result.is_err() {
+            self.failures += 1;
+            // Nothing of these segments is believed to be on the device, and none is synced again.
+            self.log.distrust();
+            self.dirty.clear();
+            self.log.roll();
+            self.names_dirty = true;
+            self.trust = Trust::Probing;
+            let upto = self.log.synced;
+            self.put(0, Record::Synced { upto });
+            return match self.failures >= SYNC_FAILURES {
+                true => Err(Error::SyncFailed { failures: self.failures }),
+                false => Ok(()),
+            };
+        }
+        self.failures = 0;
+        match self.trust {
+            Trust::Probing => {
+                self.empty_below = self.log.newest();
+                self.trust = Trust::Rewriting;
+                return Ok(());
+            }
+            Trust::Rewriting => return Ok(()),
+            Trust::Rewritten(seq) if done.upto < seq => return Ok(()),
+            Trust::Rewritten(_) => self.trust = Trust::Well,
+            Trust::Well => {}
+        }
+        self.log.synced(done.upto);
+        // Asks for no sync of its own, or there would be no end of them.
+        let wanted = self.wanted;
+        self.put(0, Record::Synced { upto: done.upto });
+        self.wanted = wanted;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/journal/src/legacy.rs
@@ -0,0 +1,86 @@
+//! The format before segments: one file, `journal`, of records with length and checksum. Read once, when a
+//! folder of an older courier is taken over; never written.
+
+use crate::record::{Attempt, Fields, Letter, Live, Verdict};
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The file's name, and that of a copy that was cut short.
+pub(crate) const NAME: &str = "journal";
+pub(crate) const NEXT: &str = "journal.next";
+/// No record is longer: a body, an id, a key and room for the rest.
+const RECORD_MOST: usize = 128 * 1024;
+
+const ACCEPTED: u8 = 1;
+const ATTEMPT: u8 = 2;
+const OUTCOME: u8 = 3;
+const VERDICT: u8 = 4;
+const ENDED: u8 = 5;
+
+/// A text behind its length in four bytes.
+fn text(f: &mut Fields) -> Option<String> {
+    let n = f.u32()? as usize;
+    String::from_utf8(f.take(n)?.to_vec()).ok()
+}
+
+/// Applies one record; None if it cannot be read.
+fn apply(live: &mut BTreeMap<u64, Live>, last: &mut u64, record: &[u8]) -> Option<()> {
+    let mut f = Fields(record);
+    let (kind, message) = (f.byte()?, f.u64()?);
+    *last = message.max(*last);
+    match kind {
+        ACCEPTED => {
+            let (until, destination) = (Duration::from_micros(f.u64()?), f.u64()?);
+            let (id, class, keyed, key) = (text(&mut f)?, text(&mut f)?, f.byte()? == 1, text(&mut f)?);
+            let length = f.u32()? as usize;
+            let body = Bytes::copy_from_slice(f.take(length)?);
+            let letter = Letter { id, class, destination, key: keyed.then_some(key), until, body };
+            live.insert(message, Live { letter: Rc::new(letter), attempts: Vec::new(), verdict: None });
+        }
+        ATTEMPT => {
+            let (sent, host, zone) = (Duration::from_micros(f.u64()?), text(&mut f)?, text(&mut f)?);
+            if let Some(m) = live.get_mut(&message) {
+                m.attempts.push(Attempt { host, zone, sent, may_have_run: true });
+            }
+        }
+        OUTCOME => {
+            let attempt = f.u32()? as usize;
+            if let Some(a) = live.get_mut(&message).and_then(|m| m.attempts.get_mut(attempt)) {
+                a.may_have_run = false;
+            }
+        }
+        VERDICT => {
+            let (bounced, wait) = (f.byte()? == 1, f.u64()?);
+            let wait = (wait > 0).then(|| Duration::from_micros(wait));
+            if let Some(m) = live.get_mut(&message) {
+                m.verdict = Some(if bounced { Verdict::Bounced { wait } } else { Verdict::Dead });
+            }
+        }
+        ENDED => {
+            live.remove(&message);
+        }
+        _ => return None,
+    }
+    Some(())
+}
+
+/// Replays what is sound; returns the live messages, the highest number and the length of the sound part.
+pub(crate) fn replay(bytes: &[u8]) -> (BTreeMap<u64, Live>, u64, usize) {
+    let (mut live, mut last, mut sound) = (BTreeMap::new(), 0, 0);
+    let mut f = Fields(bytes);
+    while let (Some(len), Some(sum)) = (f.u32(), f.u32()) {
+        // A length that no record has is part of a torn or spoilt tail, not a reason to read on.
+        let record = f.take(len as usize).filter(|r| r.len() <= RECORD_MOST && crc32fast::hash(r) == sum);
+        if record.and_then(|r| apply(&mut live, &mut last, r)).is_none() {
+            break;
+        }
+        sound = bytes.len() - f.0.len();
+    }
+    (live, last, sound)
+}
+
+#[cfg(test)]
+#[path = "legacy_test.rs"]
+mod tests;
--- /dev/null
+++ b/crates/journal/src/legacy_test.rs
@@ -0,0 +1,171 @@
+//! The old format's reader against files as the old courier wrote them.
+
+use super::*;
+use bytes::BufMut;
+
+fn head(kind: u8, message: u64) -> Vec<u8> {
+    let mut to = vec![kind];
+    to.put_u64_le(message);
+    to
+}
+
+fn put_text(to: &mut Vec<u8>, text: &[u8]) {
+    to.put_u32_le(text.len() as u32);
+    to.put_slice(text);
+}
+
+fn accepted(message: u64, letter: &Letter) -> Vec<u8> {
+    let mut to = head(ACCEPTED, message);
+    to.put_u64_le(letter.until.as_micros() as u64);
+    to.put_u64_le(letter.destination);
+    put_text(&mut to, letter.id.as_bytes());
+    put_text(&mut to, letter.class.as_bytes());
+    to.put_u8(u8::from(letter.key.is_some()));
+    put_text(&mut to, letter.key.as_deref().unwrap_or_default().as_bytes());
+    put_text(&mut to, &letter.body);
+    to
+}
+
+fn attempted(message: u64, host: &str) -> Vec<u8> {
+    let mut to = head(ATTEMPT, message);
+    to.put_u64_le(1_790_000_000_000_002);
+    put_text(&mut to, host.as_bytes());
+    put_text(&mut to, b"a");
+    to
+}
+
+fn never_ran(message: u64, attempt: u32) -> Vec<u8> {
+    let mut to = head(OUTCOME, message);
+    to.put_u32_le(attempt);
+    to
+}
+
+fn judged(message: u64, bounced: bool, wait: u64) -> Vec<u8> {
+    let mut to = head(VERDICT, message);
+    to.put_u8(u8::from(bounced));
+    to.put_u64_le(wait);
+    to
+}
+
+fn letter(id: &str, body: &'static [u8]) -> Letter {
+    Letter {
+        id: id.to_owned(),
+        class: "notice".to_owned(),
+        destination: 7,
+        key: (!body.is_empty()).then(|| format!("k-{id}")),
+        until: Duration::from_micros(1_790_000_000_000_001),
+        body: Bytes::from_static(body),
+    }
+}
+
+/// A file with each kind of record, and the length behind each.
+fn written() -> (Vec<u8>, Vec<usize>) {
+    let records = [
+        accepted(1, &letter("a", b"bo\0dy")),
+        accepted(2, &letter("b", b"")),
+        attempted(1, "s-1"),
+        never_ran(1, 0),
+        attempted(1, "s-2"),
+        accepted(3, &letter("c", b"x")),
+        judged(2, true, 250_000),
+        judged(1, false, 0),
+        head(ENDED, 3),
+    ];
+    let (mut file, mut ends) = (Vec::new(), vec![0]);
+    for record in records {
+        file.put_u32_le(record.len() as u32);
+        file.put_u32_le(crc32fast::hash(&record));
+        file.put_slice(&record);
+        ends.push(file.len());
+    }
+    (file, ends)
+}
+
+#[test]
+fn every_record_of_the_old_format_is_read() {
+    let (file, _) = written();
+    let (live, last, sound) = replay(&file);
+    assert_eq!((live.len(), last, sound), (2, 3, file.len()));
+    let one = &live[&1];
+    assert_eq!(*one.letter, letter("a", b"bo\0dy"));
+    let attempts: Vec<_> = one.attempts.iter().map(|a| (a.host.as_str(), a.may_have_run)).collect();
+    assert_eq!(attempts, [("s-1", false), ("s-2", true)]);
+    assert_eq!(one.verdict, Some(Verdict::Dead));
+    assert_eq!(live[&2].verdict, Some(Verdict::Bounced { wait: Some(Duration::from_millis(250)) }));
+}
+
+#[test]
+fn a_torn_tail_of_the_old_format_hides_nothing_before_it() {
+    let (file, ends) = written();
+    for cut in 0..=file.len() {
+        let (live, _, sound) = replay(&file[..cut]);
+        let end = ends.iter().rev().find(|end| **end <= cut).expect("the start");
+        assert_eq!(sound, *end, "cut at {cut}");
+        assert_eq!(live, replay(&file[..*end]).0, "cut at {cut}");
+    }
+}
+
+mod take_over {
+    use super::*;
+    use crate::journal::Journal;
+    use crate::options::{Durability, Options};
+    use crate::storage::Storage;
+    use crate::storage::faulty::{Faulty, Replay, Step};
+    use std::collections::BTreeMap;
+    use std::sync::Arc;
+
+    fn state(journal: &Journal) -> BTreeMap<u64, Live> {
+        journal.live().map(|(n, m)| (n, m.clone())).collect()
+    }
+
+    fn options(durability: Durability) -> Options {
+        Options { durability, ..Options::new(3_000_000) }
+    }
+
+    #[test]
+    fn every_message_is_taken_over_and_the_old_file_goes() {
+        let (file, _) = written();
+        let folder = Faulty::over(BTreeMap::from([(NAME.to_owned(), file.clone())]));
+        let (journal, report) =
+            Journal::open(Arc::new(folder.clone()), options(Durability::Process)).expect("opens");
+        assert_eq!(report.taken_over, Some(2));
+        assert_eq!(state(&journal), replay(&file).0);
+        assert!(!folder.list().expect("names").iter().any(|n| n == NAME));
+    }
+
+    #[test]
+    fn a_take_over_that_is_cut_short_at_any_byte_loses_nothing() {
+        for durability in [Durability::Process, Durability::Machine] {
+            let (file, _) = written();
+            let before = BTreeMap::from([(NAME.to_owned(), file.clone()), (NEXT.to_owned(), vec![1, 2])]);
+            let folder = Faulty::over(before.clone());
+            Journal::open(Arc::new(folder.clone()), options(durability)).expect("opens");
+            let mut replayed = Replay::over(&before);
+            let check = |image: BTreeMap<String, Vec<u8>>, at: usize| {
+                let again = Faulty::over(image);
+                let (journal, _) = Journal::open(Arc::new(again), options(durability))
+                    .unwrap_or_else(|e| panic!("cut at step {at}: {e}"));
+                assert_eq!(state(&journal), replay(&file).0, "cut at step {at}");
+            };
+            let mut rng = rand::rngs::SmallRng::seed_from_u64(7);
+            use rand::SeedableRng;
+            for (at, step) in folder.steps().iter().enumerate() {
+                if let Step::Write { file, at: place, bytes } = step {
+                    for cut in 0..bytes.len() {
+                        let mut torn = replayed.clone();
+                        let bytes = bytes[..cut].to_vec();
+                        torn.apply(&Step::Write { file: *file, at: *place, bytes });
+                        check(torn.killed(), at);
+                    }
+                }
+                replayed.apply(step);
+                check(replayed.killed(), at);
+                if durability == Durability::Machine {
+                    for _ in 0..20 {
+                        check(replayed.power_cut(&mut rng), at);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/journal/src/log.rs
@@ -0,0 +1,269 @@
+//! Plans the log: which segment a record goes to, when a new one begins, and what is to be done on disk, in
+//! which order. Does none of it: the operations wait in a queue that [`crate::journal`] works off.
+
+use crate::frame::{self, FRAME, HEADER, Header, SEAL_FRAME};
+use crate::record::Record;
+use std::collections::{BTreeMap, VecDeque};
+
+/// One call, or a run of writes, on the disk. They are done in order: a prefix of them is what a crash
+/// leaves.
+#[derive(Debug)]
+pub(crate) enum Op {
+    Create {
+        number: u64,
+    },
+    Write {
+        number: u64,
+        at: u64,
+        bytes: Vec<u8>,
+    },
+    /// Everything up to here onto the device, before what follows.
+    Sync,
+    Remove {
+        number: u64,
+    },
+}
+
+#[derive(Debug)]
+pub(crate) struct Segment {
+    /// Sequence number of its first record.
+    pub first: u64,
+    /// Bytes, as planned.
+    pub size: u64,
+    /// Weight of the messages that begin in it: no more is copied to free it.
+    pub weight: u64,
+}
+
+/// What does not change while the log grows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Shape {
+    /// Bytes of a segment, and weight of what begins in one.
+    pub segment: u64,
+    pub machine: bool,
+    pub takeover: bool,
+}
+
+pub(crate) struct Log {
+    shape: Shape,
+    segments: BTreeMap<u64, Segment>,
+    next_number: u64,
+    next_seq: u64,
+    /// Not needed any more, but not removed before the record that says so is on the device.
+    retiring: VecDeque<(u64, u64, u64)>,
+    /// To be sealed once all up to the sequence number is on the device: the number and where.
+    seals: VecDeque<(u64, u64, u64)>,
+    pub queue: VecDeque<Op>,
+    /// Up to here records are known to be on the device.
+    pub synced: u64,
+    used: u64,
+    size: u64,
+}
+
+fn on_disk(size: u64) -> u64 {
+    size.next_multiple_of(512)
+}
+
+impl Log {
+    /// Goes on behind these segments. The last one is written on if `go_on` says so.
+    pub fn new(shape: Shape, segments: BTreeMap<u64, Segment>, next: (u64, u64), go_on: bool) -> Self {
+        let (next_number, next_seq) = next;
+        let (mut used, mut size) = (0, 0);
+        for s in segments.values() {
+            used += on_disk(s.size);
+            size += s.size;
+        }
+        let mut log = Log {
+            shape,
+            segments,
+            next_number,
+            next_seq,
+            retiring: VecDeque::new(),
+            seals: VecDeque::new(),
+            queue: VecDeque::new(),
+            synced: 0,
+            used,
+            size,
+        };
+        if !go_on || log.segments.is_empty() {
+            log.begin();
+        }
+        log
+    }
+
+    /// Bytes of all segments, each counted in whole 512, those included that wait to be removed.
+    pub fn used(&self) -> u64 {
+        self.used
+    }
+
+    /// Bytes of the segments that are needed.
+    pub fn size(&self) -> u64 {
+        self.size
+    }
+
+    pub fn count(&self) -> usize {
+        self.segments.len()
+    }
+
+    /// Sequence number of the last record.
+    pub fn last_seq(&self) -> u64 {
+        self.next_seq - 1
+    }
+
+    fn oldest(&self) -> u64 {
+        self.segments.keys().next().copied().unwrap_or(self.next_number)
+    }
+
+    pub fn newest(&self) -> u64 {
+        self.segments.keys().next_back().copied().unwrap_or(self.next_number)
+    }
+
+    pub fn oldest_below(&self, number: u64) -> bool {
+        self.oldest() < number
+    }
+
+    /// Where the second-oldest segment begins; None while there is only one.
+    pub fn second(&self) -> Option<u64> {
+        self.segments.values().nth(1).map(|s| s.first)
+    }
+
+    /// Begins a segment behind the others, which are then whole.
+    pub fn begin(&mut self) {
+        let (number, oldest) = (self.next_number, self.oldest());
+        self.next_number += 1;
+        let header = Header {
+            machine: self.shape.machine,
+            takeover: self.shape.takeover,
+            number,
+            first: self.next_seq,
+            oldest,
+            synced: self.synced,
+        };
+        self.queue.push_back(Op::Create { number });
+        self.segments.insert(number, Segment { first: self.next_seq, size: 0, weight: 0 });
+        self.write(number, &header.bytes());
+    }
+
+    /// Ends the newest segment and begins another.
+    pub fn roll(&mut self) {
+        let old = self.newest();
+        self.begin();
+        if self.shape.machine {
+            // A seal says that the next segment exists, which a power cut must not make untrue.
+            if let Some(s) = self.segments.get(&old) {
+                self.seals.push_back((self.last_seq().max(1), old, s.size));
+            }
+            self.grow(old, SEAL_FRAME as u64);
+        } else {
+            self.write(old, &frame::seal_frame(self.next_seq));
+        }
+    }
+
+    fn grow(&mut self, number: u64, bytes: u64) -> u64 {
+        let Some(s) = self.segments.get_mut(&number) else { return 0 };
+        let at = s.size;
+        s.size += bytes;
+        self.used += on_disk(s.size) - on_disk(at);
+        self.size += bytes;
+        at
+    }
+
+    fn write(&mut self, number: u64, bytes: &[u8]) {
+        let at = self.grow(number, bytes.len() as u64);
+        self.queued(number, at).extend_from_slice(bytes);
+    }
+
+    /// Where bytes for this place go in the queue: what follows at once is one write.
+    fn queued(&mut self, number: u64, at: u64) -> &mut Vec<u8> {
+        let follows = matches!(self.queue.back(),
+            Some(Op::Write { number: n, at: a, bytes }) if *n == number && *a + bytes.len() as u64 == at);
+        if !follows {
+            self.queue.push_back(Op::Write { number, at, bytes: Vec::new() });
+        }
+        match self.queue.back_mut() {
+            Some(Op::Write { bytes, .. }) => bytes,
+            _ => unreachable!("a write was put there above"),
+        }
+    }
+
+    /// Adds a record of a message that weighs `weight` if it begins with it, else 0. Returns its sequence
+    /// number and its bytes.
+    pub fn put(&mut self, weight: u64, record: &[u8]) -> (u64, u64) {
+        let (size, active) = ((FRAME + record.len()) as u64, self.newest());
+        let s = self.segments.get(&active);
+        let heavy = s.is_some_and(|s| s.weight > 0 && s.weight + weight > self.shape.segment);
+        let long = s.is_some_and(|s| {
+            s.size > HEADER as u64 && s.size + size + SEAL_FRAME as u64 > self.shape.segment
+        });
+        if (weight > 0 && heavy) || long {
+            self.roll();
+        }
+        let active = self.newest();
+        if let Some(s) = self.segments.get_mut(&active) {
+            s.weight += weight;
+        }
+        let (at, seq) = (self.grow(active, size), self.next_seq);
+        let to = self.queued(active, at);
+        frame::put_frame(to, seq, |to| to.extend_from_slice(record));
+        self.next_seq += 1;
+        (seq, size)
+    }
+
+    /// Gives up the oldest segment, in which nothing is needed any more. `at_once` syncs on the way, where
+    /// that is needed, instead of waiting for the next sync.
+    pub fn retire(&mut self, at_once: bool) {
+        if self.segments.len() < 2 {
+            return;
+        }
+        let Some((number, segment)) = self.segments.pop_first() else { return };
+        self.size -= segment.size;
+        self.seals.retain(|(_, n, _)| *n != number);
+        let mut trim = Vec::new();
+        Record::Trim { oldest: number + 1 }.put(&mut trim);
+        let (seq, _) = self.put(0, &trim);
+        let used = on_disk(segment.size);
+        if self.shape.machine && !at_once {
+            self.retiring.push_back((seq, number, used));
+            return;
+        }
+        if self.shape.machine {
+            self.queue.push_back(Op::Sync);
+            while let Some((_, number, used)) = self.retiring.pop_front() {
+                self.remove(number, used);
+            }
+        }
+        self.remove(number, used);
+    }
+
+    fn remove(&mut self, number: u64, used: u64) {
+        self.used -= used;
+        self.queue.push_back(Op::Remove { number });
+    }
+
+    /// All up to `seq` is on the device: what waited for that follows.
+    pub fn synced(&mut self, seq: u64) {
+        self.synced = self.synced.max(seq);
+        while let Some((_, number, at)) = self.seals.pop_front_if(|(need, ..)| *need <= seq) {
+            let next = self.segments.range(number + 1..).next().map(|(_, s)| s.first);
+            if let Some(next) = next {
+                self.queued(number, at).extend_from_slice(&frame::seal_frame(next));
+            }
+        }
+        while let Some((_, number, used)) = self.retiring.pop_front_if(|(need, ..)| *need <= seq) {
+            self.remove(number, used);
+        }
+    }
+
+    /// Begins a segment that is not part of a take-over.
+    pub fn end_takeover(&mut self) {
+        self.shape.takeover = false;
+        self.roll();
+    }
+
+    /// What was to be sealed or removed waits for good: the device does not keep what is written.
+    pub fn distrust(&mut self) {
+        self.seals.clear();
+    }
+}
+
+/// Bytes that a frame adds to a record.
+pub(crate) const FRAME_BYTES: u64 = FRAME as u64;
--- /dev/null
+++ b/crates/journal/src/record.rs
@@ -0,0 +1,371 @@
+//! What the journal keeps of a message, and how each record is written. `docs/journal-format.md` gives the
+//! same byte by byte. Integers are little-endian.
+
+use bytes::{BufMut, Bytes};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A message as its client handed it in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Letter {
+    pub id: String,
+    pub class: String,
+    pub destination: u64,
+    pub key: Option<String>,
+    /// When its time is up, Unix time.
+    pub until: Duration,
+    pub body: Bytes,
+}
+
+/// An attempt, recorded before its first byte goes out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Attempt {
+    /// Empty where the record of the attempt itself was lost: see [`crate::Damage`].
+    pub host: String,
+    pub zone: String,
+    /// Unix time.
+    pub sent: Duration,
+    /// Whether it may have run; true until an outcome proves the contrary.
+    pub may_have_run: bool,
+}
+
+impl Attempt {
+    /// An attempt that a lost part of the journal may have held: it may have run, anywhere.
+    pub(crate) fn unknown(sent: Duration) -> Self {
+        Attempt { host: String::new(), zone: String::new(), sent, may_have_run: true }
+    }
+}
+
+/// How a message ends that is not delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Dead,
+    Bounced { wait: Option<Duration> },
+}
+
+/// A message that has not ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Live {
+    pub letter: Rc<Letter>,
+    pub attempts: Vec<Attempt>,
+    /// Decided, but the notice is not acknowledged.
+    pub verdict: Option<Verdict>,
+}
+
+/// One record of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// A message whole, as it stands: at its acceptance, and each time that compaction copies it. Takes the
+    /// place of all that came before it under this number.
+    Snapshot {
+        message: u64,
+        live: Live,
+    },
+    /// Carries the attempt's place in the list, so that it can be applied twice without harm.
+    Attempt {
+        message: u64,
+        index: u16,
+        attempt: Attempt,
+    },
+    NeverRan {
+        message: u64,
+        index: u16,
+    },
+    Judged {
+        message: u64,
+        verdict: Verdict,
+    },
+    Ended {
+        message: u64,
+    },
+    /// Segments below this number hold nothing that is still needed, and may be gone.
+    Trim {
+        oldest: u64,
+    },
+    /// All records up to this sequence number were on the device when this one was written.
+    Synced {
+        upto: u64,
+    },
+}
+
+const SNAPSHOT: u8 = 1;
+const ATTEMPT: u8 = 2;
+const NEVER_RAN: u8 = 3;
+const JUDGED: u8 = 4;
+const ENDED: u8 = 5;
+const TRIM: u8 = 6;
+const SYNCED: u8 = 7;
+
+/// Kind and number at the head of each record.
+const HEAD: usize = 1 + 8;
+/// Bytes of these records, without their frames. A test holds them against what is written.
+pub(crate) const NEVER_RAN_BYTES: u64 = HEAD as u64 + 2;
+pub(crate) const JUDGED_BYTES: u64 = HEAD as u64 + VERDICT_BYTES;
+pub(crate) const ENDED_BYTES: u64 = HEAD as u64;
+const VERDICT_BYTES: u64 = 1 + 8;
+
+/// Bytes of an attempt's record with names of `names` bytes together.
+pub(crate) fn attempt_bytes(names: u64) -> u64 {
+    HEAD as u64 + 2 + 8 + 2 + 2 + names
+}
+
+/// Bytes of the snapshot of a message that has no attempts yet.
+pub(crate) fn snapshot_bytes(letter: &Letter) -> u64 {
+    let texts = letter.id.len() + letter.class.len() + letter.key.as_ref().map_or(0, String::len);
+    HEAD as u64 + 8 + 8 + 2 + 2 + 1 + 2 + 2 + 1 + 4 + (texts + letter.body.len()) as u64
+}
+
+fn put_text(to: &mut Vec<u8>, text: &str) {
+    // The courier bounds ids, keys, classes and names far below this; a longer one would spoil the record.
+    debug_assert!(text.len() <= usize::from(u16::MAX));
+    to.put_u16_le(text.len() as u16);
+    to.put_slice(text.as_bytes());
+}
+
+fn micros(time: Duration) -> u64 {
+    time.as_micros().min(u128::from(u64::MAX)) as u64
+}
+
+fn put_verdict(to: &mut Vec<u8>, verdict: Verdict) {
+    let (kind, wait) = match verdict {
+        Verdict::Dead => (1, 0),
+        Verdict::Bounced { wait: None } => (2, 0),
+        Verdict::Bounced { wait: Some(wait) } => (3, micros(wait)),
+    };
+    to.put_u8(kind);
+    to.put_u64_le(wait);
+}
+
+/// Writes the snapshot of a message.
+pub(crate) fn put_snapshot(to: &mut Vec<u8>, message: u64, live: &Live) {
+    let letter = &live.letter;
+    to.put_u8(SNAPSHOT);
+    to.put_u64_le(message);
+    to.put_u64_le(micros(letter.until));
+    to.put_u64_le(letter.destination);
+    put_text(to, &letter.id);
+    put_text(to, &letter.class);
+    to.put_u8(u8::from(letter.key.is_some()));
+    put_text(to, letter.key.as_deref().unwrap_or_default());
+    to.put_u16_le(live.attempts.len().min(usize::from(u16::MAX)) as u16);
+    for a in live.attempts.iter().take(usize::from(u16::MAX)) {
+        to.put_u8(u8::from(a.may_have_run));
+        to.put_u64_le(micros(a.sent));
+        put_text(to, &a.host);
+        put_text(to, &a.zone);
+    }
+    match live.verdict {
+        None => to.put_u8(0),
+        Some(verdict) => put_verdict(to, verdict),
+    }
+    to.put_u32_le(letter.body.len() as u32);
+    to.put_slice(&letter.body);
+}
+
+impl Record {
+    /// Writes the record without its frame.
+    pub(crate) fn put(&self, to: &mut Vec<u8>) {
+        let mut head = |kind: u8, number: u64| {
+            to.put_u8(kind);
+            to.put_u64_le(number);
+        };
+        match self {
+            Record::Snapshot { message, live } => put_snapshot(to, *message, live),
+            Record::Attempt { message, index, attempt } => {
+                head(ATTEMPT, *message);
+                to.put_u16_le(*index);
+                to.put_u64_le(micros(attempt.sent));
+                put_text(to, &attempt.host);
+                put_text(to, &attempt.zone);
+            }
+            Record::NeverRan { message, index } => {
+                head(NEVER_RAN, *message);
+                to.put_u16_le(*index);
+            }
+            Record::Judged { message, verdict } => {
+                head(JUDGED, *message);
+                put_verdict(to, *verdict);
+            }
+            Record::Ended { message } => head(ENDED, *message),
+            Record::Trim { oldest } => head(TRIM, *oldest),
+            Record::Synced { upto } => head(SYNCED, *upto),
+        }
+    }
+
+    /// Reads a record; None if it is none that this version writes.
+    pub(crate) fn read(bytes: &[u8]) -> Option<Record> {
+        let mut f = Fields(bytes);
+        let (kind, number) = (f.byte()?, f.u64()?);
+        let record = match kind {
+            SNAPSHOT => Record::Snapshot { message: number, live: read_snapshot(&mut f)? },
+            ATTEMPT => {
+                let (index, sent) = (f.u16()?, f.time()?);
+                let attempt = Attempt { host: f.text()?, zone: f.text()?, sent, may_have_run: true };
+                Record::Attempt { message: number, index, attempt }
+            }
+            NEVER_RAN => Record::NeverRan { message: number, index: f.u16()? },
+            JUDGED => Record::Judged { message: number, verdict: read_verdict(&mut f)?? },
+            ENDED => Record::Ended { message: number },
+            TRIM => Record::Trim { oldest: number },
+            SYNCED => Record::Synced { upto: number },
+            _ => return None,
+        };
+        f.0.is_empty().then_some(record)
+    }
+
+    /// The message that it is about, if it is about one.
+    pub fn message(&self) -> Option<u64> {
+        match self {
+            Record::Snapshot { message, .. }
+            | Record::Attempt { message, .. }
+            | Record::NeverRan { message, .. }
+            | Record::Judged { message, .. }
+            | Record::Ended { message } => Some(*message),
+            Record::Trim { .. } | Record::Synced { .. } => None,
+        }
+    }
+}
+
+fn read_snapshot(f: &mut Fields) -> Option<Live> {
+    let (until, destination) = (f.time()?, f.u64()?);
+    let (id, class, keyed, key) = (f.text()?, f.text()?, f.byte()? == 1, f.text()?);
+    let attempts = (0..f.u16()?)
+        .map(|_| {
+            let (ran, sent) = (f.byte()? == 1, f.time()?);
+            Some(Attempt { host: f.text()?, zone: f.text()?, sent, may_have_run: ran })
+        })
+        .collect::<Option<Vec<_>>>()?;
+    let verdict = read_verdict(f)?;
+    let length = f.u32()? as usize;
+    let body = Bytes::copy_from_slice(f.take(length)?);
+    let letter = Letter { id, class, destination, key: keyed.then_some(key), until, body };
+    Some(Live { letter: Rc::new(letter), attempts, verdict })
+}
+
+/// None outside: not to be read; None inside: no verdict yet.
+fn read_verdict(f: &mut Fields) -> Option<Option<Verdict>> {
+    Some(match f.byte()? {
+        0 => None,
+        1 => f.u64().map(|_| Some(Verdict::Dead))?,
+        2 => f.u64().map(|_| Some(Verdict::Bounced { wait: None }))?,
+        3 => f.time().map(|wait| Some(Verdict::Bounced { wait: Some(wait) }))?,
+        _ => return None,
+    })
+}
+
+/// Reads fields; None once something does not fit.
+pub(crate) struct Fields<'a>(pub &'a [u8]);
+
+impl<'a> Fields<'a> {
+    pub fn take(&mut self, n: usize) -> Option<&'a [u8]> {
+        let (head, rest) = self.0.split_at_checked(n)?;
+        self.0 = rest;
+        Some(head)
+    }
+
+    pub fn byte(&mut self) -> Option<u8> {
+        self.take(1).map(|b| b[0])
+    }
+
+    pub fn u16(&mut self) -> Option<u16> {
+        self.take(2)?.try_into().ok().map(u16::from_le_bytes)
+    }
+
+    pub fn u32(&mut self) -> Option<u32> {
+        self.take(4)?.try_into().ok().map(u32::from_le_bytes)
+    }
+
+    pub fn u64(&mut self) -> Option<u64> {
+        self.take(8)?.try_into().ok().map(u64::from_le_bytes)
+    }
+
+    pub fn time(&mut self) -> Option<Duration> {
+        self.u64().map(Duration::from_micros)
+    }
+
+    pub fn text(&mut self) -> Option<String> {
+        let n = self.u16()?;
+        String::from_utf8(self.take(n.into())?.to_vec()).ok()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn bytes(record: &Record) -> Vec<u8> {
+        let mut to = Vec::new();
+        record.put(&mut to);
+        to
+    }
+
+    fn all() -> Vec<Record> {
+        let letter = Letter {
+            id: "id".to_owned(),
+            class: "payment".to_owned(),
+            destination: 7,
+            key: Some(String::new()),
+            until: Duration::from_micros(1_790_000_000_000_001),
+            body: Bytes::from_static(b"bo\0dy"),
+        };
+        let sent = Duration::from_micros(1_790_000_000_000_002);
+        let attempt = Attempt { host: "s-1".to_owned(), zone: "a".to_owned(), sent, may_have_run: true };
+        let mut live = Live { letter: Rc::new(letter), attempts: Vec::new(), verdict: None };
+        let fresh = live.clone();
+        live.attempts = vec![attempt.clone(), Attempt { may_have_run: false, ..attempt.clone() }];
+        live.verdict = Some(Verdict::Bounced { wait: Some(Duration::from_micros(5)) });
+        let bounced = Verdict::Bounced { wait: None };
+        vec![
+            Record::Snapshot { message: 1, live: fresh },
+            Record::Snapshot { message: 2, live },
+            Record::Attempt { message: 3, index: 4, attempt },
+            Record::NeverRan { message: 3, index: 4 },
+            Record::Judged { message: 5, verdict: Verdict::Dead },
+            Record::Judged { message: 5, verdict: bounced },
+            Record::Ended { message: u64::MAX },
+            Record::Trim { oldest: 6 },
+            Record::Synced { upto: 7 },
+        ]
+    }
+
+    #[test]
+    fn each_record_reads_back_and_no_part_of_one_does() {
+        for record in all() {
+            let whole = bytes(&record);
+            assert_eq!(Record::read(&whole).as_ref(), Some(&record));
+            for cut in 0..whole.len() {
+                assert_eq!(Record::read(&whole[..cut]), None, "{record:?} cut at {cut}");
+            }
+            assert_eq!(Record::read(&[&whole[..], &[0]].concat()), None, "one byte more");
+        }
+    }
+
+    #[test]
+    fn the_room_that_is_reckoned_is_the_room_that_is_written() {
+        for record in all() {
+            let reckoned = match &record {
+                Record::Snapshot { live, .. } if live.attempts.is_empty() => snapshot_bytes(&live.letter),
+                Record::Snapshot { .. } => continue,
+                Record::Attempt { attempt, .. } => {
+                    attempt_bytes((attempt.host.len() + attempt.zone.len()) as u64)
+                }
+                Record::NeverRan { .. } => NEVER_RAN_BYTES,
+                Record::Judged { .. } => JUDGED_BYTES,
+                Record::Ended { .. } => ENDED_BYTES,
+                Record::Trim { .. } | Record::Synced { .. } => HEAD as u64,
+            };
+            assert_eq!(bytes(&record).len() as u64, reckoned, "{record:?}");
+        }
+    }
+
+    #[test]
+    fn a_copy_takes_no_more_than_the_records_that_it_replaces() {
+        let Record::Snapshot { live, .. } = all().remove(1) else { panic!("the second is a snapshot") };
+        let mut parts = snapshot_bytes(&live.letter) + JUDGED_BYTES;
+        for a in &live.attempts {
+            parts += attempt_bytes((a.host.len() + a.zone.len()) as u64);
+        }
+        let copy = bytes(&Record::Snapshot { message: 2, live }).len() as u64;
+        assert!(copy <= parts, "{copy} > {parts}");
+    }
+}
--- /dev/null
+++ b/crates/journal/src/recover.rs
@@ -0,0 +1,408 @@
+//! Rebuilds the state from the segments alone, and tells a torn tail, which every crash may leave, from a
+//! part that had been whole and cannot be read any more.
+
+use crate::error::{Damage, Error};
+use crate::frame::{self, BadHeader, Content, HEADER, Header, VERSION};
+use crate::log::Segment;
+use crate::options::Options;
+use crate::record::{Live, Record};
+use crate::state::State;
+use crate::storage::{Storage, read_all};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the segments come to.
+#[derive(Default)]
+pub(crate) struct Recovered {
+    pub state: State,
+    pub segments: BTreeMap<u64, Segment>,
+    /// Segments of which a part cannot be read.
+    pub damaged: BTreeSet<u64>,
+    /// Segments that are there and not needed: trimmed, never begun, or behind a torn place.
+    pub stale: Vec<u64>,
+    /// The last segment and its sound bytes, where it has more.
+    pub cut: Option<(u64, u64)>,
+    pub cut_bytes: u64,
+    pub next_number: u64,
+    pub next_seq: u64,
+    pub damages: Vec<Damage>,
+    /// Messages that were accepted and whose beginning is lost.
+    pub lost: Vec<u64>,
+    /// Sequence number behind the last lost record: messages that begin before it may have been sent.
+    pub lost_before: u64,
+    /// Whether the last segment can be written on.
+    pub go_on: bool,
+    /// All segments were written while an old format was being taken over.
+    pub takeover: bool,
+    /// Bytes that were read.
+    pub read: u64,
+}
+
+/// A place behind which the log goes on, with something missing.
+#[derive(Clone, Copy)]
+struct Hole {
+    number: u64,
+    /// The last segment that it reaches into.
+    to: u64,
+    at: u64,
+    why: &'static str,
+    first_lost: u64,
+    last_lost: u64,
+    /// It may be no more than what a power cut leaves of writes that were not synced.
+    may_be_torn: bool,
+}
+
+/// What one pass over the segments found.
+#[derive(Default)]
+struct Pass {
+    state: State,
+    segments: BTreeMap<u64, Segment>,
+    holes: Vec<Hole>,
+    /// With the place of the record that says it.
+    trims: Vec<(u64, u64, u64)>,
+    /// Records up to here were on the device, as later ones tell.
+    synced: u64,
+    next_seq: u64,
+    cut: Option<(u64, u64)>,
+    cut_bytes: u64,
+    sealed: bool,
+    read: u64,
+}
+
+/// Reads the segments in `storage` and changes nothing.
+///
+/// # Errors
+/// [`Error::NewerFormat`], or [`Error::Io`] with the file that could not be read. What is spoilt is no error
+/// here but a [`Damage`].
+pub(crate) fn recover(storage: &dyn Storage, options: &Options) -> Result<Recovered, Error> {
+    recover_with(storage, options, &mut |_, _| {})
+}
+
+/// The same, and shows each record that holds, with its sequence number.
+pub(crate) fn recover_with(
+    storage: &dyn Storage,
+    options: &Options,
+    see: &mut dyn FnMut(u64, &Record),
+) -> Result<Recovered, Error> {
+    let names = storage.list().map_err(|e| Error::io("journal", "list", e))?;
+    let numbers: BTreeSet<u64> = names.iter().filter_map(|n| frame::segment_number(n)).collect();
+    let headers = headers(storage, &numbers)?;
+    let told = headers.values().filter_map(|h| h.as_ref().ok());
+    // From the first that is there, also if it is not needed: so its neighbours' numbers are known.
+    let from = numbers.first().copied().unwrap_or_default();
+    let mut first = pass(storage, options, &headers, from, None, &mut |_, _| {})?;
+    // What stands behind a torn place was not synced either, so nothing of it was relied on: neither what it
+    // says of older segments. Without that more of them are needed, which may show a place further back.
+    let mut limit: Option<Hole> = None;
+    let mut oldest = oldest_needed(&headers, &first, limit);
+    while let Some(torn) = torn(&first, oldest)
+        && limit.is_none_or(|l| (torn.number, torn.at) < (l.number, l.at))
+    {
+        limit = Some(torn);
+        oldest = oldest_needed(&headers, &first, limit);
+    }
+    first = pass(storage, options, &headers, oldest, limit, see)?;
+    let lost_before = first.holes.iter().map(|h| h.last_lost.saturating_add(1)).max().unwrap_or_default();
+    let damages: Vec<Damage> = first
+        .holes
+        .iter()
+        .map(|h| Damage {
+            file: frame::segment_name(h.number),
+            offset: h.at,
+            why: h.why,
+            first_lost: h.first_lost,
+            last_lost: h.last_lost,
+        })
+        .collect();
+    // Without damage a record without its message can only be one that the next snapshot took in.
+    let lost = match damages.is_empty() {
+        true => Vec::new(),
+        false => first.state.headless().iter().copied().collect(),
+    };
+    let stale = numbers.iter().copied().filter(|n| !first.segments.contains_key(n)).collect();
+    let last = first.segments.keys().next_back().copied();
+    Ok(Recovered {
+        go_on: damages.is_empty()
+            && !first.sealed
+            && last.and_then(|n| headers.get(&n)).is_some_and(|h| {
+                h.is_ok_and(|h| {
+                    !h.takeover && h.machine == (options.durability == crate::options::Durability::Machine)
+                })
+            }),
+        takeover: !told.clone().any(|h| !h.takeover),
+        damaged: first.holes.iter().map(|h| h.number).filter(|n| first.segments.contains_key(n)).collect(),
+        // Without a gap: one that never began, or is dropped, leaves its number to the next.
+        next_number: last.map_or(oldest.max(1), |n| n + 1),
+        next_seq: first.next_seq.max(1),
+        state: first.state,
+        segments: first.segments,
+        stale,
+        cut: first.cut,
+        cut_bytes: first.cut_bytes,
+        damages,
+        lost,
+        lost_before,
+        read: first.read,
+    })
+}
+
+type Headers = BTreeMap<u64, Result<Header, BadHeader>>;
+
+fn headers(storage: &dyn Storage, numbers: &BTreeSet<u64>) -> Result<Headers, Error> {
+    let mut headers = BTreeMap::new();
+    for number in numbers {
+        let name = frame::segment_name(*number);
+        let file = storage.open(&name).map_err(|e| Error::io(&name, "open", e))?;
+        let size = file.size().map_err(|e| Error::io(&name, "size", e))?;
+        let mut head = vec![0; (HEADER as u64).min(size) as usize];
+        file.read_at(0, &mut head).map_err(|e| Error::io(&name, "read", e))?;
+        let header = Header::read(&head);
+        if let Err(BadHeader::Newer(found)) = header {
+            return Err(Error::NewerFormat { file: name, found, known: VERSION });
+        }
+        headers.insert(*number, header);
+    }
+    Ok(headers)
+}
+
+/// The oldest segment that is needed, as all say that stand before `limit`.
+fn oldest_needed(headers: &Headers, pass: &Pass, limit: Option<Hole>) -> u64 {
+    let kept = headers.iter().filter(|(n, _)| limit.is_none_or(|l| **n <= l.number));
+    let headers = kept.filter_map(|(_, h)| h.as_ref().ok()).map(|h| h.oldest);
+    let before = pass.trims.iter().filter(|(n, at, _)| limit.is_none_or(|l| (*n, *at) < (l.number, l.at)));
+    headers.chain(before.map(|(_, _, oldest)| *oldest)).max().unwrap_or_default()
+}
+
+/// The first hole that is no more than unsynced writes which a power cut took.
+fn torn(pass: &Pass, oldest: u64) -> Option<Hole> {
+    let holes = pass.holes.iter().filter(|h| h.to >= oldest);
+    holes.copied().find(|h| h.may_be_torn && h.first_lost > pass.synced)
+}
+
+/// Reads all segments from `oldest` on, up to `limit`, and applies what is sound.
+fn pass(
+    storage: &dyn Storage,
+    options: &Options,
+    headers: &Headers,
+    oldest: u64,
+    limit: Option<Hole>,
+    see: &mut dyn FnMut(u64, &Record),
+) -> Result<Pass, Error> {
+    let mut p = Pass::default();
+    let mut wanted = oldest;
+    // The last segment that was whole had another behind it.
+    let mut before = None;
+    let last = headers.keys().next_back().copied();
+    for (number, header) in headers.range(oldest..) {
+        if limit.is_some_and(|l| *number > l.number || *number == l.number && l.at == 0) {
+            break;
+        }
+        let name = frame::segment_name(*number);
+        let file = storage.open(&name).map_err(|e| Error::io(&name, "open", e))?;
+        let bytes = read_all(&*file).map_err(|e| Error::io(&name, "read", e))?;
+        p.read += bytes.len() as u64;
+        let machine = header.map_or(options.durability == crate::options::Durability::Machine, |h| h.machine);
+        let header = header.ok().filter(|h| h.number == *number);
+        let mut reader = Reader { bytes: &bytes, number: *number, machine };
+        let begun = header.is_some() || reader.next(HEADER.min(bytes.len()), p.next_seq).is_some();
+        if !begun && last == Some(*number) && !p.sealed {
+            // Killed while it was begun: nothing was in it yet.
+            p.cut_bytes += bytes.len() as u64;
+            break;
+        }
+        if let Some(h) = header {
+            p.synced = p.synced.max(h.synced);
+            // Without what came before, its numbers begin here.
+            if p.next_seq == 0 && wanted == *number {
+                p.next_seq = h.first;
+            }
+        }
+        if *number > wanted && wanted > 0 {
+            let first = header.map_or(p.next_seq, |h| h.first);
+            let lost = (p.next_seq, first.saturating_sub(1).max(p.next_seq));
+            p.holes.push(Hole {
+                number: wanted,
+                to: number - 1,
+                at: 0,
+                why: "the segment is missing",
+                first_lost: lost.0,
+                last_lost: lost.1,
+                may_be_torn: machine && before.is_none_or(|sealed: bool| !sealed),
+            });
+            p.next_seq = p.next_seq.max(first);
+        } else if header.is_none() && begun {
+            p.holes.push(Hole {
+                number: *number,
+                to: *number,
+                at: 0,
+                why: "the head cannot be read, or is another segment's",
+                first_lost: p.next_seq,
+                last_lost: p.next_seq.saturating_sub(1),
+                may_be_torn: machine,
+            });
+        }
+        wanted = number + 1;
+        let first = p.next_seq;
+        p.segments.insert(*number, Segment { first, size: bytes.len() as u64, weight: 0 });
+        p.sealed = false;
+        p.cut = None;
+        let end = limit.filter(|l| l.number == *number).map_or(bytes.len() as u64, |l| l.at);
+        reader.bytes = &bytes[..end.min(bytes.len() as u64) as usize];
+        let sound = reader.read(&mut p, options, see);
+        before = Some(p.sealed);
+        if sound < bytes.len() as u64 {
+            p.cut = Some((*number, sound));
+            // Known to be no hole only at the very end of the log.
+            let behind = headers.range(number + 1..).any(|(n, _)| limit.is_none_or(|l| *n <= l.number));
+            if behind {
+                let next = headers.range(number + 1..).find_map(|(_, h)| h.as_ref().ok().map(|h| h.first));
+                let next = next.unwrap_or(p.next_seq);
+                // A torn seal hides nothing.
+                if next > p.next_seq {
+                    p.holes.push(Hole {
+                        number: *number,
+                        to: *number,
+                        at: sound,
+                        why: "the bytes cannot be read",
+                        first_lost: p.next_seq,
+                        last_lost: next - 1,
+                        may_be_torn: machine,
+                    });
+                    p.next_seq = next;
+                }
+            }
+        } else if let Some((_, h)) = headers.range(number + 1..).next()
+            && limit.is_none_or(|l| l.number > *number)
+            && let Ok(h) = h
+            && h.first > p.next_seq
+            && headers.contains_key(&wanted)
+        {
+            // It ends cleanly, and the next begins further on: its tail is gone.
+            p.holes.push(Hole {
+                number: *number,
+                to: *number,
+                at: sound,
+                why: "the segment ends too early",
+                first_lost: p.next_seq,
+                last_lost: h.first - 1,
+                may_be_torn: machine && !p.sealed,
+            });
+            p.next_seq = h.first;
+        }
+    }
+    // Only of the last segment: what is torn in one before it may be the seal, and nothing follows it there.
+    if let Some((number, sound)) = p.cut
+        && let Some(s) = p.segments.get_mut(&number)
+    {
+        p.cut_bytes += s.size - sound;
+        s.size = sound;
+    }
+    if p.sealed && limit.is_none() {
+        p.holes.push(Hole {
+            number: wanted,
+            to: wanted,
+            at: 0,
+            why: "the segment is missing",
+            first_lost: p.next_seq,
+            last_lost: p.next_seq,
+            may_be_torn: false,
+        });
+        p.next_seq += 1;
+    }
+    Ok(p)
+}
+
+struct Reader<'a> {
+    bytes: &'a [u8],
+    number: u64,
+    machine: bool,
+}
+
+impl Reader<'_> {
+    fn next(&self, at: usize, expected: u64) -> Option<frame::Frame> {
+        frame::next_frame(self.bytes, at, expected)
+    }
+
+    /// Applies all sound frames; where the sound part ends.
+    fn read(&self, p: &mut Pass, options: &Options, see: &mut dyn FnMut(u64, &Record)) -> u64 {
+        let mut at = HEADER.min(self.bytes.len());
+        while at < self.bytes.len() {
+            let frame = frame::frame_at(self.bytes, at).filter(|f| f.seq == p.next_seq);
+            let frame = match frame {
+                Some(frame) => frame,
+                None => {
+                    let Some(next) = self.next(at, p.next_seq) else { return at as u64 };
+                    p.holes.push(Hole {
+                        number: self.number,
+                        to: self.number,
+                        at: at as u64,
+                        why: "the bytes cannot be read",
+                        first_lost: p.next_seq,
+                        last_lost: next.seq.saturating_sub(1),
+                        may_be_torn: self.machine,
+                    });
+                    next
+                }
+            };
+            at = frame.end;
+            let bytes = (frame.end - frame.at) as u64;
+            match frame.content {
+                Content::Seal => {
+                    p.next_seq = frame.seq;
+                    p.sealed = true;
+                    return at as u64;
+                }
+                Content::Record(record) => {
+                    p.next_seq = frame.seq + 1;
+                    match record {
+                        Record::Trim { oldest } => p.trims.push((self.number, frame.at as u64, oldest)),
+                        Record::Synced { upto } => p.synced = p.synced.max(upto),
+                        _ => {}
+                    }
+                    see(frame.seq, &record);
+                    if let Record::Snapshot { live, .. } = &record {
+                        let weight = options.weight(&live.letter);
+                        if let Some(s) = p.segments.get_mut(&self.number) {
+                            s.weight += weight;
+                        }
+                    }
+                    p.state.apply(record, frame.seq, bytes, options);
+                }
+            }
+        }
+        at as u64
+    }
+}
+
+/// What a folder holds, as a reader finds it that changes nothing.
+pub struct Found {
+    pub live: BTreeMap<u64, Live>,
+    pub segments: usize,
+    /// Bytes of all segments, and of the records among them that are needed.
+    pub bytes: u64,
+    pub needed: u64,
+    pub cut_bytes: u64,
+    pub damages: Vec<Damage>,
+    pub lost: Vec<u64>,
+}
+
+/// Reads a folder and changes nothing in it. `see` is shown every record that can be read, with its sequence
+/// number, in order.
+///
+/// # Errors
+/// [`Error::NewerFormat`], or [`Error::Io`] with the file that could not be read.
+pub fn read(
+    storage: &dyn Storage,
+    options: &Options,
+    see: &mut dyn FnMut(u64, &Record),
+) -> Result<Found, Error> {
+    let found = recover_with(storage, options, see)?;
+    Ok(Found {
+        live: found.state.live().map(|(message, live)| (message, live.clone())).collect(),
+        segments: found.segments.len(),
+        bytes: found.segments.values().map(|s| s.size).sum(),
+        needed: found.state.bytes(),
+        cut_bytes: found.cut_bytes,
+        damages: found.damages,
+        lost: found.lost,
+    })
+}
--- /dev/null
+++ b/crates/journal/src/storage/files.rs
@@ -0,0 +1,148 @@
+//! Real files in one folder, which is locked: two processes on it would each take the other's records for
+//! a fault.
+
+use super::{Storage, StoredFile};
+use crate::error::Error;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// Holds the lock; its content means nothing.
+pub(crate) const LOCK: &str = "lock";
+
+/// A folder of files. The lock lasts as long as this value.
+pub struct Files {
+    folder: PathBuf,
+    _lock: Option<File>,
+}
+
+impl Files {
+    /// Takes the folder for this process alone.
+    ///
+    /// # Errors
+    /// [`Error::InUse`] if another process has it, [`Error::NoFolder`] if there is none.
+    pub fn lock(folder: &Path) -> Result<Self, Error> {
+        Self::check(folder)?;
+        let shown = folder.join(LOCK).display().to_string();
+        let lock = OpenOptions::new().write(true).create(true).truncate(false).open(folder.join(LOCK));
+        let lock = lock.map_err(|e| Error::io(&shown, "open", e))?;
+        Self::hold(&lock, folder)?;
+        Ok(Files { folder: folder.to_owned(), _lock: Some(lock) })
+    }
+
+    /// Opens the folder to read only, if no process has it: nothing is made in it, not even a lock.
+    ///
+    /// # Errors
+    /// As [`Files::lock`].
+    pub fn read_only(folder: &Path) -> Result<Self, Error> {
+        Self::check(folder)?;
+        let lock = match File::open(folder.join(LOCK)) {
+            Ok(lock) => {
+                Self::hold(&lock, folder)?;
+                Some(lock)
+            }
+            Err(e) if e.kind() == io::ErrorKind::NotFound => None,
+            Err(e) => return Err(Error::io(&folder.join(LOCK).display().to_string(), "open", e)),
+        };
+        Ok(Files { folder: folder.to_owned(), _lock: lock })
+    }
+
+    fn check(folder: &Path) -> Result<(), Error> {
+        match folder.is_dir() {
+            true => Ok(()),
+            false => Err(Error::NoFolder { folder: folder.display().to_string() }),
+        }
+    }
+
+    fn hold(lock: &File, folder: &Path) -> Result<(), Error> {
+        lock.try_lock().map_err(|e| match e {
+            TryLockError::WouldBlock => Error::InUse { folder: folder.display().to_string() },
+            TryLockError::Error(e) => Error::io(&folder.join(LOCK).display().to_string(), "lock", e),
+        })
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+}
+
+impl Storage for Files {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.folder)? {
+            let entry = entry?;
+            if let (true, Ok(name)) = (entry.file_type()?.is_file(), entry.file_name().into_string()) {
+                names.push(name);
+            }
+        }
+        Ok(names)
+    }
+
+    fn create(&self, name: &str) -> io::Result<Arc<dyn StoredFile>> {
+        let file = OpenOptions::new().read(true).write(true).create_new(true).open(self.path(name))?;
+        Ok(Arc::new(file))
+    }
+
+    fn open(&self, name: &str) -> io::Result<Arc<dyn StoredFile>> {
+        let open = OpenOptions::new().read(true).write(true).open(self.path(name));
+        // A folder that is only inspected may be one that this user cannot write.
+        let open = open.or_else(|e| match e.kind() {
+            io::ErrorKind::PermissionDenied | io::ErrorKind::ReadOnlyFilesystem => {
+                File::open(self.path(name))
+            }
+            _ => Err(e),
+        });
+        Ok(Arc::new(open?))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.path(name))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path(from), self.path(to))
+    }
+
+    fn sync_names(&self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+
+    fn set_aside(&self, name: &str, bytes: u64) -> io::Result<()> {
+        use rustix::fs::{FallocateFlags, fallocate};
+        let file = OpenOptions::new().write(true).create(true).truncate(false).open(self.path(name))?;
+        let before = file.metadata()?.len();
+        if bytes > before {
+            fallocate(&file, FallocateFlags::empty(), before, bytes - before)?;
+        } else {
+            file.set_len(bytes)?;
+        }
+        Ok(())
+    }
+}
+
+impl StoredFile for File {
+    fn size(&self) -> io::Result<u64> {
+        Ok(self.metadata()?.len())
+    }
+
+    fn read_at(&self, at: u64, to: &mut [u8]) -> io::Result<()> {
+        self.read_exact_at(to, at)
+    }
+
+    fn write_at(&self, at: u64, bytes: &[u8]) -> io::Result<usize> {
+        match FileExt::write_at(self, bytes, at)? {
+            0 => Err(io::ErrorKind::WriteZero.into()),
+            n => Ok(n),
+        }
+    }
+
+    fn set_size(&self, size: u64) -> io::Result<()> {
+        self.set_len(size)
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
--- /dev/null
+++ b/crates/journal/tests/model.rs
@@ -0,0 +1,166 @@
+//! Random histories, with the journal beside a plain map, and a crash at every call to the disk, at every
+//! byte of every write, and by power cuts that lose and reorder what was not synced.
+//!
+//! `JOURNAL_SEED=N` plays one seed again, `JOURNAL_CASES=N` more histories than CI does.
+
+mod common;
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use stairshed_journal::Durability;
+use stairshed_journal::storage::faulty::{Faulty, Replay, Step};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+fn number(name: &str, or: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(or)
+}
+
+fn what() -> impl Strategy<Value = Do> {
+    prop_oneof![
+        6 => (0usize..500).prop_map(Do::Accept),
+        5 => (0usize..1000).prop_map(Do::Attempt),
+        2 => ((0usize..1000), (0usize..1000)).prop_map(|(m, a)| Do::NeverRan(m, a)),
+        2 => ((0usize..1000), 0u8..3).prop_map(|(m, k)| Do::Judge(m, k)),
+        4 => (0usize..1000).prop_map(Do::End),
+        4 => Just(Do::Flush),
+        3 => (1u64..2000).prop_map(Do::Compact),
+        2 => Just(Do::Sync),
+    ]
+}
+
+/// A history that was played, with what must be found after a crash at each step.
+struct Played {
+    steps: Vec<Step>,
+    /// The map after each thing that was done.
+    maps: Vec<Map>,
+    /// Behind so many steps: what was kept by then, and what had been done.
+    marks: Vec<(usize, usize, usize)>,
+}
+
+fn play(history: &[Do], durability: Durability) -> Result<Played, TestCaseError> {
+    let folder = Faulty::default();
+    let mut pair = Pair::new(folder.clone(), small(durability));
+    let (mut maps, mut kept) = (vec![pair.map.clone()], 0);
+    let mut marks = vec![(folder.steps().len(), 0, 0)];
+    for (n, what) in history.iter().enumerate() {
+        let is_kept = pair.act(what);
+        prop_assert!(state(&pair.journal) == pair.map, "after {} {:?}", n, what);
+        prop_assert!(folder.used() <= 60_000, "{} bytes after {}", folder.used(), n);
+        maps.push(pair.map.clone());
+        if is_kept {
+            kept = maps.len() - 1;
+        }
+        marks.push((folder.steps().len(), kept, maps.len() - 1));
+    }
+    Ok(Played { steps: folder.steps(), maps, marks })
+}
+
+impl Played {
+    /// What may be found after a crash behind `step`, by place in `maps`.
+    fn allowed(&self, step: usize) -> std::ops::RangeInclusive<usize> {
+        let next = self.marks.partition_point(|(steps, ..)| *steps <= step);
+        let kept = self.marks[next.saturating_sub(1)].1;
+        let done = self.marks.get(next).or(self.marks.last()).expect("a mark").2;
+        kept..=done
+    }
+
+    fn check(&self, image: Image, step: usize, durability: Durability) -> Result<(), TestCaseError> {
+        let folder = Faulty::over(image);
+        let (mut journal, report) = open(&folder, small(durability));
+        prop_assert_eq!(&report.damages, &[], "a crash is no damage, step {}", step);
+        let found = state(&journal);
+        let allowed = self.allowed(step);
+        let fits = self.maps[allowed.clone()].contains(&found);
+        prop_assert!(fits, "step {}: {:?} is none of the states {:?}", step, found.keys(), allowed);
+        // It goes on from there.
+        if step.is_multiple_of(5) {
+            let next = letter(journal.last() + 1, 10);
+            if journal.fits(&next).is_ok() {
+                journal.accept(journal.last() + 1, next);
+            }
+            journal.flush().expect("memory does not fail");
+            let (again, report) = open(&folder, small(durability));
+            prop_assert_eq!(&report.damages, &[], "step {}, gone on", step);
+            prop_assert!(state(&again) == state(&journal), "step {}, gone on", step);
+        }
+        Ok(())
+    }
+}
+
+fn run(cases: u64, length: usize, test: impl Fn(Vec<Do>) -> Result<(), TestCaseError>) {
+    let seed = number("JOURNAL_SEED", 1);
+    let config = Config {
+        cases: number("JOURNAL_CASES", cases) as u32,
+        failure_persistence: None,
+        max_shrink_iters: 300,
+        ..Config::default()
+    };
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let histories = prop::collection::vec(what(), 1..length);
+    if let Err(e) = TestRunner::new_with_rng(config, rng).run(&histories, test) {
+        panic!("JOURNAL_SEED={seed}: {e}");
+    }
+}
+
+#[test]
+fn a_crash_at_every_call_leaves_what_was_kept_and_nothing_that_was_not_done() {
+    let points = AtomicUsize::new(0);
+    run(400, 250, |history| {
+        let played = play(&history, Durability::Process)?;
+        let mut replay = Replay::default();
+        for (n, step) in played.steps.iter().enumerate() {
+            replay.apply(step);
+            played.check(replay.killed(), n + 1, Durability::Process)?;
+            points.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    });
+    println!("{} crash points", points.load(Ordering::Relaxed));
+}
+
+#[test]
+fn a_crash_at_every_byte_leaves_what_was_kept_and_nothing_that_was_not_done() {
+    let points = AtomicUsize::new(0);
+    run(60, 60, |history| {
+        let played = play(&history, Durability::Process)?;
+        let mut replay = Replay::default();
+        for (n, step) in played.steps.iter().enumerate() {
+            if let Step::Write { file, at, bytes } = step {
+                for cut in 0..bytes.len() {
+                    let mut torn = replay.clone();
+                    torn.apply(&Step::Write { file: *file, at: *at, bytes: bytes[..cut].to_vec() });
+                    played.check(torn.killed(), n, Durability::Process)?;
+                    points.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+            replay.apply(step);
+        }
+        Ok(())
+    });
+    let points = points.load(Ordering::Relaxed);
+    println!("{points} crash points");
+    assert!(points >= 100_000, "only {points} crash points");
+}
+
+#[test]
+fn a_power_cut_anywhere_leaves_what_was_synced_and_nothing_that_was_not_done() {
+    let points = AtomicUsize::new(0);
+    run(150, 200, |history| {
+        let played = play(&history, Durability::Machine)?;
+        let mut replay = Replay::default();
+        let mut rng = SmallRng::seed_from_u64(number("JOURNAL_SEED", 1));
+        for (n, step) in played.steps.iter().enumerate() {
+            replay.apply(step);
+            for _ in 0..4 {
+                played.check(replay.power_cut(&mut rng), n + 1, Durability::Machine)?;
+                points.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(())
+    });
+    println!("{} crash points", points.load(Ordering::Relaxed));
+}
