--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -9,7 +9,7 @@
 use crate::record::{self, Attempt, Letter, Live, Record, Verdict};
 use crate::recover::{Recovered, recover};
 use crate::state::State;
-use crate::storage::{Storage, StoredFile, read_all};
+use crate::storage::{Storage, StoredFile, read_into};
 use crate::sync::{SyncJob, Synced, Trust};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -200,7 +200,8 @@
     /// Copies what the old format's file holds, then removes that: until then it is what counts.
     fn take_over(&mut self, report: &mut Report) -> Result<usize, Error> {
         let file = self.storage.open(legacy::NAME).map_err(|e| Error::io(legacy::NAME, "open", e))?;
-        let bytes = read_all(&*file).map_err(|e| Error::io(legacy::NAME, "read", e))?;
+        let mut bytes = Vec::new();
+        read_into(&*file, &mut bytes).map_err(|e| Error::io(legacy::NAME, "read", e))?;
         let (live, _, sound) = legacy::replay(&bytes);
         report.cut_bytes += (bytes.len() - sound) as u64;
         let messages = live.len();
@@ -377,14 +378,12 @@
     }
 
     fn put(&mut self, weight: u64, record: Record) -> u64 {
-        let mut bytes = Vec::with_capacity(256);
-        record.put(&mut bytes);
-        self.make_room(FRAME_BYTES + bytes.len() as u64);
-        self.put_planned(weight, record, &bytes)
+        self.make_room(FRAME_BYTES + record.size());
+        self.put_planned(weight, record)
     }
 
-    fn put_planned(&mut self, weight: u64, record: Record, bytes: &[u8]) -> u64 {
-        let (seq, size) = self.log.put(weight, bytes);
+    fn put_planned(&mut self, weight: u64, record: Record) -> u64 {
+        let (seq, size) = self.log.put(weight, &record);
         self.put_bytes += size;
         self.wanted = seq;
         self.state.apply(record, seq, size, &self.options);
@@ -432,11 +431,11 @@
         let (_, message) = self.state.first().filter(|(seq, _)| *seq < end)?;
         let slot = self.state.get(message)?;
         let (weight, live) = (slot.weight, slot.live.clone());
-        let mut bytes = Vec::with_capacity(256 + live.letter.body.len());
-        record::put_snapshot(&mut bytes, message, &live);
-        self.put_planned(weight, Record::Snapshot { message, live }, &bytes);
-        self.copied_bytes += FRAME_BYTES + bytes.len() as u64;
-        Some(FRAME_BYTES + bytes.len() as u64)
+        let copy = Record::Snapshot { message, live };
+        let bytes = FRAME_BYTES + copy.size();
+        self.put_planned(weight, copy);
+        self.copied_bytes += bytes;
+        Some(bytes)
     }
 
     /// Whether old segments hold so much that is dead that copying what lives out of them is worth it. So
@@ -521,6 +520,7 @@
                 self.log.queue.push_front(op);
                 return Err(e);
             }
+            self.log.done(op);
         }
         self.written = self.log.last_seq();
         Ok(())
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -43,6 +43,9 @@
     pub takeover: bool,
 }
 
+/// A buffer is kept for the next write up to this size, bytes: one of a busy moment would stay for good.
+const BUFFER_MOST: usize = 128 * 1024;
+
 pub(crate) struct Log {
     shape: Shape,
     segments: BTreeMap<u64, Segment>,
@@ -53,6 +56,8 @@
     /// To be sealed once all up to the sequence number is on the device: the number and where.
     seals: VecDeque<(u64, u64, u64)>,
     pub queue: VecDeque<Op>,
+    /// A buffer that was written, to be filled again.
+    buffer: Vec<u8>,
     /// Up to here records are known to be on the device.
     pub synced: u64,
     used: u64,
@@ -80,6 +85,7 @@
             retiring: VecDeque::new(),
             seals: VecDeque::new(),
             queue: VecDeque::new(),
+            buffer: Vec::new(),
             synced: 0,
             used,
             size,
@@ -177,7 +183,8 @@
         let follows = matches!(self.queue.back(),
             Some(Op::Write { number: n, at: a, bytes }) if *n == number && *a + bytes.len() as u64 == at);
         if !follows {
-            self.queue.push_back(Op::Write { number, at, bytes: Vec::new() });
+            let bytes = std::mem::take(&mut self.buffer);
+            self.queue.push_back(Op::Write { number, at, bytes });
         }
         match self.queue.back_mut() {
             Some(Op::Write { bytes, .. }) => bytes,
@@ -187,8 +194,8 @@
 
     /// Adds a record of a message that weighs `weight` if it begins with it, else 0. Returns its sequence
     /// number and its bytes.
-    pub fn put(&mut self, weight: u64, record: &[u8]) -> (u64, u64) {
-        let (size, active) = ((FRAME + record.len()) as u64, self.newest());
+    pub fn put(&mut self, weight: u64, record: &Record) -> (u64, u64) {
+        let (size, active) = (FRAME as u64 + record.size(), self.newest());
         let s = self.segments.get(&active);
         let heavy = s.is_some_and(|s| s.weight > 0 && s.weight + weight > self.shape.segment);
         let long = s.is_some_and(|s| {
@@ -203,7 +210,7 @@
         }
         let (at, seq) = (self.grow(active, size), self.next_seq);
         let to = self.queued(active, at);
-        frame::put_frame(to, seq, |to| to.extend_from_slice(record));
+        frame::put_frame(to, seq, |to| record.put(to));
         self.next_seq += 1;
         (seq, size)
     }
@@ -217,9 +224,7 @@
         let Some((number, segment)) = self.segments.pop_first() else { return };
         self.size -= segment.size;
         self.seals.retain(|(_, n, _)| *n != number);
-        let mut trim = Vec::new();
-        Record::Trim { oldest: number + 1 }.put(&mut trim);
-        let (seq, _) = self.put(0, &trim);
+        let (seq, _) = self.put(0, &Record::Trim { oldest: number + 1 });
         let used = on_disk(segment.size);
         if self.shape.machine && !at_once {
             self.retiring.push_back((seq, number, used));
@@ -239,6 +244,16 @@
         self.queue.push_back(Op::Remove { number });
     }
 
+    /// An operation is done.
+    pub fn done(&mut self, op: Op) {
+        if let Op::Write { mut bytes, .. } = op
+            && bytes.capacity() <= BUFFER_MOST
+        {
+            bytes.clear();
+            self.buffer = bytes;
+        }
+    }
+
     /// All up to `seq` is on the device: what waited for that follows.
     pub fn synced(&mut self, seq: u64) {
         self.synced = self.synced.max(seq);
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -103,6 +103,8 @@
 pub(crate) const JUDGED_BYTES: u64 = HEAD as u64 + VERDICT_BYTES;
 pub(crate) const ENDED_BYTES: u64 = HEAD as u64;
 const VERDICT_BYTES: u64 = 1 + 8;
+/// An attempt within a snapshot, without its names.
+const SNAPSHOT_ATTEMPT_BYTES: u64 = 1 + 8 + 2 + 2;
 
 /// Bytes of an attempt's record with names of `names` bytes together.
 pub(crate) fn attempt_bytes(names: u64) -> u64 {
@@ -137,7 +139,7 @@
 }
 
 /// Writes the snapshot of a message.
-pub(crate) fn put_snapshot(to: &mut Vec<u8>, message: u64, live: &Live) {
+fn put_snapshot(to: &mut Vec<u8>, message: u64, live: &Live) {
     let letter = &live.letter;
     to.put_u8(SNAPSHOT);
     to.put_u64_le(message);
@@ -163,6 +165,23 @@
 }
 
 impl Record {
+    /// Bytes that [`Record::put`] writes.
+    pub(crate) fn size(&self) -> u64 {
+        let names = |a: &Attempt| (a.host.len() + a.zone.len()) as u64;
+        match self {
+            Record::Snapshot { live, .. } => {
+                let attempts = live.attempts.iter().map(|a| SNAPSHOT_ATTEMPT_BYTES + names(a)).sum::<u64>();
+                let verdict = live.verdict.map_or(0, |_| VERDICT_BYTES - 1);
+                snapshot_bytes(&live.letter) + attempts + verdict
+            }
+            Record::Attempt { attempt, .. } => attempt_bytes(names(attempt)),
+            Record::NeverRan { .. } => NEVER_RAN_BYTES,
+            Record::Judged { .. } => JUDGED_BYTES,
+            Record::Ended { .. } => ENDED_BYTES,
+            Record::Trim { .. } | Record::Synced { .. } => HEAD as u64,
+        }
+    }
+
     /// Writes the record without its frame.
     pub(crate) fn put(&self, to: &mut Vec<u8>) {
         let mut head = |kind: u8, number: u64| {
@@ -343,18 +362,7 @@
     #[test]
     fn the_room_that_is_reckoned_is_the_room_that_is_written() {
         for record in all() {
-            let reckoned = match &record {
-                Record::Snapshot { live, .. } if live.attempts.is_empty() => snapshot_bytes(&live.letter),
-                Record::Snapshot { .. } => continue,
-                Record::Attempt { attempt, .. } => {
-                    attempt_bytes((attempt.host.len() + attempt.zone.len()) as u64)
-                }
-                Record::NeverRan { .. } => NEVER_RAN_BYTES,
-                Record::Judged { .. } => JUDGED_BYTES,
-                Record::Ended { .. } => ENDED_BYTES,
-                Record::Trim { .. } | Record::Synced { .. } => HEAD as u64,
-            };
-            assert_eq!(bytes(&record).len() as u64, reckoned, "{record:?}");
+            assert_eq!(bytes(&record).len() as u64, record.size(), "{record:?}");
         }
     }
 
--- a/crates/journal/src/recover.rs
+++ b/crates/journal/src/recover.rs
@@ -7,9 +7,12 @@
 use crate::options::Options;
 use crate::record::{Live, Record};
 use crate::state::State;
-use crate::storage::{Storage, read_all};
+use crate::storage::{Storage, read_into};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Is shown each record that holds, with its sequence number.
+type See<'a> = Option<&'a mut dyn FnMut(u64, &Record)>;
+
 /// What the segments come to.
 #[derive(Default)]
 pub(crate) struct Recovered {
@@ -74,22 +77,18 @@
 /// [`Error::NewerFormat`], or [`Error::Io`] with the file that could not be read. What is spoilt is no error
 /// here but a [`Damage`].
 pub(crate) fn recover(storage: &dyn Storage, options: &Options) -> Result<Recovered, Error> {
-    recover_with(storage, options, &mut |_, _| {})
+    recover_with(storage, options, None)
 }
 
 /// The same, and shows each record that holds, with its sequence number.
-pub(crate) fn recover_with(
-    storage: &dyn Storage,
-    options: &Options,
-    see: &mut dyn FnMut(u64, &Record),
-) -> Result<Recovered, Error> {
+pub(crate) fn recover_with(storage: &dyn Storage, options: &Options, see: See) -> Result<Recovered, Error> {
     let names = storage.list().map_err(|e| Error::io("journal", "list", e))?;
     let numbers: BTreeSet<u64> = names.iter().filter_map(|n| frame::segment_number(n)).collect();
     let headers = headers(storage, &numbers)?;
     let told = headers.values().filter_map(|h| h.as_ref().ok());
     // From the first that is there, also if it is not needed: so its neighbours' numbers are known.
     let from = numbers.first().copied().unwrap_or_default();
-    let mut first = pass(storage, options, &headers, from, None, &mut |_, _| {})?;
+    let mut first = pass(storage, options, &headers, from, None, None)?;
     // What stands behind a torn place was not synced either, so nothing of it was relied on: neither what it
     // says of older segments. Without that more of them are needed, which may show a place further back.
     let mut limit: Option<Hole> = None;
@@ -100,7 +99,10 @@
         limit = Some(torn);
         oldest = oldest_needed(&headers, &first, limit);
     }
-    first = pass(storage, options, &headers, oldest, limit, see)?;
+    // Mostly that was all of it.
+    if see.is_some() || oldest != from || limit.is_some() {
+        first = pass(storage, options, &headers, oldest, limit, see)?;
+    }
     let lost_before = first.holes.iter().map(|h| h.last_lost.saturating_add(1)).max().unwrap_or_default();
     let damages: Vec<Damage> = first
         .holes
@@ -185,9 +187,10 @@
     headers: &Headers,
     oldest: u64,
     limit: Option<Hole>,
-    see: &mut dyn FnMut(u64, &Record),
+    mut see: See,
 ) -> Result<Pass, Error> {
     let mut p = Pass::default();
+    let mut buffer = Vec::new();
     let mut wanted = oldest;
     // The last segment that was whole had another behind it.
     let mut before = None;
@@ -198,11 +201,12 @@
         }
         let name = frame::segment_name(*number);
         let file = storage.open(&name).map_err(|e| Error::io(&name, "open", e))?;
-        let bytes = read_all(&*file).map_err(|e| Error::io(&name, "read", e))?;
+        read_into(&*file, &mut buffer).map_err(|e| Error::io(&name, "read", e))?;
+        let bytes = &buffer[..];
         p.read += bytes.len() as u64;
         let machine = header.map_or(options.durability == crate::options::Durability::Machine, |h| h.machine);
         let header = header.ok().filter(|h| h.number == *number);
-        let mut reader = Reader { bytes: &bytes, number: *number, machine };
+        let mut reader = Reader { bytes, number: *number, machine };
         let begun = header.is_some() || reader.next(HEADER.min(bytes.len()), p.next_seq).is_some();
         if !begun && last == Some(*number) && !p.sealed {
             // Killed while it was begun: nothing was in it yet.
@@ -247,7 +251,7 @@
         p.cut = None;
         let end = limit.filter(|l| l.number == *number).map_or(bytes.len() as u64, |l| l.at);
         reader.bytes = &bytes[..end.min(bytes.len() as u64) as usize];
-        let sound = reader.read(&mut p, options, see);
+        let sound = reader.read(&mut p, options, &mut see);
         before = Some(p.sealed);
         if sound < bytes.len() as u64 {
             p.cut = Some((*number, sound));
@@ -323,7 +327,7 @@
     }
 
     /// Applies all sound frames; where the sound part ends.
-    fn read(&self, p: &mut Pass, options: &Options, see: &mut dyn FnMut(u64, &Record)) -> u64 {
+    fn read(&self, p: &mut Pass, options: &Options, see: &mut See) -> u64 {
         let mut at = HEADER.min(self.bytes.len());
         while at < self.bytes.len() {
             let frame = frame::frame_at(self.bytes, at).filter(|f| f.seq == p.next_seq);
@@ -358,7 +362,9 @@
                         Record::Synced { upto } => p.synced = p.synced.max(upto),
                         _ => {}
                     }
-                    see(frame.seq, &record);
+                    if let Some(see) = see {
+                        see(frame.seq, &record);
+                    }
                     if let Record::Snapshot { live, .. } = &record {
                         let weight = options.weight(&live.letter);
                         if let Some(s) = p.segments.get_mut(&self.number) {
@@ -395,7 +401,7 @@
     options: &Options,
     see: &mut dyn FnMut(u64, &Record),
 ) -> Result<Found, Error> {
-    let found = recover_with(storage, options, see)?;
+    let found = recover_with(storage, options, Some(see))?;
     Ok(Found {
         live: found.state.live().map(|(message, live)| (message, live.clone())).collect(),
         segments: found.segments.len(),
--- a/crates/journal/src/storage.rs
+++ b/crates/journal/src/storage.rs
@@ -53,9 +53,9 @@
     fn sync(&self) -> io::Result<()>;
 }
 
-/// All of a file's bytes.
-pub(crate) fn read_all(file: &dyn StoredFile) -> io::Result<Vec<u8>> {
-    let mut bytes = vec![0; usize::try_from(file.size()?).unwrap_or(usize::MAX)];
-    file.read_at(0, &mut bytes)?;
-    Ok(bytes)
+/// All of a file's bytes, in a buffer that is used again: fresh memory costs as much as reading.
+pub(crate) fn read_into(file: &dyn StoredFile, bytes: &mut Vec<u8>) -> io::Result<()> {
+    let size = usize::try_from(file.size()?).map_err(|_| io::ErrorKind::FileTooLarge)?;
+    bytes.resize(size, 0);
+    file.read_at(0, bytes)
 }
