--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -140,7 +140,8 @@
     /// Hands back what the journal holds, with what is known of its attempts.
     fn resume(&mut self) {
         let live: Vec<(u64, Live)> = self.journal.live().map(|(n, m)| (n, m.clone())).collect();
-        // A clock that has jumped back since must not give what is held more time than it had.
+        // A clock that has jumped back since must not give what is held more time than it had: neither than was
+        // left at the last attempt, nor than its class has.
         let now = unix().max(self.journal.latest());
         for (message, m) in live {
             let letter = m.letter;
@@ -163,6 +164,8 @@
                 ago: now.saturating_sub(a.sent),
             });
             let attempts = m.attempts.len() as u32;
+            let most = class.and_then(|c| self.config.settings.classes.get(c)).map(|c| c.deadline);
+            let time_left = letter.until.saturating_sub(now).min(most.unwrap_or(Duration::MAX));
             self.destinations.insert(letter.destination);
             self.events.push(Event::Taken(Taken {
                 message: MessageId(message),
@@ -170,7 +173,7 @@
                 tenant: 0,
                 destination: DestinationId(letter.destination),
                 key: None,
-                time_left: letter.until.saturating_sub(now),
+                time_left,
                 work: None,
                 past: Past { attempts, ran },
             }));
--- a/crates/courier/src/settings.rs
+++ b/crates/courier/src/settings.rs
@@ -62,8 +62,8 @@
 impl Journal {
     /// The journal's options, with `room` bytes where the file tells none.
     pub fn options(&self, room: u64, attempts: u64) -> Options {
+        let room = self.room.map_or(room, |room| room.as_u64());
         Options {
-            room: self.room.map_or(room, |room| room.as_u64()),
             segment: self.segment.map(|segment| segment.as_u64()),
             durability: self.durability,
             set_aside: self.set_aside,
--- /dev/null
+++ b/crates/courier/tests/crash.rs
@@ -0,0 +1,142 @@
+//! The courier under traffic, killed at random points while its journal is being compacted. A stand-in
+//! partner counts charges: none is doubled, none lost, and every message that was accepted ends.
+//!
+//! CI kills 40 times. `KILLS=1000 cargo test --release -p stairshed-courier --test crash -- --nocapture`
+//! does it for longer; `SEED=N` plays the dice of one run again.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use stairshed_rig::charges::Charges;
+use stairshed_rig::*;
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Little room and small segments: some are emptied in every life.
+const PROCESS: &str = "[journal]\nroom = \"900KB\"\nsegment = \"60KB\"\n";
+const MACHINE: &str = "[journal]\ndurability = \"machine\"\nroom = \"900KB\"\nsegment = \"60KB\"\n";
+const CLIENTS: u64 = 4;
+const BODY: usize = 1500;
+
+fn number(name: &str, or: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(or)
+}
+
+/// What clients were told: ids that were taken on, with their class.
+type Accepted = Arc<Mutex<BTreeMap<String, &'static str>>>;
+
+/// Hands in messages until it is told to stop, over connections that are kept as long as they last.
+fn client(at: Arc<Mutex<SocketAddr>>, ids: Arc<AtomicU64>, accepted: Accepted, stop: Arc<AtomicBool>) {
+    let body = "x".repeat(BODY);
+    while !stop.load(Ordering::SeqCst) {
+        let address = *at.lock().expect("the address");
+        let Ok(stream) = TcpStream::connect(address) else {
+            thread::sleep(2 * MS);
+            continue;
+        };
+        stream.set_read_timeout(Some(400 * MS)).expect("a time-out");
+        let mut from = BufReader::new(stream.try_clone().expect("a handle"));
+        let mut to = stream;
+        while !stop.load(Ordering::SeqCst) {
+            let n = ids.fetch_add(1, Ordering::SeqCst);
+            let class = ["payment", "payment", "status"][n as usize % 3];
+            let id = format!("m{n}");
+            if to.write_all(message_with(&id, class, 7, 5000, &body).as_bytes()).is_err() {
+                break;
+            }
+            let Some(page) = Page::read(&mut from) else { break };
+            if page.status() == 202 {
+                accepted.lock().expect("accepted").insert(id, class);
+            } else {
+                thread::sleep(5 * MS);
+            }
+        }
+    }
+}
+
+fn killed_many_times(kills: u64, settings: &str) {
+    let seed = number("SEED", 1);
+    println!("SEED={seed} KILLS={kills}");
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let charges = Charges::default();
+    let endpoints: Vec<_> = (0..3).map(|n| charges.endpoint(seed + n)).collect();
+    let hosts = endpoints.iter().enumerate().map(|(n, e)| host(&format!("s-{n}"), e, 7, "ready"));
+    let discovery = Discovery::new(list(1, true, hosts.collect()));
+    let folder = Folder::new();
+    let start = || {
+        let known = discovery.lines.lock().expect("lines")[0].clone();
+        let mut command = command(&folder, &discovery, &config(&discovery, known));
+        with_settings(&mut command, &folder, settings);
+        Courier::spawn(&mut command)
+    };
+    let (accepted, stop): (Accepted, _) = (Arc::default(), Arc::new(AtomicBool::new(false)));
+    let mut courier = start();
+    let (at, ids) = (Arc::new(Mutex::new(courier.address)), Arc::new(AtomicU64::new(0)));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let (at, ids, accepted, stop) = (at.clone(), ids.clone(), accepted.clone(), stop.clone());
+            thread::spawn(move || client(at, ids, accepted, stop))
+        })
+        .collect();
+    for kill in 0..kills {
+        thread::sleep(Duration::from_micros(rng.random_range(5_000..120_000)));
+        courier.kill();
+        courier = start();
+        let bad: Vec<_> =
+            courier.first.iter().filter(|l| l.contains("DAMAGED") || l.contains("LOST")).collect();
+        assert!(bad.is_empty(), "SEED={seed}, kill {kill}: {bad:?}");
+        *at.lock().expect("the address") = courier.address;
+    }
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|c| c.join().expect("the client ends"));
+    let accepted = accepted.lock().expect("accepted").clone();
+    // Delivered, or the platform was told otherwise.
+    let results = |discovery: &Discovery| {
+        let mut results = BTreeMap::<String, Vec<String>>::new();
+        for n in discovery.notices.lock().expect("notices").iter() {
+            let (id, result) =
+                (n["ref"].as_str().unwrap_or_default(), n["result"].as_str().unwrap_or_default());
+            results.entry(id.to_owned()).or_default().push(result.to_owned());
+        }
+        results
+    };
+    until("the end of every message", || {
+        let told = results(&discovery);
+        accepted.keys().all(|id| charges.get(id).answered || told.contains_key(id))
+    });
+    let told = results(&discovery);
+    let payment = |id: &str| id[1..].parse::<u64>().is_ok_and(|n| n % 3 != 2);
+    for (id, charge) in charges.all() {
+        if payment(&id) {
+            assert!(charge.times <= 1, "SEED={seed}: {id} was charged {} times", charge.times);
+        }
+    }
+    for (id, results) in &told {
+        // A notice may be repeated until it is acknowledged, and never says something else.
+        assert!(results.iter().all(|r| *r == results[0]), "SEED={seed}: {id}: {results:?}");
+        // A payment that was refused ran nowhere: its client may hand it in again.
+        let ran = payment(id) && charges.get(id).times > 0 && results[0] == "bounced";
+        assert!(!ran, "SEED={seed}: {id} was charged and bounced");
+    }
+    let charged = accepted.keys().filter(|id| charges.get(id).times > 0).count();
+    println!("{} accepted, {charged} charged, {} told otherwise", accepted.len(), told.len());
+    assert!(accepted.len() as u64 > kills && charged > 0);
+    courier.kill();
+    let folder = folder.0.join("state");
+    let segments = std::fs::read_dir(&folder).expect("the folder").flatten();
+    let names: Vec<_> = segments.filter_map(|e| e.file_name().into_string().ok()).collect();
+    assert!(!names.iter().any(|n| n == "0000000000000001.seg"), "nothing was ever compacted: {names:?}");
+}
+
+#[test]
+fn no_charge_is_doubled_or_lost_though_it_is_killed_again_and_again() {
+    killed_many_times(number("KILLS", 40), PROCESS);
+}
+
+#[test]
+fn with_syncs_no_charge_is_doubled_or_lost_either() {
+    killed_many_times(number("KILLS", 40) / 4, MACHINE);
+}
--- /dev/null
+++ b/crates/courier/tests/journal.rs
@@ -0,0 +1,308 @@
+//! The courier and its journal's disk: full, failing, damaged, shared, and of an older program.
+
+use stairshed_rig::*;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+fn state(folder: &Folder) -> PathBuf {
+    folder.0.join("state")
+}
+
+/// `stairshed journal WHAT` on the courier's folder.
+fn tool(folder: &Folder, what: &str) -> Output {
+    Command::new(program()).arg("journal").arg(what).arg(state(folder)).output().expect("it runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn segments(folder: &Folder) -> Vec<PathBuf> {
+    let files = std::fs::read_dir(state(folder)).expect("the folder").flatten().map(|e| e.path());
+    let mut all: Vec<_> = files.filter(|p| p.extension().is_some_and(|e| e == "seg")).collect();
+    all.sort();
+    all
+}
+
+/// An endpoint that hangs until it is opened, then answers; discovery that lists it.
+fn gate() -> (Arc<AtomicBool>, Endpoint, Discovery) {
+    let open = Arc::new(AtomicBool::new(false));
+    let own = open.clone();
+    // Turned away, so that nothing may have run.
+    const BUSY: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    let endpoint = Endpoint::new(move |_| Act::Answer(if own.load(Ordering::SeqCst) { OK } else { BUSY }));
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    (open, endpoint, discovery)
+}
+
+fn courier(folder: &Folder, discovery: &Discovery, settings: &str) -> Courier {
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let mut command = command(folder, discovery, &config(discovery, known));
+    with_settings(&mut command, folder, settings);
+    Courier::spawn(&mut command)
+}
+
+/// Every message that was taken on has ended: answered 200 by the endpoint once it was open, or told.
+fn all_end(taken: &[String], endpoint: &Endpoint, discovery: &Discovery, opened: usize) {
+    until("the end of all that was taken on", || {
+        let delivered: Vec<String> = endpoint.calls()[opened..].iter().map(|c| c.id.clone()).collect();
+        taken.iter().all(|id| delivered.contains(id) || !discovery.results(id).is_empty())
+    });
+    let delivered: Vec<String> = endpoint.calls()[opened..].iter().map(|c| c.id.clone()).collect();
+    for id in taken {
+        let times = delivered.iter().filter(|d| *d == id).count();
+        assert!(times <= 1, "{id} was delivered {times} times");
+    }
+}
+
+#[test]
+fn a_full_journal_refuses_new_messages_with_its_reason_and_ends_the_old_ones() {
+    let (open, endpoint, discovery) = gate();
+    let folder = Folder::new();
+    let courier = courier(&folder, &discovery, "[journal]\nroom = \"250KB\"\n");
+    let body = "x".repeat(3000);
+    let (mut taken, mut refused) = (Vec::new(), None);
+    for n in 0..100 {
+        let id = format!("m{n}");
+        let page = raw(courier.address, message_with(&id, "payment", 7, 25_000, &body).as_bytes());
+        let page = page.expect("an answer");
+        match page.status() {
+            202 => taken.push(id),
+            _ => refused = Some(page),
+        }
+    }
+    let refused = refused.expect("it fills");
+    assert_eq!(refused.status(), 503);
+    assert!(text(&refused.body).contains("journal is full"), "{refused:?}");
+    assert!(refused.head("retry-after").is_some_and(|v| v.parse::<f64>().is_ok_and(|s| s > 0.0)));
+    assert!(taken.len() > 10);
+    // Full as it is, all ends; then there is room again.
+    let opened = endpoint.calls().len();
+    open.store(true, Ordering::SeqCst);
+    all_end(&taken, &endpoint, &discovery, opened);
+    until("it serves again", || courier.hand_in("again", "payment", 7, 20_000).status() == 202);
+    let used: u64 =
+        segments(&folder).iter().map(|p| p.metadata().map_or(0, |m| m.len().next_multiple_of(512))).sum();
+    assert!(used <= 250_000, "{used} bytes on disk");
+}
+
+/// What the kernel lets a process write to one file; nobody needs privileges to lower that of their own.
+fn limit(courier: &Courier, bytes: Option<u64>) {
+    use rustix::process::{Pid, Resource, Rlimit, prlimit};
+    let pid = Pid::from_raw(courier.id() as i32);
+    prlimit(pid, Resource::Fsize, Rlimit { current: bytes, maximum: None }).expect("the limit is set");
+}
+
+#[test]
+fn a_write_that_the_kernel_cuts_short_costs_nothing_that_was_taken_on() {
+    let (open, endpoint, discovery) = gate();
+    let folder = Folder::new();
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let mut under = command(&folder, &discovery, &config(&discovery, known));
+    // Past the limit the kernel sends a signal that would end the process; ignored, the write fails (EFBIG).
+    let mut shell = Command::new("sh");
+    shell.arg("-c").arg("trap '' XFSZ; exec \"$0\"").arg(program());
+    shell.envs(under.get_envs().filter_map(|(k, v)| Some((k, v?)))).stderr(std::process::Stdio::piped());
+    under = shell;
+    let courier = Courier::spawn(&mut under);
+    let mut taken = Vec::new();
+    for n in 0..10 {
+        courier.take(&format!("m{n}"), "payment", 7, 28_000);
+        taken.push(format!("m{n}"));
+    }
+    // In the middle of the next record but one, or of what is written beside it.
+    let size = segments(&folder).last().expect("a segment").metadata().expect("its size").len();
+    limit(&courier, Some(size + 300));
+    let mut refused = None;
+    until("it is refused", || {
+        let id = format!("n{}", taken.len());
+        let page = courier.hand_in(&id, "payment", 7, 28_000);
+        match page.status() {
+            202 => taken.push(id),
+            _ => refused = Some(page),
+        }
+        refused.is_some()
+    });
+    let refused = refused.expect("a page");
+    assert_eq!(refused.status(), 503);
+    assert!(text(&refused.body).contains("disk"), "{refused:?}");
+    assert!(refused.head("retry-after").is_some());
+    courier.says("cannot write");
+    until("not ready", || courier.get("/-/ready").is_some_and(|page| page.status() == 503));
+    limit(&courier, None);
+    courier.says("works again");
+    let opened = endpoint.calls().len();
+    open.store(true, Ordering::SeqCst);
+    all_end(&taken, &endpoint, &discovery, opened);
+    until("it serves again", || courier.hand_in("again", "payment", 7, 20_000).status() == 202);
+    let all = endpoint.ids();
+    assert!(taken.iter().all(|id| all.contains(id)), "all that was taken on was sent");
+    courier.kill();
+    assert!(tool(&folder, "verify").status.success());
+}
+
+#[test]
+fn a_payment_that_a_spoilt_record_may_hide_is_never_sent_again() {
+    let endpoint = Endpoint::new(|n| if n < 2 { Act::Hang } else { Act::Answer(OK) });
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    let folder = Folder::new();
+    let courier = courier(&folder, &discovery, "");
+    courier.take("pay", "payment", 7, 25_000);
+    courier.take("state", "status", 7, 25_000);
+    until("both calls", || endpoint.calls().len() == 2);
+    // One more record behind those of the attempts, so that they are not at the end.
+    courier.take("later", "status", 7, 25_000);
+    until("the third call", || endpoint.calls().len() == 3);
+    courier.kill();
+    let before = text(&tool(&folder, "dump").stdout);
+    let attempts = before.lines().filter(|l| l.contains("\"kind\":\"attempt\"")).count();
+    assert!(attempts >= 2, "{before}");
+    // The host's name in the payment's attempt.
+    let path = segments(&folder).pop().expect("a segment");
+    let mut bytes = std::fs::read(&path).expect("the segment");
+    let at = bytes.windows(3).position(|w| w == b"s-1").expect("the name");
+    bytes[at] ^= 0x20;
+    std::fs::write(&path, bytes).expect("written");
+    let verify = tool(&folder, "verify");
+    assert_eq!(verify.status.code(), Some(1));
+    let said = text(&verify.stdout);
+    let name = path.file_name().and_then(|n| n.to_str()).expect("a name");
+    assert!(said.contains("DAMAGED") && said.contains(name) && said.contains("byte"), "{said}");
+    let courier = self::courier(&folder, &discovery, "");
+    assert!(courier.first.iter().any(|l| l.contains("DAMAGED") && l.contains(name)), "{:?}", courier.first);
+    until("its end", || discovery.results("pay") == ["dead"]);
+    until("the repeat of what is harmless", || {
+        endpoint.ids().iter().filter(|id| *id == "state").count() == 2
+    });
+    assert_eq!(endpoint.ids().iter().filter(|id| *id == "pay").count(), 1);
+    courier.kill();
+    assert!(tool(&folder, "verify").status.success(), "mended by the start");
+}
+
+#[test]
+fn the_tools_tell_what_is_there_and_keep_out_of_a_courier_s_way() {
+    let (open, endpoint, discovery) = gate();
+    let folder = Folder::new();
+    let courier = courier(&folder, &discovery, "");
+    for n in 0..5 {
+        courier.take(&format!("m{n}"), "payment", 7, 25_000);
+    }
+    for what in ["inspect", "verify", "dump", "compact"] {
+        let run = tool(&folder, what);
+        assert_eq!(run.status.code(), Some(1), "{what}");
+        assert!(text(&run.stderr).contains("another process"), "{what}: {}", text(&run.stderr));
+    }
+    courier.kill();
+    let files = |folder: &Folder| -> Vec<_> {
+        segments(folder).iter().map(|p| (p.clone(), std::fs::read(p).expect("read"))).collect()
+    };
+    let before = files(&folder);
+    let inspect = text(&tool(&folder, "inspect").stdout);
+    assert!(inspect.contains("messages: 5 live") && inspect.contains("m3"), "{inspect}");
+    assert!(text(&tool(&folder, "verify").stdout).contains("5 live messages"));
+    let dump = text(&tool(&folder, "dump").stdout);
+    assert!(dump.lines().all(|l| serde_json::from_str::<serde_json::Value>(l).is_ok()), "{dump}");
+    assert!(files(&folder) == before, "they only look");
+    let compact = tool(&folder, "compact");
+    assert!(compact.status.success(), "{}", text(&compact.stderr));
+    assert!(files(&folder) != before);
+    assert!(text(&tool(&folder, "verify").stdout).contains("5 live messages"));
+    let _courier = self::courier(&folder, &discovery, "");
+    let opened = endpoint.calls().len();
+    open.store(true, Ordering::SeqCst);
+    let taken: Vec<String> = (0..5).map(|n| format!("m{n}")).collect();
+    all_end(&taken, &endpoint, &discovery, opened);
+}
+
+#[test]
+fn with_syncs_a_message_is_answered_delivered_and_resumed_like_any_other() {
+    let (open, endpoint, discovery) = gate();
+    let folder = Folder::new();
+    let settings = "[journal]\ndurability = \"machine\"\nset_aside = true\nroom = \"8MB\"\n";
+    let courier = courier(&folder, &discovery, settings);
+    let taken: Vec<String> = (0..20).map(|n| format!("m{n}")).collect();
+    taken.iter().for_each(|id| courier.take(id, "payment", 7, 25_000));
+    courier.kill();
+    let courier = self::courier(&folder, &discovery, settings);
+    courier.take("late", "status", 7, 1500);
+    until("a notice", || !discovery.results("late").is_empty());
+    let opened = endpoint.calls().len();
+    open.store(true, Ordering::SeqCst);
+    all_end(&taken, &endpoint, &discovery, opened);
+}
+
+#[test]
+fn bad_settings_and_a_folder_in_use_end_the_start_with_one_line() {
+    let (_open, _endpoint, discovery) = gate();
+    let folder = Folder::new();
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let config = config(&discovery, known);
+    let run = |settings: &str| {
+        let mut command = command(&folder, &discovery, &config);
+        with_settings(&mut command, &folder, settings);
+        let run = command.output().expect("it runs");
+        assert_eq!(run.status.code(), Some(1), "{settings}");
+        text(&run.stderr)
+    };
+    assert!(run("[journal]\nrooms = 3\n").contains("rooms"));
+    assert!(run("[journal]\nroom = \"1kB\"\n").contains("at least"));
+    let _first = Courier::start(&folder, &discovery);
+    assert!(run("").contains("another process"));
+}
+
+/// Written by the courier before segments (commit 5ee524e), killed with six messages held: three payments and
+/// notices that an endpoint had hung on or turned away, and one that had run out of time.
+const OLD: &[u8] = include_bytes!("fixtures/old-format.journal");
+
+#[test]
+fn a_folder_of_the_old_format_is_taken_over_with_every_message() {
+    let (open, endpoint, discovery) = gate();
+    open.store(true, Ordering::SeqCst);
+    let folder = Folder::new();
+    std::fs::write(state(&folder).join("journal"), OLD).expect("written");
+    let courier = courier(&folder, &discovery, "");
+    assert!(
+        courier.first.iter().any(|l| l.contains("taken over from the old format")),
+        "{:?}",
+        courier.first
+    );
+    assert!(!state(&folder).join("journal").exists());
+    // Their time was up long ago, so each ends by a notice; what may have run is never said to be harmless.
+    until("every end", || (0..6).all(|n| !discovery.results(&format!("m{n}")).is_empty()));
+    courier.kill();
+    assert!(endpoint.calls().is_empty(), "nothing is sent whose time is up");
+    let dump = text(&tool(&folder, "dump").stdout);
+    for n in 0..6 {
+        let line = dump.lines().find(|l| l.contains("snapshot") && l.contains(&format!("\"m{n}\"")));
+        let line = line.unwrap_or_else(|| panic!("m{n} is not there: {dump}"));
+        if line.contains("\"may_have_run\":true") && line.contains("payment") {
+            assert_eq!(discovery.results(&format!("m{n}"))[0], "dead", "{line}");
+        }
+    }
+    assert!(dump.contains("\"may_have_run\":true") && dump.contains("\"may_have_run\":false"), "{dump}");
+}
+
+#[test]
+fn a_clock_that_has_jumped_back_gives_no_message_more_time_than_its_class_has() {
+    let endpoint = Endpoint::new(|_| Act::Hang);
+    // Listed but draining: the message is held as long as it has time.
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "draining")]));
+    let folder = Folder::new();
+    let known = discovery.lines.lock().expect("lines")[0].clone();
+    let mut config = config(&discovery, known);
+    // As if an hour had been turned back: its time is up an hour from now.
+    let courier = Courier::with(&folder, &discovery, &config);
+    courier.take("hour", "payment", 7, 3_600_000);
+    courier.take("usual", "payment", 7, 500);
+    until("the end of one with less time", || !discovery.results("usual").is_empty());
+    assert!(discovery.results("hour").is_empty());
+    courier.kill();
+    for lane in 0..3 {
+        config["settings"]["lanes"][lane]["aim-ns"] = serde_json::json!(500_000_000u64);
+        config["settings"]["lanes"][lane]["deadline-ns"] = serde_json::json!(2_000_000_000u64);
+    }
+    let _courier = Courier::with(&folder, &discovery, &config);
+    until("its end", || !discovery.results("hour").is_empty());
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,11 +1,13 @@
 //! The courier's binary among small fakes on loopback sockets: a client, endpoints, discovery and the
 //! platform, each on port 0. Tests wait for conditions, with a limit that only a fault reaches.
 
+pub mod charges;
+
 use serde_json::{Value, json};
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
@@ -96,7 +98,16 @@
         Self::with(move |_, connection| act(connection))
     }
 
+    /// `act` is shown the call itself.
+    pub fn by_call(act: impl Fn(&Seen) -> Act + Send + Sync + 'static) -> Self {
+        Self::open(move |_, seen| act(seen))
+    }
+
     fn with(act: impl Fn(usize, usize) -> Act + Send + Sync + 'static) -> Self {
+        Self::open(move |call, seen| act(call, seen.connection))
+    }
+
+    fn open(act: impl Fn(usize, &Seen) -> Act + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
@@ -120,17 +131,18 @@
     }
 }
 
-fn serve(stream: TcpStream, connection: usize, act: &dyn Fn(usize, usize) -> Act, all: &Mutex<Vec<Seen>>) {
+fn serve(stream: TcpStream, connection: usize, act: &dyn Fn(usize, &Seen) -> Act, all: &Mutex<Vec<Seen>>) {
     let mut out = stream.try_clone().expect("a handle");
     let mut from = BufReader::new(stream);
     while let Some(page) = Page::read(&mut from) {
         let id = page.head("x-request-id").unwrap_or_default().to_owned();
+        let seen = Seen { id, page, at: Instant::now(), connection };
         let n = {
             let mut all = all.lock().expect("calls");
-            all.push(Seen { id, page, at: Instant::now(), connection });
+            all.push(seen.clone());
             all.len() - 1
         };
-        let sent = match act(n, connection) {
+        let sent = match act(n, &seen) {
             Act::Answer(text) => out.write_all(text.as_bytes()),
             Act::AnswerAndClose(text) => {
                 let _ = out.write_all(text.as_bytes());
@@ -323,6 +335,8 @@
     pub address: SocketAddr,
     child: Child,
     log: Receiver<String>,
+    /// What it said before it was ready.
+    pub first: Vec<String>,
 }
 
 /// The courier's program, built beside the one that runs: a test stands in `deps/` under it.
@@ -333,9 +347,14 @@
 }
 
 pub fn command(folder: &Folder, discovery: &Discovery, config: &Value) -> Command {
+    command_of(&program(), folder, discovery, config)
+}
+
+/// The same for any courier.
+pub fn command_of(program: &Path, folder: &Folder, discovery: &Discovery, config: &Value) -> Command {
     let path = folder.0.join("config.json");
     fs::write(&path, config.to_string()).expect("a config");
-    let mut command = Command::new(program());
+    let mut command = Command::new(program);
     command
         .env("LB_NAME", "n1")
         .env("LB_LISTEN", "127.0.0.1:0")
@@ -354,6 +373,13 @@
         "known": known, "settings": settings()})
 }
 
+/// The operator's settings for a courier's command.
+pub fn with_settings(command: &mut Command, folder: &Folder, text: &str) {
+    let path = folder.0.join("settings.toml");
+    fs::write(&path, text).expect("settings");
+    command.arg("--settings").arg(path);
+}
+
 impl Courier {
     /// Starts one that knows the list as discovery has it, and waits until it is ready.
     pub fn start(folder: &Folder, discovery: &Discovery) -> Self {
@@ -375,14 +401,25 @@
                 let _ = tell.send(line);
             })
         });
-        let line = lines.recv_timeout(LIMIT).expect("it tells where it serves");
-        let address = line.split("serves ").nth(1).and_then(|l| l.split(';').next());
-        let address = address.and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("no address: {line}"));
-        let courier = Courier { address, child, log: lines };
+        let mut first = Vec::new();
+        let address = loop {
+            let line = lines.recv_timeout(LIMIT).unwrap_or_else(|_| panic!("it never served: {first:?}"));
+            let address = line.split("serves ").nth(1).and_then(|l| l.split(';').next());
+            if let Some(address) = address.and_then(|a| a.parse().ok()) {
+                break address;
+            }
+            first.push(line);
+        };
+        let courier = Courier { address, child, log: lines, first };
         until("ready", || courier.get("/-/ready").is_some_and(|page| page.status() == 200));
         courier
     }
 
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
@@ -442,10 +479,15 @@
 }
 
 pub fn message(id: &str, class: &str, dest: u64, time_ms: u64) -> String {
+    message_with(id, class, dest, time_ms, "bo\0dy")
+}
+
+pub fn message_with(id: &str, class: &str, dest: u64, time_ms: u64, body: &str) -> String {
     format!(
         "POST /{class} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
-         X-Timeout: {time_ms}m\r\nIdempotency-Key: key-{id}\r\nContent-Length: 5\r\n\
-         Envelope: dest={dest}\r\n\r\nbo\0dy"
+         X-Timeout: {time_ms}m\r\nIdempotency-Key: key-{id}\r\nContent-Length: {}\r\n\
+         Envelope: dest={dest}\r\n\r\n{body}",
+        body.len()
     )
 }
 
