Power cuts during compaction, a device that fails for long, and acceptance times on record

Cause: the model skipped compaction while records waited to be written, so power cuts in the middle of it were hardly tried; tried, they showed segments forgotten after a lost header. A device whose syncs go on failing was tried again at once, with a new segment each time; a start gave up on a folder that a tool was looking at; ages were not on record.

--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -87,6 +87,8 @@
     listed: bool,
     stopping: Option<Instant>,
     disk_failed: Option<Instant>,
+    /// When a sync failed last; until all is kept again.
+    sync_failed: Option<Instant>,
 }
 
 fn unix() -> Duration {
@@ -130,6 +132,7 @@
             listed: false,
             stopping: None,
             disk_failed: None,
+            sync_failed: None,
         };
         let known = courier.config.known.clone().unwrap_or_default();
         courier.list(List { whole: true, ..known });
@@ -141,7 +144,7 @@
     fn resume(&mut self) {
         let live: Vec<(u64, Live)> = self.journal.live().map(|(n, m)| (n, m.clone())).collect();
         // A clock that has jumped back since must not give what is held more time than it had: neither than was
-        // left at the last attempt, nor than its class has.
+        // left when last a time was recorded, nor than its class has.
         let now = unix().max(self.journal.latest());
         for (message, m) in live {
             let letter = m.letter;
@@ -247,7 +250,7 @@
             let due = self.wake.map(|(at, _)| at);
             let due = if self.events.is_empty() { due } else { Some(Instant::now()) };
             let due = due.map(|at| last.map_or(at, |t| at.max(t + tick)));
-            let retry = self.disk_failed.map(|t| t + DISK_RETRY);
+            let retry = self.disk_failed.or(self.sync_failed).map(|t| t + DISK_RETRY);
             let compact = self.journal.wants_compaction() && self.disk_failed.is_none();
             let compact = compact.then(|| Instant::now() + COMPACT_PAUSE);
             let stop = self.stopping.map(|_| Instant::now() + Duration::from_millis(20));
@@ -298,6 +301,12 @@
 
     /// Begins the sync that is due. It runs on a thread of its own, so that nobody waits who need not.
     fn sync(&mut self) {
+        if let Some(failed) = &mut self.sync_failed {
+            if failed.elapsed() < DISK_RETRY {
+                return;
+            }
+            *failed = Instant::now();
+        }
         if let Some(job) = self.journal.begin_sync() {
             let news = self.news.clone();
             tokio::task::spawn_local(async move {
@@ -313,6 +322,13 @@
         if let Err(e) = self.journal.finish_sync(done) {
             eprintln!("journal: {e}");
         }
+        if self.journal.is_trusted() {
+            if self.sync_failed.take().is_some() {
+                eprintln!("journal: syncs work again, and all that lives is written anew");
+            }
+        } else if !self.journal.wants_compaction() {
+            self.sync_failed = Some(Instant::now());
+        }
         self.settle();
         self.release();
     }
--- a/crates/courier/src/intake.rs
+++ b/crates/courier/src/intake.rs
@@ -419,9 +419,10 @@
             Some(_) => return Err("Idempotency-Key cannot be read\n"),
             None => None,
         };
-        let until = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default() + time_left;
+        let taken = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let until = taken + time_left;
         let (id, class_name) = (id.to_owned(), name.to_owned());
-        Ok((Letter { id, class: class_name, destination, key, until, body }, class, time_left))
+        Ok((Letter { id, class: class_name, destination, key, taken, until, body }, class, time_left))
     }
 }
 
--- a/crates/courier/src/journal_tool.rs
+++ b/crates/courier/src/journal_tool.rs
@@ -38,8 +38,8 @@
     let (mut bodies, mut names, mut attempts, mut judged, mut may_have_run) = (0, 0, 0, 0, 0);
     writeln!(
         out,
-        "{:>12} {:>10} {:>8} {:>9} {:>8}  class, id",
-        "message", "left s", "attempts", "body", "verdict"
+        "{:>12} {:>10} {:>10} {:>8} {:>9} {:>8}  class, id",
+        "message", "age s", "left s", "attempts", "body", "verdict"
     )?;
     for (message, live) in &found.live {
         let letter = &live.letter;
@@ -54,10 +54,14 @@
             Some(Verdict::Bounced { .. }) => "bounced",
         };
         let left = seconds(now, letter.until);
+        let age = match letter.taken.is_zero() {
+            true => "-".to_owned(),
+            false => format!("{:.1}", seconds(letter.taken, now)),
+        };
         let (tries, body) = (live.attempts.len(), letter.body.len());
         writeln!(
             out,
-            "{message:>12} {left:>10.1} {tries:>8} {body:>9} {verdict:>8}  {}, {}",
+            "{message:>12} {age:>10} {left:>10.1} {tries:>8} {body:>9} {verdict:>8}  {}, {}",
             letter.class, letter.id
         )?;
     }
@@ -126,7 +130,7 @@
     let whole = |live: &Live| {
         let l = &live.letter;
         json!({"id": l.id, "class": l.class, "destination": l.destination, "key": l.key,
-            "until_us": time(l.until), "body_bytes": l.body.len(),
+            "taken_us": time(l.taken), "until_us": time(l.until), "body_bytes": l.body.len(),
             "attempts": live.attempts.iter().map(attempt).collect::<Vec<_>>(),
             "verdict": live.verdict.as_ref().map(verdict)})
     };
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -28,12 +28,16 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 
 /// News that may wait for the courier.
 const INBOX: usize = 1024;
 /// Sockets and files that are neither a client's nor an endpoint's.
 const SPARE_SOCKETS: usize = 32;
 const BACKLOG: u32 = 1024;
+/// How long a start waits for a folder that is in use, and how often it looks.
+const LOCK_TIME: Duration = Duration::from_secs(1);
+const LOCK_PAUSE: Duration = Duration::from_millis(50);
 /// Share of the memory that bodies of clients may take while they are read.
 const BODIES_SHARE: f64 = 0.125;
 /// Share of the endpoints' limit for which a connection may stand idle here.
@@ -74,6 +78,19 @@
     }
 }
 
+/// Takes the state folder, which a tool may be looking at for a moment.
+async fn lock(folder: &Path) -> Result<Files, stairshed_journal::Error> {
+    let until = Instant::now() + LOCK_TIME;
+    loop {
+        match Files::lock(folder) {
+            Err(stairshed_journal::Error::InUse { .. }) if Instant::now() < until => {
+                tokio::time::sleep(LOCK_PAUSE).await;
+            }
+            done => return done,
+        }
+    }
+}
+
 /// What the start found in the journal, for whoever reads the log.
 fn tell(report: &Report) {
     if let Some(messages) = report.taken_over {
@@ -100,7 +117,7 @@
     let hangup = on(SignalKind::hangup(), "SIGHUP")?;
     let disk = (config.limits.disk_mb * 1e6) as u64;
     let options = settings.journal.options(disk, u64::from(config.settings.attempt_cap));
-    let opened = Files::lock(&config.state).and_then(|files| Journal::open(Arc::new(files), options));
+    let opened = lock(&config.state).await.and_then(|files| Journal::open(Arc::new(files), options));
     let (journal, report) = opened.map_err(|e| Fault::Bad("LB_STATE", e.to_string()))?;
     tell(&report);
     let keep = config.settings.keepalive.mul_f64(KEEP_SHARE);
--- a/crates/journal/benches/journal.rs
+++ b/crates/journal/benches/journal.rs
@@ -32,6 +32,7 @@
         class: "payment".to_owned(),
         destination: n % 50,
         key: Some(format!("{n:032x}")),
+        taken: Duration::from_secs(1_789_999_990),
         until: Duration::from_secs(1_790_000_000),
         body: Bytes::from(vec![n as u8; body]),
     })
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -26,7 +26,9 @@
 const KEEP_DAMAGED_FROM: u64 = 64 * 1024 * 1024;
 /// The head, seal and padding of a new segment, bytes.
 const ROLL: u64 = 1024;
-/// Failed syncs after which the log says that nothing works.
+/// Shows after a failed sync whether the device works again; a segment each time would fill the room.
+const PROBE: &str = "probe";
+/// Failed syncs after which it is said that nothing works.
 const SYNC_FAILURES: u32 = 3;
 
 /// What a start found.
@@ -77,6 +79,8 @@
     dirty: BTreeSet<u64>,
     names_dirty: bool,
     sync_out: bool,
+    /// The last flush failed.
+    stuck: bool,
     trust: Trust,
     failures: u32,
     /// Segments below this number are to be emptied, whatever is in them.
@@ -116,7 +120,7 @@
             }
             found = Recovered { next_number: 1, next_seq: 1, ..Recovered::default() };
         }
-        for name in names.iter().filter(|n| *n == legacy::NEXT || *n == ASIDE) {
+        for name in names.iter().filter(|n| [legacy::NEXT, ASIDE, PROBE].contains(&n.as_str())) {
             remove(name)?;
         }
         for number in &found.stale {
@@ -186,6 +190,7 @@
             dirty,
             names_dirty: true,
             sync_out: false,
+            stuck: false,
             trust: Trust::Well,
             failures: 0,
             empty_below: 0,
@@ -404,6 +409,10 @@
     /// Frees segments until a record fits. Room for the copies is always there: no more than
     /// [`Options::copy_room`] begins in one segment.
     fn make_room(&mut self, bytes: u64) {
+        if self.trust != Trust::Well {
+            // Room for all that is written anew was kept, and nothing old may go before that is done.
+            return;
+        }
         for _ in 0..=self.log.count() {
             if self.log.used() + bytes + ROLL <= self.usable() || self.dead() == 0 {
                 return;
@@ -458,7 +467,7 @@
     /// Does a step of compaction: copies `most` bytes, or one message more, and frees what is empty by then.
     /// Says whether more is to be done. Call [`Journal::flush`] behind it.
     pub fn compact(&mut self, most: u64) -> bool {
-        if !self.log.queue.is_empty() {
+        if self.stuck {
             // The disk does not take what is planned already.
             return false;
         }
@@ -518,10 +527,12 @@
             }
             if let Err(e) = done {
                 self.log.queue.push_front(op);
+                self.stuck = true;
                 return Err(e);
             }
             self.log.done(op);
         }
+        self.stuck = false;
         self.written = self.log.last_seq();
         Ok(())
     }
@@ -613,6 +624,11 @@
     /// The sync that is due, if one is and none is under way: one for all that waits.
     pub fn begin_sync(&mut self) -> Option<SyncJob> {
         let machine = self.options.durability == Durability::Machine;
+        if machine && self.trust == Trust::Probing && !self.sync_out {
+            let file = self.probe().ok()?;
+            self.sync_out = true;
+            return Some(SyncJob { storage: self.storage.clone(), files: vec![file], names: true, upto: 0 });
+        }
         let due = self.wanted > self.log.synced && self.written >= self.wanted;
         if !machine || self.sync_out || !due {
             return None;
@@ -624,23 +640,33 @@
         Some(SyncJob { storage: self.storage.clone(), files, names, upto: self.written })
     }
 
+    /// A file that no sync has failed on.
+    fn probe(&self) -> std::io::Result<Arc<dyn StoredFile>> {
+        // One from the try before is gone already, unless that could not be removed.
+        let _ = self.storage.remove(PROBE);
+        let file = self.storage.create(PROBE)?;
+        file.write_at(0, &[0; 512])?;
+        Ok(file)
+    }
+
+    /// False from a failed sync on until all that lives is kept again. Syncs are to be tried again after a
+    /// pause meanwhile.
+    pub fn is_trusted(&self) -> bool {
+        self.trust == Trust::Well
+    }
+
     /// Takes in what became of a sync. [`Journal::flush`] and [`Journal::compact`] carry on from there.
     ///
     /// # Errors
-    /// [`Error::SyncFailed`] once several failed in a row. The journal goes on trying.
+    /// [`Error::SyncFailed`], once, when several have failed in a row. The journal goes on trying.
     pub fn finish_sync(&mut self, done: Synced) -> Result<(), Error> {
         self.sync_out = false;
         if done.result.is_err() {
             self.failures += 1;
             // Nothing of these segments is believed to be on the device, and none is synced again.
             self.log.distrust();
-            self.dirty.clear();
-            self.log.roll();
-            self.names_dirty = true;
             self.trust = Trust::Probing;
-            let upto = self.log.synced;
-            self.put(0, Record::Synced { upto });
-            return match self.failures >= SYNC_FAILURES {
+            return match self.failures == SYNC_FAILURES {
                 true => Err(Error::SyncFailed { failures: self.failures }),
                 false => Ok(()),
             };
@@ -648,7 +674,12 @@
         self.failures = 0;
         match self.trust {
             Trust::Probing => {
+                // If it stays it takes 512 bytes, and the next start removes it.
+                let _ = self.storage.remove(PROBE);
+                self.log.roll();
                 self.empty_below = self.log.newest();
+                self.dirty.clear();
+                self.names_dirty = true;
                 self.trust = Trust::Rewriting;
                 return Ok(());
             }
--- a/crates/journal/src/legacy.rs
+++ b/crates/journal/src/legacy.rs
@@ -36,7 +36,8 @@
             let (id, class, keyed, key) = (text(&mut f)?, text(&mut f)?, f.byte()? == 1, text(&mut f)?);
             let length = f.u32()? as usize;
             let body = Bytes::copy_from_slice(f.take(length)?);
-            let letter = Letter { id, class, destination, key: keyed.then_some(key), until, body };
+            let key = keyed.then_some(key);
+            let letter = Letter { id, class, destination, key, taken: Duration::ZERO, until, body };
             live.insert(message, Live { letter: Rc::new(letter), attempts: Vec::new(), verdict: None });
         }
         ATTEMPT => {
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -12,6 +12,8 @@
     pub class: String,
     pub destination: u64,
     pub key: Option<String>,
+    /// When it was taken on, Unix time; zero if that is not known (the old format).
+    pub taken: Duration,
     /// When its time is up, Unix time.
     pub until: Duration,
     pub body: Bytes,
@@ -114,7 +116,7 @@
 /// Bytes of the snapshot of a message that has no attempts yet.
 pub(crate) fn snapshot_bytes(letter: &Letter) -> u64 {
     let texts = letter.id.len() + letter.class.len() + letter.key.as_ref().map_or(0, String::len);
-    HEAD as u64 + 8 + 8 + 2 + 2 + 1 + 2 + 2 + 1 + 4 + (texts + letter.body.len()) as u64
+    HEAD as u64 + 8 + 8 + 8 + 2 + 2 + 1 + 2 + 2 + 1 + 4 + (texts + letter.body.len()) as u64
 }
 
 fn put_text(to: &mut Vec<u8>, text: &str) {
@@ -143,6 +145,7 @@
     let letter = &live.letter;
     to.put_u8(SNAPSHOT);
     to.put_u64_le(message);
+    to.put_u64_le(micros(letter.taken));
     to.put_u64_le(micros(letter.until));
     to.put_u64_le(letter.destination);
     put_text(to, &letter.id);
@@ -246,7 +249,7 @@
 }
 
 fn read_snapshot(f: &mut Fields) -> Option<Live> {
-    let (until, destination) = (f.time()?, f.u64()?);
+    let (taken, until, destination) = (f.time()?, f.time()?, f.u64()?);
     let (id, class, keyed, key) = (f.text()?, f.text()?, f.byte()? == 1, f.text()?);
     let attempts = (0..f.u16()?)
         .map(|_| {
@@ -257,7 +260,7 @@
     let verdict = read_verdict(f)?;
     let length = f.u32()? as usize;
     let body = Bytes::copy_from_slice(f.take(length)?);
-    let letter = Letter { id, class, destination, key: keyed.then_some(key), until, body };
+    let letter = Letter { id, class, destination, key: keyed.then_some(key), taken, until, body };
     Some(Live { letter: Rc::new(letter), attempts, verdict })
 }
 
@@ -324,6 +327,7 @@
             class: "payment".to_owned(),
             destination: 7,
             key: Some(String::new()),
+            taken: Duration::from_micros(1_790_000_000_000_000),
             until: Duration::from_micros(1_790_000_000_000_001),
             body: Bytes::from_static(b"bo\0dy"),
         };
--- a/crates/journal/src/recover.rs
+++ b/crates/journal/src/recover.rs
@@ -258,13 +258,15 @@
             // Known to be no hole only at the very end of the log.
             let behind = headers.range(number + 1..).any(|(n, _)| limit.is_none_or(|l| *n <= l.number));
             if behind {
-                let next = headers.range(number + 1..).find_map(|(_, h)| h.as_ref().ok().map(|h| h.first));
-                let next = next.unwrap_or(p.next_seq);
+                let next =
+                    headers.range(number + 1..).find_map(|(n, h)| Some((n - 1, h.as_ref().ok()?.first)));
+                // What stands between the two is part of it, if no head says where it begins.
+                let (to, next) = next.unwrap_or((*number, p.next_seq));
                 // A torn seal hides nothing.
                 if next > p.next_seq {
                     p.holes.push(Hole {
                         number: *number,
-                        to: *number,
+                        to,
                         at: sound,
                         why: "the bytes cannot be read",
                         first_lost: p.next_seq,
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -42,7 +42,7 @@
                 self.headless.remove(&message);
                 let before = self.remove(message);
                 let sent = live.attempts.iter().map(|a| a.sent).max();
-                self.latest = self.latest.max(sent.unwrap_or_default());
+                self.latest = self.latest.max(sent.unwrap_or_default()).max(live.letter.taken);
                 // A copy weighs what the message did; it is no longer than what it replaces.
                 let weight =
                     before.map_or(0, |slot| slot.weight).max(options.weight(&live.letter)).max(bytes);
--- a/crates/journal/src/storage/files.rs
+++ b/crates/journal/src/storage/files.rs
@@ -28,7 +28,7 @@
         let shown = folder.join(LOCK).display().to_string();
         let lock = OpenOptions::new().write(true).create(true).truncate(false).open(folder.join(LOCK));
         let lock = lock.map_err(|e| Error::io(&shown, "open", e))?;
-        Self::hold(&lock, folder)?;
+        Self::hold(lock.try_lock(), folder)?;
         Ok(Files { folder: folder.to_owned(), _lock: Some(lock) })
     }
 
@@ -40,7 +40,8 @@
         Self::check(folder)?;
         let lock = match File::open(folder.join(LOCK)) {
             Ok(lock) => {
-                Self::hold(&lock, folder)?;
+                // Several may look at once.
+                Self::hold(lock.try_lock_shared(), folder)?;
                 Some(lock)
             }
             Err(e) if e.kind() == io::ErrorKind::NotFound => None,
@@ -56,8 +57,8 @@
         }
     }
 
-    fn hold(lock: &File, folder: &Path) -> Result<(), Error> {
-        lock.try_lock().map_err(|e| match e {
+    fn hold(tried: Result<(), TryLockError>, folder: &Path) -> Result<(), Error> {
+        tried.map_err(|e| match e {
             TryLockError::WouldBlock => Error::InUse { folder: folder.display().to_string() },
             TryLockError::Error(e) => Error::io(&folder.join(LOCK).display().to_string(), "lock", e),
         })
--- a/crates/journal/src/sync.rs
+++ b/crates/journal/src/sync.rs
@@ -34,7 +34,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Trust {
     Well,
-    /// A fresh segment with next to nothing in it shows whether the device works.
+    /// A fresh file, made for it and removed again, shows whether the device works.
     Probing,
     /// It does: all that lives is written anew behind the segments from before.
     Rewriting,
--- a/crates/journal/tests/common/mod.rs
+++ b/crates/journal/tests/common/mod.rs
@@ -32,6 +32,7 @@
         class: "payment".to_owned(),
         destination: id % 3,
         key: id.is_multiple_of(2).then(|| format!("k-{id}")),
+        taken: NOW,
         until: NOW + Duration::from_secs(30),
         body: Bytes::from(vec![id as u8; body]),
     })
