A segment under another's name is damage, and believed in nothing

Cause: a segment's file whose head has another number was read as if it were that segment, so a later one's trim was believed and the segments that it names were removed. A head that cannot be read took the settings' durability, so after turning machine on a flipped bit passed for a torn tail. A sealed segment with an unreadable one behind it was cut in silence. A sync that hangs held up the end after SIGTERM. Change: such a file's place counts as missing; the file stays until all is salvaged, and is kept as *.damaged where there is room. The nearest readable head tells the durability. A trim names the next segment that exists. The runtime is given 200 ms to end. Salvage and compact_all share one loop; recover has one entry; compact answers nothing, since nobody read it. A sync that hangs is not provoked by a test.

--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -38,6 +38,8 @@
 /// How long a start waits for a folder that is in use, and how often it looks.
 const LOCK_TIME: Duration = Duration::from_secs(1);
 const LOCK_PAUSE: Duration = Duration::from_millis(50);
+/// How long the end waits for a sync that is under way.
+const END_TIME: Duration = Duration::from_millis(200);
 /// Share of the memory that bodies of clients may take while they are read.
 const BODIES_SHARE: f64 = 0.125;
 /// Share of the endpoints' limit for which a connection may stand idle here.
@@ -49,7 +51,10 @@
     let settings = Settings::read(settings).map_err(|e| Fault::Bad("--settings", e.to_string()))?;
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Fault::Bad("runtime", e.to_string()))?;
-    LocalSet::new().block_on(&runtime, serve(config, settings))
+    let done = LocalSet::new().block_on(&runtime, serve(config, settings));
+    // A sync that hangs in the device must not hold up the end: nothing that depends on it was told.
+    runtime.shutdown_timeout(END_TIME);
+    done
 }
 
 fn listen(config: &Config) -> std::io::Result<TcpListener> {
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -102,7 +102,7 @@
         options.check()?;
         let names = storage.list().map_err(|e| Error::io("journal", "list", e))?;
         let old = names.iter().any(|n| n == legacy::NAME);
-        let mut found = recover(&*storage, &options)?;
+        let mut found = recover(&*storage, &options, None)?;
         if options.on_damage == OnDamage::Stop
             && let Some(damage) = found.damages.first()
         {
@@ -114,7 +114,8 @@
                 return Err(Error::BothFormats);
             }
             // Written by a take-over that was cut short: the old file still holds all.
-            let begun: Vec<u64> = found.segments.keys().chain(&found.stale).copied().collect();
+            let begun: Vec<u64> =
+                found.segments.keys().chain(&found.stale).chain(&found.foreign).copied().collect();
             for number in begun {
                 remove(&frame::segment_name(number))?;
             }
@@ -144,6 +145,10 @@
         if journal.options.durability == Durability::Machine {
             journal.sync_now()?;
         }
+        // Not before all is salvaged: they are what tells a start that something is missing.
+        for number in found.foreign.iter().filter(|_| !old) {
+            journal.give_up(*number, true)?;
+        }
         Ok((journal, report))
     }
 
@@ -239,12 +244,7 @@
                 self.put(0, Record::Attempt { message: *message, index, attempt: Attempt::unknown(sent) });
             }
         }
-        self.empty_below = self.log.newest();
-        while self.log.oldest_below(self.empty_below) {
-            self.empty_oldest(true);
-        }
-        self.empty_below = 0;
-        self.flush()?;
+        self.empty_all_below(self.log.newest())?;
         Ok(suspected)
     }
 
@@ -465,11 +465,11 @@
     }
 
     /// Does a step of compaction: copies `most` bytes, or one message more, and frees what is empty by then.
-    /// Says whether more is to be done. Call [`Journal::flush`] behind it.
-    pub fn compact(&mut self, most: u64) -> bool {
+    /// [`Journal::wants_compaction`] tells whether more is to be done. Call [`Journal::flush`] behind it.
+    pub fn compact(&mut self, most: u64) {
         if self.stuck {
             // The disk does not take what is planned already.
-            return false;
+            return;
         }
         let (mut copied, mut freed) = (0, 0);
         while self.wants_compaction() && copied < most && freed < most {
@@ -491,7 +491,6 @@
                 self.aside = to;
             }
         }
-        self.wants_compaction()
     }
 
     /// Copies all that lives into fresh segments and removes the others, in one go: for a journal that
@@ -501,12 +500,16 @@
     /// As [`Journal::flush`].
     pub fn compact_all(&mut self) -> Result<(), Error> {
         self.log.roll();
-        let below = self.log.newest();
-        while self.log.oldest_below(below) {
+        self.empty_all_below(self.log.newest())
+    }
+
+    /// Writes what is planned at each step, so that no more of it waits in memory than one segment's copies.
+    fn empty_all_below(&mut self, number: u64) -> Result<(), Error> {
+        while self.log.oldest_below(number) {
             self.empty_oldest(true);
             self.flush()?;
         }
-        Ok(())
+        self.flush()
     }
 
     /// Brings all records to the disk: when it returns they outlast the process. After an error they wait
@@ -565,24 +568,31 @@
             }
             Op::Sync => self.sync_files()?,
             Op::Remove { number } => {
-                let name = frame::segment_name(*number);
-                let size = self.files.get(number).map_or(Ok(0), |f| f.size());
-                let size = size.map_err(|e| Error::io(&name, "size", e))?;
-                let kept = self.damaged.contains(number) && self.options.room >= KEEP_DAMAGED_FROM;
-                match kept {
-                    true => self.storage.rename(&name, &format!("{name}{DAMAGED}")),
-                    false => self.storage.remove(&name),
-                }
-                .map_err(|e| Error::io(&name, "remove", e))?;
-                self.damaged_bytes += if kept { size.next_multiple_of(512) } else { 0 };
+                self.give_up(*number, self.damaged.contains(number))?;
                 self.files.remove(number);
                 self.dirty.remove(number);
-                self.names_dirty = true;
             }
         }
         Ok(())
     }
 
+    /// Removes a segment's file, or leaves it to the operator under another name if it is damaged and there
+    /// is room.
+    fn give_up(&mut self, number: u64, damaged: bool) -> Result<(), Error> {
+        let name = frame::segment_name(number);
+        if damaged && self.options.room >= KEEP_DAMAGED_FROM {
+            let size = self.storage.open(&name).and_then(|f| f.size());
+            let size = size.map_err(|e| Error::io(&name, "size", e))?;
+            let kept = format!("{name}{DAMAGED}");
+            self.storage.rename(&name, &kept).map_err(|e| Error::io(&name, "rename", e))?;
+            self.damaged_bytes += size.next_multiple_of(512);
+        } else {
+            self.storage.remove(&name).map_err(|e| Error::io(&name, "remove", e))?;
+        }
+        self.names_dirty = true;
+        Ok(())
+    }
+
     fn sync_files(&mut self) -> Result<(), Error> {
         for number in std::mem::take(&mut self.dirty) {
             if let Some(file) = self.files.get(&number) {
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -224,7 +224,9 @@
         let Some((number, segment)) = self.segments.pop_first() else { return };
         self.size -= segment.size;
         self.seals.retain(|(_, n, _)| *n != number);
-        let (seq, _) = self.put(0, &Record::Trim { oldest: number + 1 });
+        // After damage there may be none of the next number.
+        let oldest = self.segments.first_key_value().map_or(number + 1, |(next, _)| *next);
+        let (seq, _) = self.put(0, &Record::Trim { oldest });
         let used = on_disk(segment.size);
         if self.shape.machine && !at_once {
             self.retiring.push_back((seq, number, used));
--- a/crates/journal/src/recover.rs
+++ b/crates/journal/src/recover.rs
@@ -4,7 +4,7 @@
 use crate::error::{Damage, Error};
 use crate::frame::{self, BadHeader, Content, HEADER, Header, VERSION};
 use crate::log::Segment;
-use crate::options::Options;
+use crate::options::{Durability, Options};
 use crate::record::{Live, Record};
 use crate::state::State;
 use crate::storage::{Storage, read_into};
@@ -22,6 +22,8 @@
     pub damaged: BTreeSet<u64>,
     /// Segments that are there and not needed: trimmed, never begun, or behind a torn place.
     pub stale: Vec<u64>,
+    /// Files in a segment's place whose head names another. Nothing in them is believed.
+    pub foreign: Vec<u64>,
     /// The last segment and its sound bytes, where it has more.
     pub cut: Option<(u64, u64)>,
     pub cut_bytes: u64,
@@ -71,21 +73,20 @@
     read: u64,
 }
 
-/// Reads the segments in `storage` and changes nothing.
+/// Reads the segments in `storage` and changes nothing. `see` is shown each record that holds, with its
+/// sequence number.
 ///
 /// # Errors
 /// [`Error::NewerFormat`], or [`Error::Io`] with the file that could not be read. What is spoilt is no error
 /// here but a [`Damage`].
-pub(crate) fn recover(storage: &dyn Storage, options: &Options) -> Result<Recovered, Error> {
-    recover_with(storage, options, None)
-}
-
-/// The same, and shows each record that holds, with its sequence number.
-pub(crate) fn recover_with(storage: &dyn Storage, options: &Options, see: See) -> Result<Recovered, Error> {
+pub(crate) fn recover(storage: &dyn Storage, options: &Options, see: See) -> Result<Recovered, Error> {
     let names = storage.list().map_err(|e| Error::io("journal", "list", e))?;
     let numbers: BTreeSet<u64> = names.iter().filter_map(|n| frame::segment_number(n)).collect();
     let headers = headers(storage, &numbers)?;
-    let told = headers.values().filter_map(|h| h.as_ref().ok());
+    let mut told = headers.values().filter_map(|head| match head {
+        Head::Sound(h) | Head::Foreign(h) => Some(h),
+        Head::Unreadable => None,
+    });
     // From the first that is there, also if it is not needed: so its neighbours' numbers are known.
     let from = numbers.first().copied().unwrap_or_default();
     let mut first = pass(storage, options, &headers, from, None, None)?;
@@ -120,24 +121,26 @@
         true => Vec::new(),
         false => first.state.headless().iter().copied().collect(),
     };
-    let stale = numbers.iter().copied().filter(|n| !first.segments.contains_key(n)).collect();
+    let foreign = |n: &u64| matches!(headers.get(n), Some(Head::Foreign(_)));
+    let left = numbers.iter().copied().filter(|n| !first.segments.contains_key(n));
+    let (foreign, stale): (Vec<u64>, Vec<u64>) = left.partition(foreign);
     let last = first.segments.keys().next_back().copied();
     Ok(Recovered {
         go_on: damages.is_empty()
             && !first.sealed
-            && last.and_then(|n| headers.get(&n)).is_some_and(|h| {
-                h.is_ok_and(|h| {
-                    !h.takeover && h.machine == (options.durability == crate::options::Durability::Machine)
-                })
-            }),
-        takeover: !told.clone().any(|h| !h.takeover),
+            && last
+                .and_then(|n| headers.get(&n)?.sound())
+                .is_some_and(|h| !h.takeover && h.machine == (options.durability == Durability::Machine)),
+        takeover: told.all(|h| h.takeover),
         damaged: first.holes.iter().map(|h| h.number).filter(|n| first.segments.contains_key(n)).collect(),
-        // Without a gap: one that never began, or is dropped, leaves its number to the next.
-        next_number: last.map_or(oldest.max(1), |n| n + 1),
+        // Without a gap: one that never began, or is dropped, leaves its number to the next. Only what stands
+        // there until all is salvaged does not.
+        next_number: last.max(foreign.last().copied()).map_or(oldest.max(1), |n| n + 1),
         next_seq: first.next_seq.max(1),
         state: first.state,
         segments: first.segments,
         stale,
+        foreign,
         cut: first.cut,
         cut_bytes: first.cut_bytes,
         damages,
@@ -147,7 +150,25 @@
     })
 }
 
-type Headers = BTreeMap<u64, Result<Header, BadHeader>>;
+/// What stands at the head of a segment's file.
+enum Head {
+    Sound(Header),
+    /// Of another segment: whoever copied files about put it here. What it says of which segments are needed
+    /// is that one's word, and would have segments removed that are needed here.
+    Foreign(Header),
+    Unreadable,
+}
+
+impl Head {
+    fn sound(&self) -> Option<&Header> {
+        match self {
+            Head::Sound(header) => Some(header),
+            Head::Foreign(_) | Head::Unreadable => None,
+        }
+    }
+}
+
+type Headers = BTreeMap<u64, Head>;
 
 fn headers(storage: &dyn Storage, numbers: &BTreeSet<u64>) -> Result<Headers, Error> {
     let mut headers = BTreeMap::new();
@@ -157,19 +178,32 @@
         let size = file.size().map_err(|e| Error::io(&name, "size", e))?;
         let mut head = vec![0; (HEADER as u64).min(size) as usize];
         file.read_at(0, &mut head).map_err(|e| Error::io(&name, "read", e))?;
-        let header = Header::read(&head);
-        if let Err(BadHeader::Newer(found)) = header {
-            return Err(Error::NewerFormat { file: name, found, known: VERSION });
-        }
-        headers.insert(*number, header);
+        let head = match Header::read(&head) {
+            Ok(header) if header.number == *number => Head::Sound(header),
+            Ok(header) => Head::Foreign(header),
+            Err(BadHeader::Newer(found)) => {
+                return Err(Error::NewerFormat { file: name, found, known: VERSION });
+            }
+            Err(BadHeader::Short | BadHeader::Spoilt) => Head::Unreadable,
+        };
+        headers.insert(*number, head);
     }
     Ok(headers)
 }
 
+/// Whether a segment was written with syncs. Where its own head cannot be read the nearest one before tells,
+/// then the nearest behind: the settings may have changed since, and a part that was whole would pass for a
+/// torn tail.
+fn written_with_syncs(headers: &Headers, number: u64, options: &Options) -> bool {
+    let before = headers.range(..=number).rev().find_map(|(_, h)| h.sound());
+    let nearest = before.or_else(|| headers.range(number..).find_map(|(_, h)| h.sound()));
+    nearest.map_or(options.durability == Durability::Machine, |h| h.machine)
+}
+
 /// The oldest segment that is needed, as all say that stand before `limit`.
 fn oldest_needed(headers: &Headers, pass: &Pass, limit: Option<Hole>) -> u64 {
     let kept = headers.iter().filter(|(n, _)| limit.is_none_or(|l| **n <= l.number));
-    let headers = kept.filter_map(|(_, h)| h.as_ref().ok()).map(|h| h.oldest);
+    let headers = kept.filter_map(|(_, h)| h.sound()).map(|h| h.oldest);
     let before = pass.trims.iter().filter(|(n, at, _)| limit.is_none_or(|l| (*n, *at) < (l.number, l.at)));
     headers.chain(before.map(|(_, _, oldest)| *oldest)).max().unwrap_or_default()
 }
@@ -195,7 +229,12 @@
     // The last segment that was whole had another behind it.
     let mut before = None;
     let last = headers.keys().next_back().copied();
+    let foreign = |from: u64| headers.range(from..).any(|(_, h)| matches!(h, Head::Foreign(_)));
     for (number, header) in headers.range(oldest..) {
+        if matches!(header, Head::Foreign(_)) {
+            // So its place counts as missing.
+            continue;
+        }
         if limit.is_some_and(|l| *number > l.number || *number == l.number && l.at == 0) {
             break;
         }
@@ -204,8 +243,8 @@
         read_into(&*file, &mut buffer).map_err(|e| Error::io(&name, "read", e))?;
         let bytes = &buffer[..];
         p.read += bytes.len() as u64;
-        let machine = header.map_or(options.durability == crate::options::Durability::Machine, |h| h.machine);
-        let header = header.ok().filter(|h| h.number == *number);
+        let machine = written_with_syncs(headers, *number, options);
+        let header = header.sound();
         let mut reader = Reader { bytes, number: *number, machine };
         let begun = header.is_some() || reader.next(HEADER.min(bytes.len()), p.next_seq).is_some();
         if !begun && last == Some(*number) && !p.sealed {
@@ -230,19 +269,23 @@
                 why: "the segment is missing",
                 first_lost: lost.0,
                 last_lost: lost.1,
-                may_be_torn: machine && before.is_none_or(|sealed: bool| !sealed),
+                may_be_torn: machine
+                    && before.is_none_or(|sealed: bool| !sealed)
+                    && !headers.contains_key(&wanted),
             });
             p.next_seq = p.next_seq.max(first);
-        } else if header.is_none() && begun {
+        } else if header.is_none() && (begun || p.sealed) {
             p.holes.push(Hole {
                 number: *number,
                 to: *number,
                 at: 0,
-                why: "the head cannot be read, or is another segment's",
+                why: "the head cannot be read",
                 first_lost: p.next_seq,
-                last_lost: p.next_seq.saturating_sub(1),
-                may_be_torn: machine,
+                last_lost: if begun { p.next_seq.saturating_sub(1) } else { p.next_seq },
+                // The seal before it was written when this head was there.
+                may_be_torn: machine && !p.sealed,
             });
+            p.next_seq += u64::from(!begun);
         }
         wanted = number + 1;
         let first = p.next_seq;
@@ -258,8 +301,7 @@
             // Known to be no hole only at the very end of the log.
             let behind = headers.range(number + 1..).any(|(n, _)| limit.is_none_or(|l| *n <= l.number));
             if behind {
-                let next =
-                    headers.range(number + 1..).find_map(|(n, h)| Some((n - 1, h.as_ref().ok()?.first)));
+                let next = headers.range(number + 1..).find_map(|(n, h)| Some((n - 1, h.sound()?.first)));
                 // What stands between the two is part of it, if no head says where it begins.
                 let (to, next) = next.unwrap_or((*number, p.next_seq));
                 // A torn seal hides nothing.
@@ -278,7 +320,7 @@
             }
         } else if let Some((_, h)) = headers.range(number + 1..).next()
             && limit.is_none_or(|l| l.number > *number)
-            && let Ok(h) = h
+            && let Some(h) = h.sound()
             && h.first > p.next_seq
             && headers.contains_key(&wanted)
         {
@@ -302,7 +344,7 @@
         p.cut_bytes += s.size - sound;
         s.size = sound;
     }
-    if p.sealed && limit.is_none() {
+    if limit.is_none() && (p.sealed || foreign(wanted.max(oldest))) {
         p.holes.push(Hole {
             number: wanted,
             to: wanted,
@@ -403,7 +445,7 @@
     options: &Options,
     see: &mut dyn FnMut(u64, &Record),
 ) -> Result<Found, Error> {
-    let found = recover_with(storage, options, Some(see))?;
+    let found = recover(storage, options, Some(see))?;
     Ok(Found {
         live: found.state.live().map(|(message, live)| (message, live.clone())).collect(),
         segments: found.segments.len(),
--- a/crates/journal/tests/faults.rs
+++ b/crates/journal/tests/faults.rs
@@ -122,6 +122,82 @@
     }
 }
 
+#[test]
+fn another_segments_head_does_not_say_what_is_needed() {
+    let folder = Faulty::default();
+    let mut pair = Pair::new(folder.clone(), small(Durability::Process));
+    for n in 0..12 {
+        pair.act(&Do::Accept(150));
+        pair.act(&Do::Attempt(n));
+    }
+    pair.act(&Do::Flush);
+    let (before, map) = (folder.image(), pair.map.clone());
+    for _ in 0..40 {
+        pair.act(&Do::End(0));
+        pair.act(&Do::Accept(150));
+        pair.act(&Do::Compact(2000));
+    }
+    pair.act(&Do::Flush);
+    let after = folder.image();
+    let later = segments(&after).pop().expect("segments");
+    let names = segments(&before);
+    for (place, name) in names.iter().enumerate() {
+        let mut spoilt = before.clone();
+        spoilt.insert(name.clone(), after[&later].clone());
+        for room in [60_000, 64 * 1024 * 1024] {
+            let options = Options { room, ..small(Durability::Process) };
+            let folder = Faulty::over(spoilt.clone());
+            let (journal, report) = open(&folder, options.clone());
+            assert!(!report.damages.is_empty(), "in place {place}");
+            // One segment's messages are gone, and no more.
+            assert!(journal.len() + 4 >= map.len(), "in place {place}: {} are left", journal.len());
+            for (number, live) in state(&journal) {
+                let sent = live.attempts.iter().any(|a| a.may_have_run);
+                let whole = map.get(&number).is_some_and(|m| live.attempts.len() >= m.attempts.len());
+                assert!(sent || whole, "in place {place}: {number}");
+            }
+            // The file is kept for the operator where there is room.
+            let kept = folder.image().keys().filter(|n| n.ends_with(".damaged")).count();
+            assert_eq!(kept > 0, room > 60_000, "in place {place}");
+            drop(journal);
+            let (_, report) = open(&folder, options);
+            assert_eq!(report.damages, [], "in place {place}: mended");
+        }
+    }
+}
+
+#[test]
+fn what_was_written_without_syncs_is_never_taken_for_torn_because_syncs_are_on_now() {
+    let (folder, map) = several(Durability::Process);
+    let image = folder.image();
+    let names = segments(&image);
+    for (name, at) in [(&names[1], 20), (&names[1], 100), (&names[2], 0)] {
+        let mut spoilt = image.clone();
+        spoilt.get_mut(name).expect("a segment")[at] ^= 1;
+        let (journal, report) = open(&Faulty::over(spoilt), small(Durability::Machine));
+        assert!(!report.damages.is_empty(), "{name}, byte {at}");
+        assert_eq!(report.cut_bytes, 0, "{name}, byte {at}");
+        assert!(journal.len() + 1 >= map.len(), "{name}, byte {at}: {} are left", journal.len());
+    }
+}
+
+#[test]
+fn a_last_segment_that_holds_nothing_readable_behind_a_seal_is_damage() {
+    // With syncs the seal is written later, once the next segment is on the device.
+    let (folder, _) = several(Durability::Process);
+    let image = folder.image();
+    let last = segments(&image).pop().expect("segments");
+    for left in [0, 1, 47] {
+        let mut spoilt = image.clone();
+        spoilt.get_mut(&last).expect("a segment").truncate(left);
+        let folder = Faulty::over(spoilt);
+        let (_, report) = open(&folder, small(Durability::Process));
+        assert!(!report.damages.is_empty(), "{left} bytes are left");
+        let (_, report) = open(&folder, small(Durability::Process));
+        assert_eq!(report.damages, [], "{left} bytes, mended");
+    }
+}
+
 #[test]
 fn a_synced_record_that_is_spoilt_is_damage_and_one_that_was_not_synced_is_a_torn_tail() {
     let folder = Faulty::default();
