--- /dev/null
+++ b/crates/config/src/decode.rs
@@ -0,0 +1,163 @@
+//! A tree into types, by serde, with all that is wrong at once: whatever cannot be read is noted with its
+//! path, taken out, and the rest read again. No crate on the registry does this for TOML: each stops at the
+//! first fault.
+
+use crate::problem::{Path, Problem, Step, suggest};
+use crate::tree::{Entry, Node, Value};
+use serde::de::{self, DeserializeSeed, IntoDeserializer, MapAccess, SeqAccess, Visitor};
+use std::fmt;
+
+/// Faults that are told of one document; more would be noise.
+pub const MOST: usize = 100;
+
+/// Reads `tree`. With faults the rest stands in what is returned, each fault's value as its default; and the
+/// paths of what was taken out, so that nothing else is said about them.
+pub fn decode<T: de::DeserializeOwned + Default>(tree: &Node) -> (T, Vec<Problem>) {
+    let mut tree = tree.clone();
+    let mut problems = Vec::new();
+    loop {
+        let fault = match T::deserialize(&tree) {
+            Ok(value) => return (value, problems),
+            Err(fault) => fault,
+        };
+        let path = Path(fault.steps.into_iter().rev().collect());
+        let whole = path.0.is_empty() || problems.len() >= MOST;
+        problems.push(Problem::new(path.clone(), fault.why));
+        match tree.at_mut(&path).filter(|_| !whole) {
+            Some(node) => node.value = Value::Cut,
+            None => return (T::default(), problems),
+        }
+    }
+}
+
+/// Why a value cannot be read; the steps to it, last first.
+#[derive(Debug)]
+pub struct Fault {
+    why: String,
+    steps: Vec<Step>,
+}
+
+impl Fault {
+    fn within(mut self, step: Step) -> Self {
+        self.steps.push(step);
+        self
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.why)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl de::Error for Fault {
+    fn custom<T: fmt::Display>(why: T) -> Self {
+        Fault { why: why.to_string(), steps: Vec::new() }
+    }
+
+    fn unknown_field(field: &str, expected: &'static [&'static str]) -> Self {
+        Self::custom(format!("no such key{}", suggest(field, expected.iter().copied())))
+    }
+
+    fn unknown_variant(variant: &str, expected: &'static [&'static str]) -> Self {
+        Self::custom(format!(
+            "{variant:?} is none of its values{}",
+            suggest(variant, expected.iter().copied())
+        ))
+    }
+}
+
+impl<'de> de::Deserializer<'de> for &Node {
+    type Error = Fault;
+
+    fn deserialize_any<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        match &self.value {
+            Value::Cut | Value::Null => visitor.visit_unit(),
+            Value::Bool(b) => visitor.visit_bool(*b),
+            Value::Int(n) => visitor.visit_i64(*n),
+            Value::Float(n) => visitor.visit_f64(*n),
+            Value::Text(text) => visitor.visit_str(text),
+            Value::List(items) => visitor.visit_seq(Items(items.iter().enumerate())),
+            Value::Table(entries) => visitor.visit_map(Entries { entries: entries.iter(), value: None }),
+        }
+    }
+
+    fn deserialize_option<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        match self.value {
+            Value::Null => visitor.visit_none(),
+            _ => visitor.visit_some(self),
+        }
+    }
+
+    fn deserialize_newtype_struct<V: Visitor<'de>>(
+        self,
+        _: &'static str,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        visitor.visit_newtype_struct(self)
+    }
+
+    fn deserialize_enum<V: Visitor<'de>>(
+        self,
+        _: &'static str,
+        _: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        match &self.value {
+            Value::Text(text) => visitor.visit_enum(text.as_str().into_deserializer()),
+            _ => self.deserialize_any(visitor),
+        }
+    }
+
+    fn deserialize_struct<V: Visitor<'de>>(
+        self,
+        _: &'static str,
+        _: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        match &self.value {
+            Value::Table(_) => self.deserialize_any(visitor),
+            // Serde's structs would take a list for their fields in order.
+            _ => Err(de::Error::custom("a table is expected")),
+        }
+    }
+
+    serde::forward_to_deserialize_any! {
+        bool i8 i16 i32 i64 u8 u16 u32 u64 f32 f64 char str string bytes byte_buf unit unit_struct seq tuple
+        tuple_struct map identifier ignored_any
+    }
+}
+
+struct Items<'a>(std::iter::Enumerate<std::slice::Iter<'a, Node>>);
+
+impl<'de> SeqAccess<'de> for Items<'_> {
+    type Error = Fault;
+
+    fn next_element_seed<T: DeserializeSeed<'de>>(&mut self, seed: T) -> Result<Option<T::Value>, Fault> {
+        let Some((index, node)) = self.0.find(|(_, n)| n.value != Value::Cut) else { return Ok(None) };
+        seed.deserialize(node).map(Some).map_err(|e| e.within(Step::Item(index)))
+    }
+}
+
+struct Entries<'a> {
+    entries: std::slice::Iter<'a, Entry>,
+    value: Option<&'a Entry>,
+}
+
+impl<'de> MapAccess<'de> for Entries<'_> {
+    type Error = Fault;
+
+    fn next_key_seed<K: DeserializeSeed<'de>>(&mut self, seed: K) -> Result<Option<K::Value>, Fault> {
+        let Some(entry) = self.entries.find(|e| e.node.value != Value::Cut) else { return Ok(None) };
+        self.value = Some(entry);
+        let key: de::value::StrDeserializer<Fault> = entry.key.as_str().into_deserializer();
+        seed.deserialize(key).map(Some).map_err(|e| e.within(Step::Key(entry.key.clone())))
+    }
+
+    fn next_value_seed<V: DeserializeSeed<'de>>(&mut self, seed: V) -> Result<V::Value, Fault> {
+        let Some(entry) = self.value.take() else { return Err(de::Error::custom("a value without its key")) };
+        seed.deserialize(&entry.node).map_err(|e| e.within(Step::Key(entry.key.clone())))
+    }
+}
--- /dev/null
+++ b/crates/config/src/installation.rs
@@ -0,0 +1,695 @@
+//! An installation, checked as a whole and in the terms of the courier: references are resolved, names are
+//! numbers, defaults are filled in. Made of the operator's file, and of a version's sections in their place.
+
+use crate::decode::decode;
+use crate::file::{self, File, VERSIONED};
+use crate::problem::{Path, Problem, Problems, path, suggest};
+use crate::route::{Condition, Conflict, NoRoute, Pattern, Request, Router, normal_path};
+use crate::tree::{self, Entry, Node, Value, place_of};
+use crate::units::{Rate, Span};
+use stairshed_decide::interface as decide;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Headers that a rewrite neither passes on nor sets: the courier's own, and those of one hop (RFC 9110, 7.6.1).
+const RESERVED: [&str; 17] = [
+    "connection",
+    "content-length",
+    "envelope",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-priority-class",
+    "x-request-id",
+    "x-timeout",
+];
+/// A longer name would not fit the room that the journal keeps for names.
+const NAME_MOST: usize = 64;
+/// Bytes of headers that a route may set: they are on record with each message.
+const SET_MOST: usize = 2048;
+/// No message lives longer.
+const DEADLINE_MOST: Duration = Duration::from_secs(24 * 3600);
+
+/// A document that was read, and can be read again with a version's sections in it.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// What it is called in errors.
+    pub source: String,
+    pub text: String,
+    tree: Node,
+}
+
+/// All that a courier must know.
+#[derive(Clone, Debug)]
+pub struct Installation {
+    /// The effective file.
+    pub file: File,
+    pub http: SocketAddr,
+    pub admin: Option<SocketAddr>,
+    /// In the order of `settings.classes`.
+    pub classes: Vec<Class>,
+    pub pools: Vec<Pool>,
+    pub routes: Vec<Route>,
+    pub router: Router,
+    pub settings: decide::Settings,
+    pub outcomes: Option<Url>,
+    pub control: Option<Url>,
+    pub discovery: Option<SocketAddr>,
+    pub resolver: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    pub name: String,
+    /// In lower case.
+    pub order_by: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    pub name: String,
+    pub destination: u64,
+    pub members: Vec<Member>,
+    pub discovery: bool,
+    pub limit: Option<Rate>,
+}
+
+/// An endpoint, or several under one name that is looked up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// What it is known by, for good: pool and name.
+    pub host: String,
+    pub at: At,
+    pub zone: String,
+    pub limit: Option<Rate>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum At {
+    Address(SocketAddr),
+    Name(String, u16),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    pub name: String,
+    pub pool: usize,
+    pub class: usize,
+    /// What a client may name, the default among them.
+    pub classes: Vec<usize>,
+    pub condition: Condition,
+    pub rewrite: Option<String>,
+    /// In lower case.
+    pub pass: Vec<String>,
+    pub set: Vec<(String, String)>,
+}
+
+/// `http://address:port/path`
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Url {
+    pub address: SocketAddr,
+    pub path: String,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chosen<'a> {
+    pub route: &'a Route,
+    pub pool: &'a Pool,
+    /// The path towards the endpoint.
+    pub path: String,
+}
+
+impl Route {
+    /// The path towards the endpoint for a client's path.
+    pub fn path(&self, path: &str) -> String {
+        let Some(rewrite) = &self.rewrite else { return path.to_owned() };
+        let mut out = rewrite.clone();
+        for (name, value) in self.condition.path.captures(path) {
+            out = out.replace(&format!("{{{name}}}"), value);
+        }
+        out
+    }
+}
+
+/// Reads and checks an operator's file.
+///
+/// # Errors
+/// All that is wrong with it.
+pub fn load(source: &str, text: &str) -> Result<Installation, Problems> {
+    Document::read(source, text)?.installation(None)
+}
+
+/// The number of a pool that is given none. FNV-1a: it is on record, and must stay what it is.
+pub fn destination(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+}
+
+impl Document {
+    /// # Errors
+    /// What is wrong with its syntax.
+    pub fn read(source: &str, text: &str) -> Result<Document, Problems> {
+        let (tree, all) = tree::from_toml(text);
+        let document = Document { source: source.to_owned(), text: text.to_owned(), tree };
+        if all.is_empty() { Ok(document) } else { Err(Problems { source: source.to_owned(), all }) }
+    }
+
+    /// Checks the file, with a version's sections in the place of its own.
+    ///
+    /// # Errors
+    /// All that is wrong with it.
+    pub fn installation(&self, version: Option<&serde_json::Value>) -> Result<Installation, Problems> {
+        let mut tree = self.tree.clone();
+        let mut all = Vec::new();
+        if let Some(version) = version {
+            overlay(&mut tree, tree::from_json(version), &mut all);
+        }
+        let (file, cut) = decode::<File>(&tree);
+        let hidden: Vec<Path> = cut.iter().map(|p| p.path.clone()).collect();
+        all.extend(cut);
+        let mut check = Check { tree: &tree, problems: Vec::new() };
+        let made = check.installation(file);
+        // Nothing is said of what could not be read but that.
+        let hides = |p: &Problem| hidden.iter().any(|h| p.path.is_within(h) || h.is_within(&p.path));
+        all.extend(check.problems.into_iter().filter(|p| !hides(p)));
+        match made.filter(|_| all.is_empty()) {
+            Some(made) => Ok(made),
+            None => {
+                for problem in &mut all {
+                    problem.place = tree.start(&problem.path).map(|at| place_of(&self.text, at));
+                }
+                all.sort_by_key(|p| p.place);
+                Err(Problems { source: self.source.clone(), all })
+            }
+        }
+    }
+
+    pub fn tree(&self) -> &Node {
+        &self.tree
+    }
+
+    /// Where a value of the file stands, if it stands there: its line.
+    pub fn line(&self, path: &Path) -> Option<usize> {
+        self.tree.at(path)?;
+        self.tree.start(path).map(|at| place_of(&self.text, at).0)
+    }
+}
+
+/// Puts a version's sections in the place of the file's.
+fn overlay(tree: &mut Node, version: Node, problems: &mut Vec<Problem>) {
+    let Value::Table(sections) = version.value else {
+        return problems.push(Problem::new(Path::default(), "a version's configuration is an object"));
+    };
+    let Value::Table(entries) = &mut tree.value else { return };
+    for section in sections {
+        if !VERSIONED.contains(&section.key.as_str()) {
+            let why = format!("no section of a version{}", suggest(&section.key, VERSIONED));
+            problems.push(Problem::new(path(&[&section.key]), why));
+            continue;
+        }
+        let own = entries.iter_mut().find(|e| e.key == section.key);
+        match (own, &section.node.value) {
+            // The operator's pages stay where the operator put them.
+            (Some(own), Value::Table(fields)) if section.key == "listen" => {
+                let Value::Table(listen) = &mut own.node.value else { continue };
+                listen.retain(|e| e.key == "admin");
+                listen.extend(fields.iter().filter(|f| f.key != "admin").cloned());
+            }
+            (Some(own), _) => *own = section,
+            (None, _) => entries.push(Entry { key_place: None, ..section }),
+        }
+    }
+}
+
+struct Check<'a> {
+    tree: &'a Node,
+    problems: Vec<Problem>,
+}
+
+impl Check<'_> {
+    fn wrong(&mut self, path: Path, why: impl Into<String>) {
+        self.problems.push(Problem::new(path, why));
+    }
+
+    fn must(&mut self, holds: bool, path: Path, why: &str) {
+        if !holds {
+            self.wrong(path, why);
+        }
+    }
+
+    fn address(&mut self, at: Path, text: &str) -> Option<SocketAddr> {
+        let address = text.parse().ok();
+        if address.is_none() {
+            self.wrong(at, format!("{text:?} is no address with a port, such as \"127.0.0.1:8700\""));
+        }
+        address
+    }
+
+    fn url(&mut self, at: Path, text: &str) -> Option<Url> {
+        let rest = text.strip_prefix("http://");
+        let (address, path) = rest.map(|r| r.split_at(r.find('/').unwrap_or(r.len()))).unwrap_or_default();
+        let path = if path.is_empty() { "/" } else { path };
+        let url = address.parse().ok().filter(|_| normal_path(path).as_deref() == Some(path));
+        if url.is_none() {
+            self.wrong(at, format!("{text:?} is no URL such as \"http://127.0.0.1:9000/path\""));
+        }
+        url.map(|address| Url { address, path: path.to_owned() })
+    }
+
+    /// The names of a section, also of what could not be read: a reference to that is no second fault.
+    fn names(&self, section: &str) -> Vec<String> {
+        self.tree.keys(&path(&[section])).into_iter().map(str::to_owned).collect()
+    }
+
+    fn name(&mut self, at: Path, name: &str) {
+        let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        let good = !name.is_empty() && name.len() <= NAME_MOST && name.chars().all(plain);
+        self.must(good, at, "a name has 1 to 64 letters, digits, - _ or .");
+    }
+
+    fn header(&mut self, at: Path, name: &str) -> String {
+        let token = |c: char| c.is_ascii_alphanumeric() || "!#$%&'*+-.^_`|~".contains(c);
+        self.must(!name.is_empty() && name.chars().all(token), at, "no name of a header");
+        name.to_ascii_lowercase()
+    }
+
+    fn installation(&mut self, file: File) -> Option<Installation> {
+        if let Some(name) = &file.name {
+            self.name(path(&["name"]), name);
+        }
+        let listen = path(&["listen"]);
+        let http = self.address(listen.key("http"), &file.listen.http);
+        let admin = file.listen.admin.as_ref().and_then(|a| self.address(listen.key("admin"), a));
+        let local = admin.is_none_or(|a| a.ip().is_loopback());
+        self.must(local, listen.key("admin"), "the operator's pages are on a loopback address only");
+        let apart = admin.is_none() || admin != http || admin.is_some_and(|a| a.port() == 0);
+        self.must(apart, listen.key("admin"), "the same address as listen.http");
+        let names: Vec<String> = file.classes.keys().cloned().collect();
+        let classes: Vec<Class> = file.classes.iter().map(|(n, c)| self.class(n, c)).collect();
+        let (pools, zones) = self.pools(&file);
+        let routes: Vec<Option<Route>> = file.routes.iter().map(|(n, r)| self.route(n, r, &file)).collect();
+        let router = self.router(&file, &routes);
+        self.limits(&file.limits);
+        let outcomes = file.outcomes.url.as_ref().and_then(|u| self.url(path(&["outcomes", "url"]), u));
+        let control = file.control.as_ref().map(|c| self.control(c));
+        let discovery = file.discovery.as_ref().and_then(|d| match &d.address {
+            Some(address) => self.address(path(&["discovery", "address"]), address),
+            None => {
+                self.wrong(path(&["discovery"]), "address: the discovery service's is missing");
+                None
+            }
+        });
+        let resolver = file.dns.resolver.as_ref().and_then(|a| self.address(path(&["dns", "resolver"]), a));
+        let dns = &file.dns;
+        let bounds = dns.refresh_least.0 > Duration::ZERO && dns.refresh_least <= dns.refresh_most;
+        self.must(bounds, path(&["dns", "refresh_least"]), "above 0 and no more than refresh_most");
+        self.journal(&file.journal);
+        let settings = settings(&file, &zones);
+        debug_assert_eq!(names.len(), settings.classes.len());
+        Some(Installation {
+            http: http?,
+            admin,
+            classes,
+            pools,
+            routes: routes.into_iter().collect::<Option<_>>()?,
+            router: router?,
+            settings,
+            outcomes,
+            control: control.flatten(),
+            discovery,
+            resolver,
+            file,
+        })
+    }
+
+    fn class(&mut self, name: &str, c: &file::Class) -> Class {
+        let at = path(&["classes", name]);
+        self.name(at.clone(), name);
+        let keyed = c.effect == file::Effect::Keyed;
+        let window = c.key_window.is_some_and(|w| w > Span::default());
+        self.must(window || !keyed, at.key("key_window"), "a keyed class needs how long a key is remembered");
+        self.must(keyed || c.key_window.is_none(), at.key("key_window"), "only for effect = \"keyed\"");
+        let scope = c.key_scope == file::KeyScope::default();
+        self.must(keyed || scope, at.key("key_scope"), "only for effect = \"keyed\"");
+        self.must(c.aim > Span::default(), at.key("aim"), "above 0");
+        self.must(c.deadline > Span::default(), at.key("deadline"), "above 0");
+        self.must(c.aim <= c.deadline || c.deadline.0.is_zero(), at.key("aim"), "no more than the deadline");
+        self.must(c.deadline.0 <= DEADLINE_MOST, at.key("deadline"), "24 hours at most");
+        self.must(c.worth > 0.0 && c.worth.is_finite(), at.key("worth"), "above 0");
+        self.must((0.0..=1.0).contains(&c.late_share), at.key("late_share"), "from 0 to 1");
+        self.must(c.attempts.is_none_or(|a| (1..=100).contains(&a)), at.key("attempts"), "from 1 to 100");
+        let order_by = c.order_by.as_ref().map(|h| self.header(at.key("order_by"), h));
+        Class { name: name.to_owned(), order_by }
+    }
+
+    fn pools(&mut self, file: &File) -> (Vec<Pool>, Vec<String>) {
+        let (mut pools, mut zones) = (Vec::new(), Vec::new());
+        let mut numbers: HashMap<u64, String> = HashMap::new();
+        for (name, pool) in &file.pools {
+            let at = path(&["pools", name]);
+            self.name(at.clone(), name);
+            let number = pool.destination.unwrap_or_else(|| destination(name));
+            if let Some(other) = numbers.insert(number, name.clone()) {
+                let why = format!("{number} is the destination of pools.{other}, too");
+                self.wrong(at.key("destination"), why);
+            }
+            let found = !pool.discovery || file.discovery.is_some();
+            self.must(found, at.key("discovery"), "there is no [discovery] to take endpoints from");
+            let mut members: Vec<Member> = Vec::new();
+            let mut taken: HashMap<String, usize> = HashMap::new();
+            for (n, endpoint) in pool.endpoints.iter().enumerate() {
+                let at = at.key("endpoints").item(n);
+                let Some(member) = self.member(&at, name, endpoint) else { continue };
+                if let Some(other) = taken.insert(member.host.clone(), n) {
+                    let key = if endpoint.name.is_some() { "name" } else { "address" };
+                    self.wrong(at.key(key), format!("the same endpoint as endpoints[{other}]"));
+                }
+                if !zones.contains(&member.zone) {
+                    zones.push(member.zone.clone());
+                }
+                members.push(member);
+            }
+            let (name, discovery, limit) = (name.clone(), pool.discovery, pool.limit);
+            pools.push(Pool { name, destination: number, members, discovery, limit });
+        }
+        (pools, zones)
+    }
+
+    fn member(&mut self, at: &Path, pool: &str, endpoint: &file::Endpoint) -> Option<Member> {
+        let Some(text) = &endpoint.address else {
+            self.wrong(at.clone(), "address: it is missing");
+            return None;
+        };
+        let place = text.parse::<SocketAddr>().ok().map(At::Address).or_else(|| {
+            let (name, port) = text.rsplit_once(':')?;
+            let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+            let good = !name.is_empty() && name.len() <= 253 && name.chars().all(plain);
+            // Numbers and dots alone are a broken address and no name.
+            let named = name.chars().any(|c| c.is_ascii_alphabetic());
+            Some(At::Name(name.to_ascii_lowercase(), port.parse().ok()?)).filter(|_| good && named)
+        });
+        let zero = match &place {
+            Some(At::Address(a)) => a.port() == 0,
+            Some(At::Name(_, port)) => *port == 0,
+            None => true,
+        };
+        if zero {
+            let why = format!("{text:?} is neither address:port nor name:port");
+            self.wrong(at.key("address"), why);
+        }
+        let long = endpoint.name.as_ref().is_none_or(|n| !n.is_empty() && n.len() <= NAME_MOST);
+        self.must(long, at.key("name"), "a name has 1 to 64 bytes");
+        self.must(endpoint.zone.len() <= NAME_MOST, at.key("zone"), "a name has 64 bytes at most");
+        let host = format!("{pool}/{}", endpoint.name.as_ref().unwrap_or(text));
+        Some(Member { host, at: place?, zone: endpoint.zone.clone(), limit: endpoint.limit })
+    }
+
+    /// The number of a name in a section that is sorted by name.
+    fn reference(&mut self, at: Path, section: &str, name: &str, of: Option<usize>) -> Option<usize> {
+        if of.is_none() {
+            let names = self.names(section);
+            if !names.iter().any(|n| n == name) {
+                let near = suggest(name, names.iter().map(String::as_str));
+                self.wrong(at, format!("no such entry of [{section}]: {name:?}{near}"));
+            }
+        }
+        of
+    }
+
+    fn route(&mut self, name: &str, r: &file::Route, file: &File) -> Option<Route> {
+        let at = path(&["routes", name]);
+        self.name(at.clone(), name);
+        let host = r.host.as_ref().map(|host| {
+            let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+            let bare = host.strip_prefix("*.").unwrap_or(host);
+            let good = !bare.is_empty() && bare.chars().all(plain) && !bare.starts_with('.');
+            self.must(good, at.key("host"), "a host's name without a port, or *. and one");
+            host.to_ascii_lowercase()
+        });
+        let (key, text, prefix) = match (&r.path, &r.prefix) {
+            (Some(path), None) => ("path", path.as_str(), false),
+            (None, Some(prefix)) => ("prefix", prefix.as_str(), true),
+            (Some(_), Some(_)) => {
+                self.wrong(at.key("prefix"), "beside a path: a route has one of them");
+                ("path", "/", true)
+            }
+            (None, None) => {
+                self.wrong(at.clone(), "path: a route has a path or a prefix");
+                ("path", "/", true)
+            }
+        };
+        let pattern = Pattern::read(text, prefix).map_err(|why| self.wrong(at.key(key), why)).ok();
+        let mut methods = Vec::new();
+        for (n, method) in r.methods.iter().enumerate() {
+            let good = !method.is_empty() && method.bytes().all(|b| b.is_ascii_uppercase());
+            self.must(good, at.key("methods").item(n), "a method in capitals, such as \"POST\"");
+            let read = ["GET", "HEAD", "OPTIONS", "TRACE", "CONNECT"].contains(&method.as_str());
+            self.must(!read, at.key("methods").item(n), "no method that hands in a message");
+            methods.push(method.clone());
+        }
+        if methods.is_empty() {
+            methods.push("POST".to_owned());
+        }
+        methods.sort();
+        methods.dedup();
+        let mut headers = BTreeMap::new();
+        for (name, value) in &r.headers {
+            let lower = self.header(at.key("headers").key(name), name);
+            if headers.insert(lower, value.trim().to_owned()).is_some() {
+                self.wrong(at.key("headers").key(name), "comes twice, in other letters");
+            }
+        }
+        let pool = match &r.pool {
+            Some(name) => {
+                let of = file.pools.keys().position(|k| k == name);
+                self.reference(at.key("pool"), "pools", name, of)
+            }
+            None => {
+                self.wrong(at.clone(), "pool: it is missing");
+                None
+            }
+        };
+        let class = match &r.class {
+            Some(name) => {
+                let of = file.classes.keys().position(|k| k == name);
+                self.reference(at.key("class"), "classes", name, of)
+            }
+            None => {
+                self.wrong(at.clone(), "class: the class of its messages is missing");
+                None
+            }
+        };
+        let mut classes: Vec<usize> = class.into_iter().collect();
+        for (n, name) in r.classes.iter().enumerate() {
+            let of = file.classes.keys().position(|k| k == name);
+            classes.extend(self.reference(at.key("classes").item(n), "classes", name, of));
+        }
+        let (pass, set) = self.rewrite(&at.key("rewrite"), &r.rewrite, pattern.as_ref());
+        let condition = Condition { host, path: pattern?, methods, headers };
+        let rewrite = r.rewrite.path.clone();
+        Some(Route {
+            name: name.to_owned(),
+            pool: pool?,
+            class: class?,
+            classes,
+            condition,
+            rewrite,
+            pass,
+            set,
+        })
+    }
+
+    fn rewrite(
+        &mut self,
+        at: &Path,
+        r: &file::Rewrite,
+        pattern: Option<&Pattern>,
+    ) -> (Vec<String>, Vec<(String, String)>) {
+        if let Some(text) = &r.path {
+            let known = pattern.map(Pattern::names);
+            let mut plain = String::new();
+            let mut rest = text.as_str();
+            while let Some((before, behind)) = rest.split_once('{') {
+                let Some((name, after)) = behind.split_once('}') else { break };
+                if let Some(known) = known.as_ref().filter(|k| !k.contains(&name)) {
+                    let near = suggest(name, known.iter().copied());
+                    self.wrong(at.key("path"), format!("the route's path has no {{{name}}}{near}"));
+                }
+                plain.push_str(before);
+                plain.push('x');
+                rest = after;
+            }
+            plain.push_str(rest);
+            let good = normal_path(&plain).is_some() && !plain.contains(['{', '}', '?', '#']);
+            self.must(good, at.key("path"), "no plain path with {names}");
+        }
+        let mut pass = Vec::new();
+        for (n, name) in r.pass.iter().enumerate() {
+            let at = at.key("pass").item(n);
+            let name = self.header(at.clone(), name);
+            self.must(!RESERVED.contains(&name.as_str()), at, "a header of the courier's own, or of one hop");
+            pass.push(name);
+        }
+        let mut set = Vec::new();
+        for (name, value) in &r.set {
+            let at = at.key("set").key(name);
+            let lower = self.header(at.clone(), name);
+            let free = !RESERVED.contains(&lower.as_str());
+            self.must(free, at.clone(), "a header of the courier's own, or of one hop");
+            let text = value.bytes().all(|b| (32..127).contains(&b));
+            self.must(text, at, "a value of printable ASCII");
+            set.push((lower, value.trim().to_owned()));
+        }
+        let bytes: usize = set.iter().map(|(n, v)| n.len() + v.len()).sum();
+        self.must(
+            bytes <= SET_MOST,
+            at.key("set"),
+            "2 KiB at most, since they are on record with each message",
+        );
+        (pass, set)
+    }
+
+    fn router(&mut self, file: &File, routes: &[Option<Route>]) -> Option<Router> {
+        let known: Vec<&Route> = routes.iter().flatten().collect();
+        let conditions: Vec<Condition> = known.iter().map(|r| r.condition.clone()).collect();
+        match Router::new(&conditions) {
+            Ok(router) => Some(router).filter(|_| known.len() == file.routes.len()),
+            Err(conflicts) => {
+                for Conflict(a, b) in conflicts {
+                    let (a, b) = (&known[a].name, &known[b].name);
+                    self.conflict(a, b);
+                    self.conflict(b, a);
+                }
+                None
+            }
+        }
+    }
+
+    fn conflict(&mut self, name: &str, other: &str) {
+        let why = format!("one request could match routes.{other}, too, and neither comes first");
+        self.wrong(path(&["routes", name]), why);
+    }
+
+    fn limits(&mut self, l: &file::Limits) {
+        let at = path(&["limits"]);
+        for (good, key, why) in [
+            ((1..=1_000_000).contains(&l.held), "held", "from 1 to 1000000"),
+            ((1..=100_000).contains(&l.calls), "calls", "from 1 to 100000"),
+            ((1..=100).contains(&l.attempts), "attempts", "from 1 to 100"),
+            ((16..=1_000_000).contains(&l.connections), "connections", "from 16 to 1000000"),
+            (l.bodies.0 >= 64 * 1024, "bodies", "64KiB at least, the longest body"),
+            ((1..=100_000).contains(&l.couriers), "couriers", "from 1 to 100000"),
+            (!l.connect_timeout.0.is_zero(), "connect_timeout", "above 0"),
+            (!l.keepalive.0.is_zero(), "keepalive", "above 0"),
+            (l.cold_from > 0.0 && l.cold_from <= 1.0, "cold_from", "above 0 and 1 at most"),
+            (l.fall_multiple > 0.0 && l.fall_multiple <= 100.0, "fall_multiple", "above 0 and 100 at most"),
+        ] {
+            self.must(good, at.key(key), why);
+        }
+    }
+
+    fn control(&mut self, c: &file::Control) -> Option<Url> {
+        let at = path(&["control"]);
+        self.must(c.version_most.0 >= 1024, at.key("version_most"), "1KiB at least");
+        self.must(c.version_most.0 <= 1 << 30, at.key("version_most"), "1GiB at most");
+        self.must(!c.heartbeat.0.is_zero(), at.key("heartbeat"), "above 0");
+        match &c.url {
+            Some(url) => self.url(at.key("url"), url),
+            None => {
+                self.wrong(at, "url: the control service's is missing");
+                None
+            }
+        }
+    }
+
+    fn journal(&mut self, j: &file::Journal) {
+        let at = path(&["journal"]);
+        let share = j.live_share > 0.0 && j.live_share <= 0.9;
+        self.must(share, at.key("live_share"), "above 0 and 0.9 at most");
+        self.must(j.names <= 1024, at.key("names"), "1024 at most");
+    }
+}
+
+/// Endpoints of a kind share the pool's limit, or each has its own.
+pub const SHARED: usize = 0;
+pub const OWN: usize = 1;
+
+/// What the decision module is told.
+fn settings(file: &File, zones: &[String]) -> decide::Settings {
+    let l = &file.limits;
+    let class = |c: &file::Class| decide::Class {
+        aim: c.aim.0,
+        deadline: c.deadline.0,
+        worth: c.worth,
+        late_share: c.late_share,
+        effect: effect(c),
+        ordered: c.order_by.is_some(),
+        aim_stretch: 0.0,
+        attempts: c.attempts,
+    };
+    decide::Settings {
+        couriers: l.couriers,
+        classes: file.classes.values().map(class).collect(),
+        kinds: [false, true].map(|separate_routes| decide::Kind { separate_routes, bundle_max: 1 }).to_vec(),
+        tenants: 0,
+        slots: l.calls,
+        max_held: l.held,
+        attempt_cap: l.attempts,
+        worth_loss: decide::WorthLoss::Line,
+        handshake_cost: HANDSHAKE_COST,
+        zone_fees: vec![0.0; zones.len()],
+        weights: decide::WeightKind::Nominal,
+        connect_timeout: l.connect_timeout.0,
+        keepalive: l.keepalive.0,
+        may_probe: false,
+        may_cancel: true,
+        must_subscribe: false,
+        tick: TICK,
+        drain_grace: Duration::from_secs(1),
+        cold_from: l.cold_from,
+        cold_span: l.cold_span.0,
+        fall_multiple: l.fall_multiple,
+        fall_span: FALL_SPAN,
+        order_pause: l.order_pause.0,
+    }
+}
+
+/// Price of a new connection in the points of `worth`, as the platform has it.
+const HANDSHAKE_COST: f64 = 0.04;
+/// Turns of the decision module are no closer than this.
+const TICK: Duration = Duration::from_millis(5);
+const FALL_SPAN: Duration = Duration::from_secs(3);
+
+fn effect(c: &file::Class) -> decide::Effect {
+    let scope = match c.key_scope {
+        file::KeyScope::Pool => decide::KeyScope::All,
+        file::KeyScope::Zone => decide::KeyScope::Zone,
+        file::KeyScope::Endpoint => decide::KeyScope::Endpoint,
+    };
+    match c.effect {
+        file::Effect::Repeatable => decide::Effect::Repeatable,
+        file::Effect::Keyed => decide::Effect::Keyed { scope, window: c.key_window.unwrap_or_default().0 },
+        file::Effect::Once => decide::Effect::Once,
+    }
+}
+
+impl Installation {
+    /// The route of a request, the pool it leads to and the path towards the endpoint.
+    ///
+    /// # Errors
+    /// Why it has none.
+    pub fn choose(&self, request: &impl Request) -> Result<Chosen<'_>, NoRoute> {
+        let route = &self.routes[self.router.route(request)?];
+        let path = route.path(request.path());
+        Ok(Chosen { route, pool: &self.pools[route.pool], path })
+    }
+}
--- /dev/null
+++ b/crates/config/src/problem.rs
@@ -0,0 +1,126 @@
+//! What is wrong with a configuration, and where: so that whoever is woken by it finds the line.
+
+use std::fmt;
+
+/// One step down a document.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Step {
+    Key(String),
+    Item(usize),
+}
+
+/// The way to a value from the document's root.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Path(pub Vec<Step>);
+
+impl Path {
+    pub fn key(&self, name: &str) -> Path {
+        Path(self.0.iter().cloned().chain([Step::Key(name.to_owned())]).collect())
+    }
+
+    pub fn item(&self, index: usize) -> Path {
+        Path(self.0.iter().cloned().chain([Step::Item(index)]).collect())
+    }
+
+    /// Whether this is `other`, or stands within it.
+    pub fn is_within(&self, other: &Path) -> bool {
+        self.0.starts_with(&other.0)
+    }
+}
+
+/// The path of these keys.
+pub fn path(keys: &[&str]) -> Path {
+    Path(keys.iter().map(|k| Step::Key((*k).to_owned())).collect())
+}
+
+impl fmt::Display for Path {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for (n, step) in self.0.iter().enumerate() {
+            match step {
+                Step::Item(index) => write!(f, "[{index}]")?,
+                Step::Key(key) => {
+                    let bare = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+                    let dot = if n > 0 { "." } else { "" };
+                    match !key.is_empty() && key.chars().all(bare) {
+                        true => write!(f, "{dot}{key}")?,
+                        false => write!(f, "{dot}{key:?}")?,
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// One fault of a document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    /// The value that is at fault; the root where the text itself cannot be read.
+    pub path: Path,
+    /// Line and column, from 1; None for a document without lines.
+    pub place: Option<(usize, usize)>,
+    pub why: String,
+}
+
+impl Problem {
+    pub fn new(path: Path, why: impl Into<String>) -> Self {
+        Problem { path, place: None, why: why.into() }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.path.0.is_empty() {
+            true => write!(f, "{}", self.why),
+            false => write!(f, "{}: {}", self.path, self.why),
+        }
+    }
+}
+
+/// All faults of a document, in the order of their places.
+#[derive(Clone, Debug, Default)]
+pub struct Problems {
+    /// The file, or what else the document is called.
+    pub source: String,
+    pub all: Vec<Problem>,
+}
+
+impl Problems {
+    /// Each as a line, without the source.
+    pub fn lines(&self) -> Vec<String> {
+        self.all.iter().map(Problem::to_string).collect()
+    }
+}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for (n, problem) in self.all.iter().enumerate() {
+            let line = if n > 0 { "\n" } else { "" };
+            match problem.place {
+                Some((row, column)) => write!(f, "{line}{}:{row}:{column}: {problem}", self.source)?,
+                None => write!(f, "{line}{}: {problem}", self.source)?,
+            }
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Problems {}
+
+/// The names, and the nearest of them where it may have been meant.
+pub fn suggest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> String {
+    let mut known: Vec<&str> = known.into_iter().collect();
+    known.sort_unstable();
+    let near = known.iter().map(|k| (strsim::damerau_levenshtein(name, k), *k)).min();
+    // A third of the letters may differ: further off it is another word.
+    if let Some((_, k)) = near.filter(|(off, k)| *off <= (name.len().max(k.len())).div_ceil(3)) {
+        return format!("; did you mean {k:?}?");
+    }
+    // More would hide what is wrong.
+    const SHOWN: usize = 12;
+    let more = if known.len() > SHOWN { ", ..." } else { "" };
+    match known.is_empty() {
+        true => "; there is none".to_owned(),
+        false => format!("; there is {}{more}", known[..known.len().min(SHOWN)].join(", ")),
+    }
+}
--- /dev/null
+++ b/crates/config/src/report.rs
@@ -0,0 +1,117 @@
+//! The effective configuration with the source of each value, and what differs between two.
+
+use crate::file::File;
+use crate::installation::Document;
+use crate::problem::{Path, Step};
+use crate::tree;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Where a value comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    Default,
+    File { line: usize },
+    Version(u64),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Source::Default => write!(f, "default"),
+            Source::File { line } => write!(f, "file, line {line}"),
+            Source::Version(version) => write!(f, "version {version}"),
+        }
+    }
+}
+
+/// A value of the effective configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Leaf {
+    pub path: Path,
+    pub value: Value,
+}
+
+/// All values of a file, by their paths.
+pub fn leaves(file: &File) -> Vec<Leaf> {
+    let mut all = Vec::new();
+    // A file is made of text, numbers and tables with names: none that JSON has not.
+    collect(Path::default(), serde_json::to_value(file).unwrap_or_default(), &mut all);
+    all
+}
+
+fn collect(path: Path, value: Value, all: &mut Vec<Leaf>) {
+    match value {
+        Value::Object(fields) if !fields.is_empty() => {
+            for (key, value) in fields {
+                collect(path.key(&key), value, all);
+            }
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            for (n, value) in items.into_iter().enumerate() {
+                collect(path.item(n), value, all);
+            }
+        }
+        Value::Null => {}
+        value => all.push(Leaf { path, value }),
+    }
+}
+
+/// Where a value of the effective configuration comes from.
+pub fn source(path: &Path, document: &Document, version: Option<(u64, &Value)>) -> Source {
+    if let Some((number, config)) = version {
+        let admin = path.to_string() == "listen.admin";
+        let section =
+            path.0.first().and_then(|s| if let Step::Key(key) = s { config.get(key) } else { None });
+        if let Some(section) = section.filter(|_| !admin) {
+            let inner = Path(path.0[1..].to_vec());
+            return match tree::from_json(section).at(&inner) {
+                Some(_) => Source::Version(number),
+                None => Source::Default,
+            };
+        }
+    }
+    document.line(path).map_or(Source::Default, |line| Source::File { line })
+}
+
+/// One value that differs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Difference {
+    pub path: Path,
+    /// None where it is not there.
+    pub before: Option<Value>,
+    pub after: Option<Value>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(f, "~ {} = {before} -> {after}", self.path),
+            (Some(before), None) => write!(f, "- {} = {before}", self.path),
+            (None, Some(after)) => write!(f, "+ {} = {after}", self.path),
+            (None, None) => write!(f, "  {}", self.path),
+        }
+    }
+}
+
+/// What differs from `before` to `after`, sorted by path.
+pub fn diff(before: &File, after: &File) -> Vec<Difference> {
+    let table = |file| leaves(file).into_iter().map(|l| (l.path, l.value)).collect::<BTreeMap<_, _>>();
+    let (before, mut after) = (table(before), table(after));
+    let mut all = Vec::new();
+    for (path, old) in before {
+        let new = after.remove(&path);
+        if new.as_ref() != Some(&old) {
+            all.push(Difference { path, before: Some(old), after: new });
+        }
+    }
+    all.extend(after.into_iter().map(|(path, new)| Difference { path, before: None, after: Some(new) }));
+    all.sort_by(|a, b| a.path.cmp(&b.path));
+    all
+}
+
+/// The JSON schema of the operator's file.
+pub fn schema() -> Value {
+    serde_json::to_value(schemars::schema_for!(File)).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/config/src/units.rs
@@ -0,0 +1,159 @@
+//! Values with units, as operators write them.
+
+use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use std::borrow::Cow;
+use std::fmt;
+use std::time::Duration;
+
+/// A time span: `"250ms"`, `"2s"`, `"1m 30s"`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub Duration);
+
+impl Span {
+    pub const fn ms(ms: u64) -> Self {
+        Span(Duration::from_millis(ms))
+    }
+
+    pub const fn secs(s: u64) -> Self {
+        Span(Duration::from_secs(s))
+    }
+}
+
+/// A size in bytes: `"64KiB"`, `"3MB"`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Size(pub u64);
+
+/// A rate: `"50/s"`, `"600/min"`, `"10/h"`. Held as calls a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Rate(pub f64);
+
+/// A span longer than this is a slip of the pen: microseconds since a time would not fit a counter.
+const SPAN_MOST: Duration = Duration::from_secs(10 * 365 * 24 * 3600);
+
+fn span(text: &str) -> Result<Span, String> {
+    let why =
+        || format!("{text:?} is no time span: write a number and its unit, such as \"250ms\" or \"2s\"");
+    let span = humantime::parse_duration(text).map_err(|_| why())?;
+    if span > SPAN_MOST {
+        return Err(format!("{text:?} is longer than ten years"));
+    }
+    Ok(Span(span))
+}
+
+fn size(text: &str) -> Result<Size, String> {
+    let why = || format!("{text:?} is no size: write a number and its unit, such as \"64KiB\" or \"3MB\"");
+    let bare = text.trim().bytes().all(|b| b.is_ascii_digit());
+    let size: bytesize::ByteSize = text.parse().map_err(|_| why())?;
+    if bare { Err(why()) } else { Ok(Size(size.as_u64())) }
+}
+
+fn rate(text: &str) -> Result<Rate, String> {
+    let why = || format!("{text:?} is no rate: write a number a span, such as \"50/s\" or \"600/min\"");
+    let (number, unit) = text.split_once('/').ok_or_else(why)?;
+    let number: f64 = number.trim().parse().map_err(|_| why())?;
+    let span = match unit.trim() {
+        "s" => 1.0,
+        "min" => 60.0,
+        "h" => 3600.0,
+        _ => return Err(why()),
+    };
+    let rate = number / span;
+    if rate.is_finite() && rate > 0.0 { Ok(Rate(rate)) } else { Err(why()) }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}", humantime::format_duration(self.0))
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}B", self.0)
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+/// Reads and writes a unit as text, and describes it in the schema.
+macro_rules! as_text {
+    ($name:ident, $read:ident, $pattern:literal, $what:literal) => {
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+                struct Text;
+                impl de::Visitor<'_> for Text {
+                    type Value = $name;
+                    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                        f.write_str($what)
+                    }
+                    fn visit_str<E: de::Error>(self, text: &str) -> Result<$name, E> {
+                        $read(text).map_err(E::custom)
+                    }
+                }
+                from.deserialize_str(Text)
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+                to.collect_str(self)
+            }
+        }
+
+        impl JsonSchema for $name {
+            fn schema_name() -> Cow<'static, str> {
+                stringify!($name).into()
+            }
+            fn json_schema(_: &mut SchemaGenerator) -> Schema {
+                json_schema!({ "type": "string", "pattern": $pattern, "description": $what })
+            }
+        }
+    };
+}
+
+as_text!(Span, span, r"^\s*([0-9]+\s*[a-z]+\s*)+$", "a time span in text, such as \"250ms\"");
+as_text!(Size, size, r"^[0-9.]+\s*[kKMGTP]?i?B$", "a size in text, such as \"64KiB\"");
+as_text!(Rate, rate, r"^[0-9.]+\s*/\s*(s|min|h)$", "a rate in text, such as \"50/s\"");
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn units_are_read_and_written_back() {
+        for (text, ms) in [("250ms", 250), ("2s", 2000), ("1m 30s", 90_000), ("0s", 0)] {
+            let read = span(text).expect(text);
+            assert_eq!(read, Span::ms(ms));
+            assert_eq!(span(&read.to_string()), Ok(read));
+        }
+        for (text, bytes) in [("64KiB", 65_536), ("3MB", 3_000_000), ("0.5 GB", 500_000_000)] {
+            let read = size(text).expect(text);
+            assert_eq!(read, Size(bytes));
+            assert_eq!(size(&read.to_string()), Ok(read));
+        }
+        for (text, calls) in [("50/s", 50.0), ("600/min", 10.0), ("36/h", 0.01)] {
+            let read = rate(text).expect(text);
+            assert_eq!(read, Rate(calls));
+            assert_eq!(rate(&read.to_string()), Ok(read));
+        }
+    }
+
+    #[test]
+    fn nonsense_is_refused_with_an_example() {
+        for bad in ["", "2", "2 apples", "-1s", "99999999999999y"] {
+            assert!(span(bad).is_err(), "{bad}");
+        }
+        for bad in ["", "64", "64 apples", "-1KB"] {
+            assert!(size(bad).is_err(), "{bad}");
+        }
+        for bad in ["", "50", "50/day", "0/s", "-1/s", "NaN/s", "inf/s", "/s"] {
+            assert!(rate(bad).is_err(), "{bad}");
+        }
+        assert!(span("2").expect_err("no unit").contains("250ms"));
+    }
+}
--- /dev/null
+++ b/crates/courier/src/admin.rs
@@ -0,0 +1,76 @@
+//! The operator's pages: what configuration is in effect, since when, and what was refused. On an address of
+//! their own, off unless configured, loopback only.
+
+use crate::control::View;
+use crate::intake::Standing;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use stairshed_config::report;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+
+/// An operator asks seldom: nobody holds a connection for longer, and few are open at once.
+const CONNECTION_TIME: Duration = Duration::from_secs(10);
+const CONNECTIONS: usize = 16;
+
+/// Answers until the process ends.
+pub async fn run(listener: TcpListener, view: View, standing: Rc<Standing>) {
+    let room = Arc::new(Semaphore::new(CONNECTIONS));
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let (view, standing) = (view.clone(), standing.clone());
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answer = answer(&request, &view, &standing);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let _ = timeout(CONNECTION_TIME, conn).await;
+            drop(permit);
+        });
+    }
+}
+
+fn answer(request: &Request<Incoming>, view: &View, standing: &Standing) -> Response<Full<Bytes>> {
+    let page = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/-/config") => Some(view.status.json()),
+        (&Method::GET, "/-/config/values") => Some(values(view)),
+        (&Method::GET, "/-/ready") => Some(json!({"ready": standing.ready.get()})),
+        _ => None,
+    };
+    let found = page.is_some();
+    let page = page.unwrap_or_else(|| json!({"pages": ["/-/config", "/-/config/values", "/-/ready"]}));
+    let text = serde_json::to_string_pretty(&page).unwrap_or_default() + "\n";
+    let mut answer = Response::new(Full::from(text));
+    *answer.status_mut() = if found { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    let json = header::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
+
+/// The effective configuration, each value with its source.
+fn values(view: &View) -> Value {
+    let (version, installation) = view.effective.get();
+    let held = view.document.borrow();
+    let over = held.1.as_ref().map(|v| (v.version, &v.config));
+    let values = report::leaves(&installation.file).into_iter().map(|leaf| {
+        let source = report::source(&leaf.path, &held.0, over).to_string();
+        json!({"key": leaf.path.to_string(), "value": leaf.value, "source": source})
+    });
+    json!({"version": version, "values": values.collect::<Vec<_>>()})
+}
--- a/crates/courier/src/calls.rs
+++ b/crates/courier/src/calls.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use stairshed_decide::interface::{EndpointId, Outcome, Report};
 use stairshed_journal::Letter;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +21,10 @@
 
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
+/// Share of the endpoints' limit for which a connection may stand idle here.
+const KEEP_SHARE: f64 = 0.75;
+/// Nothing new goes to an endpoint this long after news that it drains or is gone; a rule says 1 s.
+const DRAIN_TIME: Duration = Duration::from_millis(900);
 
 /// What an attempt needs to know.
 pub struct Call {
@@ -99,8 +103,10 @@
 
 #[derive(Clone)]
 pub struct Calls {
-    connect: Duration,
-    keep: Duration,
+    connect: Rc<Cell<Duration>>,
+    keep: Rc<Cell<Duration>>,
+    /// Endpoints to which nothing new goes, since when.
+    parted: Rc<RefCell<HashMap<EndpointId, Instant>>>,
     sockets: Arc<Semaphore>,
     /// By endpoint, not by address: a new endpoint at the address of one that is gone must not inherit links
     /// to that one.
@@ -109,21 +115,51 @@
 }
 
 impl Calls {
-    /// `keep` is how long a connection may stand idle, well below the endpoints' own limit.
-    pub fn new(connect: Duration, keep: Duration, sockets: usize) -> Self {
+    /// `keepalive` is when endpoints close an idle connection; none is kept for as long here.
+    pub fn new(connect: Duration, keepalive: Duration, sockets: usize) -> Self {
+        let keep = Rc::new(Cell::new(keepalive.mul_f64(KEEP_SHARE)));
+        let sweep = keep.clone();
         let idle = Rc::new(RefCell::new(HashMap::<EndpointId, Vec<Kept>>::new()));
         let swept = Rc::downgrade(&idle);
         tokio::task::spawn_local(async move {
             while let Some(idle) = swept.upgrade() {
                 idle.borrow_mut().retain(|_, kept| {
-                    kept.retain_mut(|k| k.since.elapsed() < keep && k.link.sound());
+                    kept.retain_mut(|k| k.since.elapsed() < sweep.get() && k.link.sound());
                     !kept.is_empty()
                 });
                 drop(idle);
                 sleep(SWEEP).await;
             }
         });
-        Calls { connect, keep, sockets: Arc::new(Semaphore::new(sockets)), idle, fates: Rc::default() }
+        let (connect, sockets) = (Rc::new(Cell::new(connect)), Arc::new(Semaphore::new(sockets)));
+        Calls { connect, keep, parted: Rc::default(), sockets, idle, fates: Rc::default() }
+    }
+
+    /// How long connections are kept here: the module reckons with that.
+    pub fn keep_time(&self) -> Duration {
+        self.keep.get()
+    }
+
+    /// Other times from now on; how long connections are kept.
+    pub fn retime(&self, connect: Duration, keepalive: Duration) -> Duration {
+        self.connect.set(connect);
+        self.keep.set(keepalive.mul_f64(KEEP_SHARE));
+        self.keep.get()
+    }
+
+    /// Whether anything new may go to an endpoint.
+    pub fn admit(&self, endpoint: EndpointId, ready: bool) {
+        let mut parted = self.parted.borrow_mut();
+        match ready {
+            true => drop(parted.remove(&endpoint)),
+            false => drop(parted.entry(endpoint).or_insert_with(Instant::now)),
+        }
+    }
+
+    /// The endpoint is known no more.
+    pub fn forget(&self, endpoint: EndpointId) {
+        self.close(endpoint);
+        self.parted.borrow_mut().remove(&endpoint);
     }
 
     /// Closes the idle connections to an endpoint.
@@ -139,7 +175,7 @@
             // A request on a connection that the peer has closed, or is about to, would end as a reset and
             // count as one that may have run.
             let age = k.since.elapsed();
-            if age >= self.keep || !k.link.sound() {
+            if age >= self.keep.get() || !k.link.sound() {
                 continue;
             }
             // So would one on a connection that has stood for as long as those that broke of late.
@@ -171,7 +207,7 @@
                 kept.remove(0);
             }
         }
-        tokio::time::timeout(self.connect, self.sockets.clone().acquire_owned()).await.ok()?.ok()
+        tokio::time::timeout(self.connect.get(), self.sockets.clone().acquire_owned()).await.ok()?.ok()
     }
 
     async fn link(
@@ -184,7 +220,7 @@
             return Some((link, Some(idle)));
         }
         let permit = self.permit().await?;
-        Link::open(address, self.connect, Some(permit)).await.map(|link| (link, None))
+        Link::open(address, self.connect.get(), Some(permit)).await.map(|link| (link, None))
     }
 
     async fn ask(
@@ -197,6 +233,10 @@
         // A call whose time is up while it still has no connection was never sent.
         let link = tokio::time::timeout_at(until, self.link(endpoint, to, once)).await.ok().flatten();
         let (mut link, idle) = link.ok_or(Lost::Unsent)?;
+        // Whoever waited long for a connection must not come in after a drain's grace.
+        if self.parted.borrow().get(&endpoint).is_some_and(|since| since.elapsed() > DRAIN_TIME) {
+            return Err(Lost::Unsent);
+        }
         let answer = link.ask(request, until).await;
         self.fates.borrow_mut().note(idle, matches!(answer, Err(Lost::Broken)));
         let answer = answer?;
@@ -211,13 +251,20 @@
     pub async fn call(self, call: Call, cancel: oneshot::Receiver<()>, news: Sender<News>) {
         let Call { message, attempt, endpoint, address, letter, timeout, once } = call;
         let until = Instant::now() + timeout;
-        let mut request = Request::post("/inbox")
+        let path = letter.routed.as_ref().map_or("/inbox", |r| &r.path);
+        let mut request = Request::post(path)
             .header(HOST, address.to_string())
             .header("X-Request-ID", &letter.id)
             .header("X-Timeout", format!("{}m", timeout.as_millis().max(1)));
         if let Some(key) = &letter.key {
             request = request.header("Idempotency-Key", key);
         }
+        if let Some(routed) = &letter.routed {
+            request = request.method(routed.method.as_str());
+            for (name, value) in &routed.headers {
+                request = request.header(name, value);
+            }
+        }
         let end = match request.body(Full::new(letter.body.clone())) {
             Ok(request) => tokio::select! {
                 biased;
--- a/crates/courier/src/config.rs
+++ b/crates/courier/src/config.rs
@@ -2,7 +2,9 @@
 //! the file again.
 
 use crate::news::List;
+use crate::setup::Setup;
 use serde::Deserialize;
+use stairshed_config::classes::ClassTable;
 use stairshed_decide::interface::Settings;
 use stairshed_decide::settings::Conf;
 use std::env;
@@ -10,18 +12,22 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// Why a start cannot go on.
 #[derive(Debug)]
 pub enum Fault {
     Missing(&'static str),
     Bad(&'static str, String),
+    /// Each a whole line already.
+    Lines(Vec<String>),
 }
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Fault::Missing(name) => write!(f, "{name} is not set"),
+            Fault::Lines(lines) => write!(f, "{}", lines.join("\n")),
             Fault::Bad(name, why) => write!(f, "{name}: {}", why.replace('\n', " ")),
         }
     }
@@ -69,6 +75,24 @@
     pub kinds: Vec<String>,
 }
 
+impl Config {
+    /// What the owner of the decision module needs of it.
+    pub fn setup(self) -> Setup {
+        let classes = self.classes.into_iter().zip(self.settings.classes.iter().cloned());
+        Setup {
+            classes: ClassTable::new(classes),
+            settings: self.settings,
+            zones: self.zones,
+            kinds: self.kinds,
+            seed: self.seed,
+            known: self.known,
+            discovery: Some(self.discovery),
+            installation: None,
+            pool_wait: Duration::ZERO,
+        }
+    }
+}
+
 fn text(name: &'static str) -> Result<String, Fault> {
     match env::var(name) {
         Ok(value) if !value.is_empty() => Ok(value),
--- /dev/null
+++ b/crates/courier/src/control.rs
@@ -0,0 +1,631 @@
+//! The control service's versions and the operator's file, put into effect one after the other: checked off
+//! the serving thread, stored, told to the courier, and only then acknowledged.
+
+use crate::config::Fault;
+use crate::dns::Lookups;
+use crate::effective::Effective;
+use crate::intake::Intake;
+use crate::link::Link;
+use crate::listen;
+use crate::news::{Configured, News};
+use crate::settings;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode, header};
+use serde_json::{Value, json};
+use stairshed_config::Installation;
+use stairshed_config::change::{changes, destinations};
+use stairshed_config::installation::{Document, Url};
+use stairshed_config::version::{Lines, Refusal, Step, Version, Versions};
+use std::cell::RefCell;
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep, timeout};
+
+const CONNECT: Duration = Duration::from_secs(1);
+const ANSWER: Duration = Duration::from_secs(3);
+/// A version that is sent byte by byte without an end must not hold the stream for good.
+const LINE_TIME: Duration = Duration::from_secs(30);
+const BACKOFF_FIRST: Duration = Duration::from_millis(100);
+const BACKOFF_MOST: Duration = Duration::from_secs(5);
+/// Lines and answers that may wait. A full queue stops the reading of the stream.
+const QUEUE: usize = 64;
+/// How long a version may take to be in effect once it is told to the courier.
+const EFFECT_TIME: Duration = Duration::from_secs(10);
+
+/// The last good version on the disk.
+#[derive(Clone)]
+pub struct Store(PathBuf);
+
+impl Store {
+    pub fn new(path: PathBuf) -> Self {
+        Store(path)
+    }
+
+    /// # Errors
+    /// The file cannot be read, or is none that [`Store::save`] wrote.
+    pub fn load(&self) -> Result<Option<Version>, String> {
+        match fs::read(&self.0) {
+            Ok(bytes) => {
+                serde_json::from_slice(&bytes).map(Some).map_err(|e| format!("{}: {e}", self.0.display()))
+            }
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(format!("{}: {e}", self.0.display())),
+        }
+    }
+
+    /// Writes beside the old one, syncs, and puts it in its place: whichever a crash leaves is whole.
+    fn save(&self, version: &Version) -> io::Result<()> {
+        let next = self.0.with_extension("next");
+        let mut file = File::create(&next)?;
+        file.write_all(&serde_json::to_vec(version)?)?;
+        file.sync_all()?;
+        fs::rename(&next, &self.0)?;
+        File::open(self.0.parent().unwrap_or(Path::new(".")))?.sync_all()
+    }
+}
+
+/// What the operator's pages tell of versions.
+pub struct Status {
+    file: PathBuf,
+    inner: RefCell<Inner>,
+}
+
+struct Inner {
+    /// None while the file's own is in effect.
+    version: Option<u64>,
+    since: SystemTime,
+    refusal: Option<Value>,
+    acknowledged: u64,
+    refused: u64,
+    /// Whether the stream is open; None without a control service.
+    connected: Option<bool>,
+}
+
+fn unix(at: SystemTime) -> f64 {
+    (at.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as f64) / 1000.0
+}
+
+impl Status {
+    pub fn new(file: PathBuf, version: Option<u64>) -> Self {
+        let (since, refusal, connected) = (SystemTime::now(), None, None);
+        Status {
+            file,
+            inner: RefCell::new(Inner { version, since, refusal, acknowledged: 0, refused: 0, connected }),
+        }
+    }
+
+    pub fn json(&self) -> Value {
+        let inner = self.inner.borrow();
+        json!({
+            "version": inner.version,
+            "source": if inner.version.is_some() { "control" } else { "file" },
+            "file": self.file.display().to_string(),
+            "since": unix(inner.since),
+            "connected": inner.connected,
+            "acknowledged": inner.acknowledged,
+            "refused": inner.refused,
+            "last_refusal": inner.refusal,
+        })
+    }
+
+    fn refused(&self, version: Option<u64>, reasons: Vec<String>) {
+        let mut inner = self.inner.borrow_mut();
+        inner.refused += 1;
+        inner.refusal = Some(json!({"version": version, "reasons": reasons, "at": unix(SystemTime::now())}));
+    }
+
+    fn in_effect(&self, version: Option<u64>) {
+        let mut inner = self.inner.borrow_mut();
+        (inner.version, inner.since) = (version, SystemTime::now());
+    }
+}
+
+/// For the operator's pages.
+#[derive(Clone)]
+pub struct View {
+    pub status: Rc<Status>,
+    pub effective: Effective,
+    /// The file and the version over it, as they are in effect.
+    pub document: Rc<RefCell<(Document, Option<Version>)>>,
+}
+
+/// What comes from the stream.
+enum Heard {
+    Opened,
+    Line(Vec<u8>),
+    Lost(Option<Refusal>),
+}
+
+/// What is being worked on.
+enum Task {
+    Version(Version),
+    Reload,
+}
+
+/// What the work came to.
+struct Done {
+    task: Task,
+    document: Option<Document>,
+    result: Result<Prepared, Vec<String>>,
+}
+
+struct Prepared {
+    installation: Arc<Installation>,
+    listener: Option<TcpListener>,
+}
+
+pub struct Configurator {
+    file: PathBuf,
+    store: Store,
+    versions: Versions,
+    installation: Arc<Installation>,
+    effective: Effective,
+    news: Sender<News>,
+    intake: Rc<Intake>,
+    accepting: Option<AbortHandle>,
+    listening: Option<SocketAddr>,
+    status: Rc<Status>,
+    document: Rc<RefCell<(Document, Option<Version>)>>,
+    lookups: Lookups,
+    heard: Receiver<Heard>,
+    answers: Option<Sender<Value>>,
+    work: Option<tokio::task::JoinHandle<Done>>,
+    next: Option<Version>,
+    reload: bool,
+}
+
+impl Configurator {
+    pub fn new(
+        (file, document, store): (PathBuf, Document, Store),
+        (versions, installation): (Versions, Arc<Installation>),
+        (effective, news, intake): (Effective, Sender<News>, Rc<Intake>),
+        status: Rc<Status>,
+        lookups: Lookups,
+    ) -> Self {
+        let (hear, heard) = mpsc::channel(QUEUE);
+        let held = versions.held().cloned();
+        let answers = installation.control.as_ref().map(|url| {
+            let (answer, queue) = mpsc::channel(QUEUE);
+            let control = installation.file.control.clone().unwrap_or_default();
+            let node = installation.file.name.clone().unwrap_or_else(|| "stairshed".to_owned());
+            let stream = Stream {
+                url: url.clone(),
+                node: node.clone(),
+                held: Rc::new(RefCell::new(held.as_ref().map(|v| v.version))),
+                most: control.version_most.0 as usize,
+                silence: control.heartbeat.0 * 2,
+            };
+            status.inner.borrow_mut().connected = Some(false);
+            tokio::task::spawn_local(answering(url.clone(), node, queue, stream.held.clone()));
+            tokio::task::spawn_local(stream.run(hear));
+            answer
+        });
+        Configurator {
+            file,
+            store,
+            versions,
+            installation,
+            effective,
+            news,
+            intake,
+            accepting: None,
+            listening: None,
+            status,
+            document: Rc::new(RefCell::new((document, held))),
+            lookups,
+            heard,
+            answers,
+            work: None,
+            next: None,
+            reload: false,
+        }
+    }
+
+    pub fn view(&self) -> View {
+        let (status, effective) = (self.status.clone(), self.effective.clone());
+        View { status, effective, document: self.document.clone() }
+    }
+
+    /// Where clients are taken in: begins to, if no version has made it begin yet.
+    ///
+    /// # Errors
+    /// Why it cannot listen there.
+    pub fn listen(&mut self) -> io::Result<SocketAddr> {
+        if let Some(at) = self.listening {
+            return Ok(at);
+        }
+        let listener = listen(self.installation.http)?;
+        let at = listener.local_addr()?;
+        self.accept(listener);
+        Ok(at)
+    }
+
+    /// Takes clients from this listener, and from no other any more.
+    fn accept(&mut self, listener: TcpListener) {
+        self.listening = listener.local_addr().ok();
+        let task = tokio::task::spawn_local(self.intake.clone().run(listener)).abort_handle();
+        self.intake.standing.listens(task.clone());
+        if let Some(old) = self.accepting.replace(task) {
+            old.abort();
+        }
+    }
+
+    /// Waits for a first version. False if none has come in time.
+    pub async fn first(&mut self, wait: Duration) -> bool {
+        let until = Instant::now() + wait;
+        while self.versions.held().is_none() {
+            let Ok(more) = tokio::time::timeout_at(until, self.step(None)).await else { return false };
+            if !more {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Works for good.
+    pub async fn run(mut self, mut hangup: Signal) {
+        while self.step(Some(&mut hangup)).await {}
+    }
+
+    /// One thing that happens. False if nothing can any more.
+    async fn step(&mut self, hangup: Option<&mut Signal>) -> bool {
+        let hup = async {
+            match hangup {
+                Some(signal) => signal.recv().await,
+                None => std::future::pending().await,
+            }
+        };
+        let work = async {
+            match &mut self.work {
+                Some(work) => work.await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            done = work => {
+                self.work = None;
+                match done {
+                    Ok(done) => self.done(done).await,
+                    Err(e) => {
+                        eprintln!("configuration: the check of a version broke off: {e}");
+                        let steps = self.versions.done(Err(vec!["its check broke off".to_owned()]));
+                        self.steps(steps).await;
+                    }
+                }
+            }
+            heard = self.heard.recv(), if self.answers.is_some() => match heard {
+                Some(Heard::Line(line)) => {
+                    let steps = self.versions.offer(&line);
+                    self.steps(steps).await;
+                }
+                Some(Heard::Opened) => {
+                    eprintln!("control: the stream is open");
+                    self.status.inner.borrow_mut().connected = Some(true);
+                }
+                Some(Heard::Lost(why)) => {
+                    self.versions.disconnected();
+                    if self.status.inner.borrow_mut().connected.replace(false) == Some(true) {
+                        eprintln!("control: the stream is lost; what is in effect stays");
+                    }
+                    if let Some(why) = why {
+                        self.steps(vec![Step::Refuse { version: None, why }]).await;
+                    }
+                }
+                None => return false,
+            },
+            signal = hup => {
+                if signal.is_none() {
+                    return false;
+                }
+                self.reload = true;
+            }
+        }
+        self.begin();
+        true
+    }
+
+    /// Begins what is due, one at a time.
+    fn begin(&mut self) {
+        if self.work.is_some() {
+            return;
+        }
+        let task = match (self.next.take(), self.reload) {
+            (Some(version), _) => Task::Version(version),
+            (None, true) => Task::Reload,
+            (None, false) => return,
+        };
+        if matches!(task, Task::Reload) {
+            self.reload = false;
+        }
+        let work = Work {
+            file: self.file.clone(),
+            document: self.document.borrow().clone(),
+            before: self.installation.clone(),
+            store: self.store.clone(),
+            news: self.news.clone(),
+            effective: self.effective.clone(),
+        };
+        self.work = Some(tokio::task::spawn_local(work.run(task)));
+    }
+
+    async fn steps(&mut self, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Work(version) => self.next = Some(version),
+                Step::Acknowledge { version } => {
+                    self.status.inner.borrow_mut().acknowledged += 1;
+                    self.answer(json!({"version": version, "accepted": true})).await;
+                }
+                Step::Refuse { version, why } => {
+                    let reasons = match &why {
+                        Refusal::Faults(all) => all.clone(),
+                        other => vec![other.to_string()],
+                    };
+                    // Nothing is wrong where a newer one came before its turn.
+                    if !matches!(why, Refusal::Superseded { .. }) {
+                        let number = version.map_or("without a number".to_owned(), |v| v.to_string());
+                        eprintln!("control: version {number} is refused: {}", reasons.join("; "));
+                        self.status.refused(version, reasons.clone());
+                    }
+                    self.answer(json!({"version": version, "accepted": false, "reasons": reasons})).await;
+                }
+            }
+        }
+    }
+
+    async fn answer(&self, answer: Value) {
+        if let Some(answers) = &self.answers {
+            let _ = answers.send(answer).await;
+        }
+    }
+
+    async fn done(&mut self, done: Done) {
+        let Done { task, document, result } = done;
+        let prepared = match result {
+            Ok(prepared) => prepared,
+            Err(reasons) => {
+                match task {
+                    Task::Version(_) => {
+                        let steps = self.versions.done(Err(reasons));
+                        self.steps(steps).await;
+                    }
+                    Task::Reload => {
+                        eprintln!("configuration not read again, the old one stays:");
+                        reasons.iter().for_each(|r| eprintln!("{r}"));
+                        self.status.refused(None, reasons);
+                    }
+                }
+                return;
+            }
+        };
+        if let Some(listener) = prepared.listener {
+            eprintln!("listen.http: clients are taken at {} now", prepared.installation.http);
+            self.accept(listener);
+        }
+        self.lookups.set(&prepared.installation);
+        let old = std::mem::replace(&mut self.installation, prepared.installation);
+        // Large ones take a while to be freed, which the serving thread has not.
+        tokio::task::spawn_blocking(move || drop(old));
+        if let Some(document) = document {
+            self.document.borrow_mut().0 = document;
+        }
+        match task {
+            Task::Version(version) => {
+                let number = version.version;
+                eprintln!("configuration: version {number} is in effect");
+                self.document.borrow_mut().1 = Some(version);
+                self.status.in_effect(Some(number));
+                let steps = self.versions.done(Ok(()));
+                self.steps(steps).await;
+            }
+            Task::Reload => {
+                eprintln!("configuration: the file is read again and in effect");
+                self.status.in_effect(self.versions.held().map(|v| v.version));
+            }
+        }
+    }
+}
+
+/// What it takes to put one configuration into effect.
+struct Work {
+    file: PathBuf,
+    document: (Document, Option<Version>),
+    before: Arc<Installation>,
+    store: Store,
+    news: Sender<News>,
+    effective: Effective,
+}
+
+impl Work {
+    async fn run(self, task: Task) -> Done {
+        let (number, config) = match &task {
+            Task::Version(version) => (version.version, Some(version.config.clone())),
+            Task::Reload => {
+                let held = self.document.1.as_ref();
+                (held.map_or(0, |v| v.version), held.map(|v| v.config.clone()))
+            }
+        };
+        let (file, document, before) = (self.file.clone(), self.document.0.clone(), self.before.clone());
+        let reload = matches!(task, Task::Reload);
+        let checked = tokio::task::spawn_blocking(move || {
+            let document = match reload {
+                true => settings::document(&file).map_err(|e| vec![e.to_string()])?,
+                false => document,
+            };
+            let installation = document.installation(config.as_ref());
+            // A version has no lines that its sender could look at.
+            let lines = |p: stairshed_config::Problems| {
+                if reload { p.to_string().lines().map(str::to_owned).collect() } else { p.lines() }
+            };
+            let installation = installation.map_err(lines)?;
+            let changes = changes(Some(&before), &installation);
+            let (gone, there) = destinations(Some(&before), &installation);
+            Ok((document, Arc::new(installation), changes, gone, there))
+        });
+        let checked = checked.await.unwrap_or_else(|e| Err(vec![format!("its check broke off: {e}")]));
+        let (document, installation, changes, gone, there) = match checked {
+            Ok(checked) => checked,
+            Err(reasons) => return Done { task, document: None, result: Err(reasons) },
+        };
+        let result = self.effect(&task, number, installation, (changes, gone, there)).await;
+        Done { task, document: reload.then_some(document).filter(|_| result.is_ok()), result }
+    }
+
+    /// Binds, stores, tells the courier: what fails first leaves all as it was.
+    async fn effect(
+        &self,
+        task: &Task,
+        number: u64,
+        installation: Arc<Installation>,
+        (changes, gone, there): (Vec<stairshed_config::change::Changed>, Vec<u64>, Vec<u64>),
+    ) -> Result<Prepared, Vec<String>> {
+        let listener = match installation.http == self.before.http {
+            true => None,
+            false => {
+                let failed = |e| vec![format!("listen.http: cannot listen on {}: {e}", installation.http)];
+                Some(listen(installation.http).map_err(failed)?)
+            }
+        };
+        if let Task::Version(version) = task {
+            let (store, version) = (self.store.clone(), version.clone());
+            let stored = tokio::task::spawn_blocking(move || store.save(&version)).await;
+            let stored = stored.map_err(|e| e.to_string()).and_then(|done| done.map_err(|e| e.to_string()));
+            stored.map_err(|why| {
+                vec![format!("it cannot be stored, so it would not outlast a restart: {why}")]
+            })?;
+        }
+        let (done, in_effect) = oneshot::channel();
+        let configured = Configured {
+            version: number,
+            installation: installation.clone(),
+            effective: self.effective.clone(),
+            changes,
+            gone,
+            there,
+            done,
+        };
+        let stopping = || vec!["the courier is stopping".to_owned()];
+        self.news.send(News::Configured(Box::new(configured))).await.map_err(|_| stopping())?;
+        match timeout(EFFECT_TIME, in_effect).await {
+            Ok(Ok(())) => Ok(Prepared { installation, listener }),
+            _ => Err(stopping()),
+        }
+    }
+}
+
+/// The stream of versions, opened again whenever it is lost.
+struct Stream {
+    url: Url,
+    node: String,
+    held: Rc<RefCell<Option<u64>>>,
+    most: usize,
+    silence: Duration,
+}
+
+impl Stream {
+    async fn run(self, hear: Sender<Heard>) {
+        let mut backoff = BACKOFF_FIRST;
+        while !hear.is_closed() {
+            let since = Instant::now();
+            let why = self.once(&hear).await;
+            if hear.send(Heard::Lost(why)).await.is_err() {
+                return;
+            }
+            if since.elapsed() > self.silence {
+                backoff = BACKOFF_FIRST;
+            }
+            // Many couriers that lost one service must not come back to it at once.
+            sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
+            backoff = (backoff * 2).min(BACKOFF_MOST);
+        }
+    }
+
+    /// One connection, to its end; a refusal if it is the sender's fault.
+    async fn once(&self, hear: &Sender<Heard>) -> Option<Refusal> {
+        let mut link = Link::open(self.url.address, CONNECT, None).await?;
+        let held = self.held.borrow().map_or(String::new(), |v| format!("&version={v}"));
+        let request = Request::get(format!("{}?node={}{held}", self.url.path, self.node))
+            .header(header::HOST, self.url.address.to_string())
+            .body(Full::<Bytes>::default())
+            .ok()?;
+        let answer = link.watch(request, ANSWER).await?;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        hear.send(Heard::Opened).await.ok()?;
+        let (mut body, mut lines) = (answer.into_body(), Lines::new(self.most));
+        let mut begun: Option<Instant> = None;
+        while let Some(piece) = link.piece(&mut body, self.silence).await {
+            if lines.push(&piece).is_err() {
+                let why = format!("longer than {} bytes (control.version_most)", self.most);
+                return Some(Refusal::Unreadable(why));
+            }
+            for line in lines.by_ref() {
+                begun = None;
+                if !line.iter().all(u8::is_ascii_whitespace) {
+                    hear.send(Heard::Line(line)).await.ok()?;
+                }
+            }
+            let open = lines.is_open().then(|| *begun.get_or_insert_with(Instant::now));
+            if open.is_some_and(|since| since.elapsed() > LINE_TIME) {
+                return Some(Refusal::Unreadable("its line has no end".to_owned()));
+            }
+        }
+        None
+    }
+}
+
+/// Posts answers in order until each is taken.
+async fn answering(url: Url, node: String, mut queue: Receiver<Value>, held: Rc<RefCell<Option<u64>>>) {
+    let mut link: Option<Link> = None;
+    while let Some(mut answer) = queue.recv().await {
+        if answer["accepted"] == true {
+            *held.borrow_mut() = answer["version"].as_u64();
+        }
+        answer["node"] = json!(node);
+        answer["in_effect"] = json!(*held.borrow());
+        let mut backoff = BACKOFF_FIRST;
+        loop {
+            let kept = link.take().and_then(|mut l| l.sound().then_some(l));
+            let open = match kept {
+                Some(link) => Some(link),
+                None => Link::open(url.address, CONNECT, None).await,
+            };
+            let request = Request::post(format!("{}/answers", url.path.trim_end_matches('/')))
+                .header(header::HOST, url.address.to_string())
+                .header(header::CONTENT_TYPE, "application/json")
+                .body(Full::new(Bytes::from(answer.to_string())));
+            if let (Some(mut open), Ok(request)) = (open, request)
+                && let Ok(told) = open.ask(request, Instant::now() + ANSWER).await
+            {
+                if told.reusable {
+                    link = Some(open);
+                }
+                // What it does not want it will not want the next time either.
+                if told.status.is_success() || told.status.is_client_error() {
+                    break;
+                }
+            }
+            sleep(backoff).await;
+            backoff = (backoff * 2).min(BACKOFF_MOST);
+        }
+    }
+}
+
+impl From<io::Error> for Fault {
+    fn from(e: io::Error) -> Self {
+        Fault::Bad("configuration", e.to_string())
+    }
+}
--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -2,11 +2,13 @@
 //! out what it asks for; holds bodies, ids and timers. It decides nothing about a message itself.
 
 use crate::calls::{Call, Calls};
-use crate::config::Config;
 use crate::discovery::Watch;
 use crate::intake::Standing;
-use crate::news::{CallEnd, Health, List, News, Offer, Reply};
-use crate::outcomes::{Notice, Platform};
+use crate::news::{CallEnd, Configured, Health, Host, List, News, Offer, Reply};
+use crate::outcomes::{Notice, Outcomes};
+use crate::setup::Setup;
+use stairshed_config::change::{Changed, changes};
+use stairshed_config::installation::{At, OWN, SHARED};
 use stairshed_decide::brain::Brain;
 use stairshed_decide::interface::{self, *};
 use stairshed_journal::{Attempt, Journal, Letter, Live, Refusal, Synced, Verdict};
@@ -44,6 +46,7 @@
 
 struct Held {
     letter: Rc<Letter>,
+    class: usize,
     attempts: u32,
     /// The call that is out: when it left, and how to call it off.
     out: Option<(Instant, Option<oneshot::Sender<()>>)>,
@@ -56,16 +59,17 @@
 }
 
 pub struct Courier {
-    config: Config,
+    setup: Setup,
     brain: Brain,
     journal: Journal,
     calls: Calls,
-    platform: Platform,
+    outcomes: Outcomes,
     standing: Rc<Standing>,
     news: Sender<News>,
     origin: Instant,
     events: Vec<Event>,
-    offers: BTreeMap<u64, Offer>,
+    /// Those that wait for the module's word, with their class.
+    offers: BTreeMap<u64, (usize, Offer)>,
     /// Those that the module knows; it says when one is forgotten. Numbers are never used again.
     endpoints: HashMap<EndpointId, Endpoint>,
     numbered: u32,
@@ -89,6 +93,8 @@
     disk_failed: Option<Instant>,
     /// When a sync failed last; until all is kept again.
     sync_failed: Option<Instant>,
+    /// Destinations that a configuration has removed, and when what is held for them ends.
+    removed: BTreeMap<u64, Instant>,
 }
 
 fn unix() -> Duration {
@@ -97,21 +103,21 @@
 
 impl Courier {
     pub fn new(
-        config: Config,
+        setup: Setup,
         brain: Brain,
         journal: Journal,
         calls: Calls,
+        outcomes: Outcomes,
         standing: Rc<Standing>,
         news: Sender<News>,
     ) -> Self {
-        let platform = Platform::new(config.discovery);
         let last = journal.last();
         let mut courier = Courier {
-            config,
+            setup,
             brain,
             journal,
             calls,
-            platform,
+            outcomes,
             standing,
             news,
             origin: Instant::now(),
@@ -133,9 +139,15 @@
             stopping: None,
             disk_failed: None,
             sync_failed: None,
+            removed: BTreeMap::new(),
         };
-        let known = courier.config.known.clone().unwrap_or_default();
+        let known = courier.setup.known.clone().unwrap_or_default();
         courier.list(List { whole: true, ..known });
+        if let Some(installation) = courier.setup.installation.clone() {
+            courier.listed = true;
+            courier.destinations.extend(installation.pools.iter().map(|p| p.destination));
+            courier.members(&changes(None, &installation));
+        }
         courier.resume();
         courier
     }
@@ -149,7 +161,7 @@
         for (message, m) in live {
             let letter = m.letter;
             self.ids.insert(letter.id.clone(), message);
-            let class = self.config.classes.iter().position(|c| *c == letter.class);
+            let class = self.class(&letter);
             // A message with its end decided only waits to have it acknowledged: sending it again would
             // deliver what a client was told to hand in again.
             let verdict = m.verdict.or(class.is_none().then_some(Verdict::Dead));
@@ -167,25 +179,149 @@
                 ago: now.saturating_sub(a.sent),
             });
             let attempts = m.attempts.len() as u32;
-            let most = class.and_then(|c| self.config.settings.classes.get(c)).map(|c| c.deadline);
+            let most = class.and_then(|c| self.setup.classes.get(c)).map(|c| c.deadline);
             let time_left = letter.until.saturating_sub(now).min(most.unwrap_or(Duration::MAX));
+            // One whose pool a configuration has removed meanwhile waits as if that were removed now.
+            if self.setup.installation.is_some() && !self.destinations.contains(&letter.destination) {
+                let until = Instant::now() + self.setup.pool_wait;
+                self.removed.entry(letter.destination).or_insert(until);
+            }
             self.destinations.insert(letter.destination);
             self.events.push(Event::Taken(Taken {
                 message: MessageId(message),
                 class: class.unwrap_or_default(),
                 tenant: 0,
                 destination: DestinationId(letter.destination),
-                key: None,
+                key: letter.routed.as_ref().and_then(|r| r.order.clone()),
                 time_left,
                 work: None,
                 past: Past { attempts, ran },
             }));
-            self.held.insert(message, Held { letter, attempts, out: None });
+            let class = class.unwrap_or_default();
+            self.held.insert(message, Held { letter, class, attempts, out: None });
+        }
+        self.reclassify();
+    }
+
+    /// The class of a message, by its name and, where a route took it, by what a repeat did then.
+    fn class(&mut self, letter: &Letter) -> Option<usize> {
+        let Some(routed) = &letter.routed else { return self.setup.classes.named(&letter.class) };
+        let deadline = letter.until.saturating_sub(letter.taken);
+        Some(self.setup.classes.recorded(&letter.class, routed.effect, deadline))
+    }
+
+    /// Tells the module of classes that came since it was told last: what was taken by an earlier version may
+    /// be of one that the present one has not.
+    fn reclassify(&mut self) {
+        let classes = self.setup.classes.classes();
+        if classes.len() != self.setup.settings.classes.len() {
+            self.setup.settings.classes = classes;
+            self.reconfigure();
+        }
+    }
+
+    fn reconfigure(&mut self) {
+        if let Err(why) = self.brain.reconfigure(self.setup.settings.clone()) {
+            // Checked before; the module goes on with what it had.
+            eprintln!("configuration: {why}");
+        }
+    }
+
+    /// Puts a configuration into effect: whole, between two turns.
+    fn configured(&mut self, configured: Configured) {
+        let Configured { version, installation, effective, changes, gone, there, done } = configured;
+        let held = self.held.values().map(|m| m.class);
+        let in_use: BTreeSet<usize> = held.chain(self.offers.values().map(|(class, _)| *class)).collect();
+        let classes = installation.classes.iter().map(|c| c.name.clone());
+        let classes = classes.zip(installation.settings.classes.iter().cloned());
+        self.setup.classes.change(classes, &in_use);
+        self.setup.settings =
+            Settings { classes: self.setup.classes.classes(), ..installation.settings.clone() };
+        self.setup.settings.keepalive =
+            self.calls.retime(installation.settings.connect_timeout, installation.settings.keepalive);
+        self.reconfigure();
+        let wait = Instant::now() + installation.file.limits.pool_wait.0;
+        self.setup.pool_wait = installation.file.limits.pool_wait.0;
+        for destination in there {
+            self.removed.remove(&destination);
+            self.destinations.insert(destination);
+        }
+        for destination in gone {
+            self.removed.entry(destination).or_insert(wait);
+        }
+        effective.set(version, installation.clone());
+        self.setup.installation = Some(installation);
+        self.members(&changes);
+        // Its sender may be gone, which changes nothing.
+        let _ = done.send(());
+    }
+
+    /// Takes in what a configuration changes among the endpoints.
+    fn members(&mut self, changes: &[Changed]) {
+        let mut hosts = Vec::with_capacity(changes.len());
+        for change in changes {
+            let At::Address(address) = change.member.at else { continue };
+            let zone = &change.member.zone;
+            if !self.setup.zones.contains(zone) {
+                self.setup.zones.push(zone.clone());
+            }
+            hosts.push(Host {
+                host: change.member.host.clone(),
+                dial: address.to_string(),
+                site: zone.clone(),
+                class: self.setup.kinds[if change.member.limit.is_some() { OWN } else { SHARED }].clone(),
+                block: change.destination,
+                health: if change.gone { Health::Gone } else { Health::Ready },
+                share: change.limit.unwrap_or_default(),
+            });
+            if let Some(limit) = change.limit.filter(|_| !change.gone) {
+                let endpoint = self.number(&change.member.host);
+                self.brain.relimit(endpoint, limit);
+            }
+        }
+        self.list(List { seq: 0, whole: false, hosts });
+    }
+
+    /// Ends what is still held for destinations that have been gone for long enough: nothing can deliver it
+    /// any more. What never ran, or harms nobody twice, may be handed in again; of the rest it is not known
+    /// whether it took effect.
+    fn end_removed(&mut self) {
+        let now = Instant::now();
+        let due: Vec<u64> = self.removed.iter().filter(|(_, at)| **at <= now).map(|(d, _)| *d).collect();
+        if due.is_empty() {
+            return;
+        }
+        let of = |m: &Held| due.contains(&m.letter.destination);
+        let mut ended = Vec::new();
+        for (message, m) in self.held.iter().filter(|(_, m)| of(m) && m.out.is_none()) {
+            let Some(live) = self.journal.get(*message).filter(|live| live.verdict.is_none()) else {
+                continue;
+            };
+            let ran = live.attempts.iter().any(|a| a.may_have_run);
+            let harmless = self.setup.classes.get(m.class).is_some_and(|c| c.effect == Effect::Repeatable);
+            let bounced = Verdict::Bounced { wait: None };
+            ended.push((*message, if ran && !harmless { Verdict::Dead } else { bounced }));
+        }
+        for (message, verdict) in &ended {
+            self.events.push(Event::Withdrawn { message: MessageId(*message) });
+            self.judge(*message, *verdict);
+        }
+        for destination in due {
+            // Others may have calls out: they end with those.
+            if !self.held.values().any(|m| m.letter.destination == destination) {
+                self.removed.remove(&destination);
+                self.destinations.remove(&destination);
+            }
+        }
+        if !ended.is_empty() {
+            eprintln!("configuration: {} messages of pools that are gone have ended", ended.len());
+            self.settle();
+            self.post();
         }
     }
 
     fn zone(&self, name: &str) -> usize {
-        let zones = &self.config.zones;
+        let zones = &self.setup.zones;
         zones.iter().position(|z| z == name).unwrap_or(zones.len())
     }
 
@@ -208,7 +344,7 @@
         }
         for host in list.hosts {
             let (endpoint, zone) = (self.number(&host.host), self.zone(&host.site));
-            let kinds = &self.config.kinds;
+            let kinds = &self.setup.kinds;
             let kind = kinds.iter().position(|k| *k == host.class).unwrap_or(kinds.len());
             let Some(e) = self.endpoints.get_mut(&endpoint) else { continue };
             e.zone = zone;
@@ -223,6 +359,7 @@
                 _ => interface::Standing::Draining,
             };
             e.ready = standing == interface::Standing::Ready;
+            self.calls.admit(endpoint, e.ready);
             self.destinations.insert(host.block);
             let (destination, weight) = (DestinationId(host.block), host.share);
             entries.push(Entry { endpoint, destination, zone, kind, standing, weight });
@@ -243,7 +380,7 @@
 
     /// Runs until the courier has stopped.
     pub async fn run(mut self, mut inbox: Receiver<News>) {
-        let tick = self.config.settings.tick;
+        let tick = self.setup.settings.tick;
         let mut last: Option<Instant> = None;
         self.post();
         loop {
@@ -254,7 +391,8 @@
             let compact = self.journal.wants_compaction() && self.disk_failed.is_none();
             let compact = compact.then(|| Instant::now() + COMPACT_PAUSE);
             let stop = self.stopping.map(|_| Instant::now() + Duration::from_millis(20));
-            let at = [due, retry, stop, compact].into_iter().flatten().min();
+            let removed = self.removed.values().copied().filter(|at| *at > Instant::now()).min();
+            let at = [due, retry, stop, compact, removed].into_iter().flatten().min();
             let nap = async {
                 match at {
                     Some(at) => sleep_until(at).await,
@@ -284,6 +422,7 @@
                     }
                 }
             }
+            self.end_removed();
             self.compact();
             if self.stopped() {
                 return;
@@ -386,6 +525,9 @@
                 }
             }
             News::Moved(discovery) => self.moved(discovery),
+            News::Configured(configured) => self.configured(*configured),
+            News::Resolved(list) => self.list(list),
+            News::Watch => self.watch(),
             News::Synced(done) => self.synced(done),
             News::Stop => {
                 self.standing.stop();
@@ -416,31 +558,36 @@
         if self.disk_failed.is_some() {
             return answer(offer, Reply::NoRecord(Refusal::DiskFails));
         }
+        if self.removed.contains_key(&offer.letter.destination) {
+            return answer(offer, Reply::Unavailable);
+        }
         if !self.destinations.contains(&offer.letter.destination) {
             let reply = if self.listed { Reply::NoDestination } else { Reply::Unavailable };
             return answer(offer, reply);
         }
-        let full = self.held.len() + self.offers.len() >= self.config.settings.max_held;
+        let full = self.held.len() + self.offers.len() >= self.setup.settings.max_held;
         if full {
             return answer(offer, Reply::Refused { wait: None });
         }
         if let Err(why) = self.journal.fits(&offer.letter) {
             return answer(offer, Reply::NoRecord(why));
         }
+        let Some(class) = self.class(&offer.letter) else { return answer(offer, Reply::Failed) };
+        self.reclassify();
         let message = self.next;
         self.next += 1;
         self.ids.insert(offer.letter.id.clone(), message);
         self.events.push(Event::Taken(Taken {
             message: MessageId(message),
-            class: offer.class,
+            class,
             tenant: 0,
             destination: DestinationId(offer.letter.destination),
-            key: None,
+            key: offer.letter.routed.as_ref().and_then(|r| r.order.clone()),
             time_left: offer.time_left.saturating_sub(offer.at.elapsed()),
             work: None,
             past: Past::default(),
         }));
-        self.offers.insert(message, offer);
+        self.offers.insert(message, (class, offer));
     }
 
     fn called(&mut self, message: u64, attempt: u32, endpoint: EndpointId, end: CallEnd) {
@@ -496,7 +643,7 @@
                 Action::Subscribe { active: false } | Action::Tell { .. } => {}
                 Action::Wake { token, after } => self.wake = Some((now + after, token)),
                 Action::Forget { endpoint } => {
-                    self.calls.close(endpoint);
+                    self.calls.forget(endpoint);
                     if let Some(e) = self.endpoints.remove(&endpoint) {
                         self.numbers.remove(&e.host);
                     }
@@ -521,9 +668,9 @@
     /// again elsewhere: it must not be sent from here.
     fn drop_deserted(&mut self) {
         let deserted: Vec<u64> =
-            self.offers.iter().filter(|(_, o)| o.reply.is_closed()).map(|(n, _)| *n).collect();
+            self.offers.iter().filter(|(_, (_, o))| o.reply.is_closed()).map(|(n, _)| *n).collect();
         for message in deserted {
-            if let Some(offer) = self.offers.remove(&message) {
+            if let Some((_, offer)) = self.offers.remove(&message) {
                 self.ids.remove(&offer.letter.id);
             }
             let of = |e: &Event| matches!(e, Event::Taken(t) if t.message.0 == message);
@@ -534,7 +681,7 @@
     /// Records the new messages that the module keeps, then tells the clients.
     fn take_on(&mut self, refused: &mut HashMap<u64, Verdict>) {
         let mut taken = Vec::new();
-        for (message, offer) in std::mem::take(&mut self.offers) {
+        for (message, (class, offer)) in std::mem::take(&mut self.offers) {
             let Offer { letter, reply, .. } = offer;
             if let Some(verdict) = refused.remove(&message) {
                 self.ids.remove(&letter.id);
@@ -553,7 +700,7 @@
                 continue;
             }
             self.journal.accept(message, letter.clone());
-            self.held.insert(message, Held { letter, attempts: 0, out: None });
+            self.held.insert(message, Held { letter, class, attempts: 0, out: None });
             taken.push((message, reply));
         }
         if taken.is_empty() {
@@ -613,7 +760,7 @@
                 self.events.push(never_sent(message, endpoint));
                 continue;
             };
-            let zone = self.config.zones.get(e.zone).cloned().unwrap_or_default();
+            let zone = self.setup.zones.get(e.zone).cloned().unwrap_or_default();
             let attempt = Attempt { host: e.host.clone(), zone, sent: unix(), may_have_run: true };
             m.out = Some((now, None));
             if late {
@@ -628,9 +775,7 @@
             };
             m.attempts += 1;
             let letter = m.letter.clone();
-            let class = self.config.classes.iter().position(|c| *c == letter.class);
-            let class = class.and_then(|c| self.config.settings.classes.get(c));
-            let once = class.is_some_and(|c| c.effect == Effect::Once);
+            let once = self.setup.classes.get(m.class).is_some_and(|c| c.effect == Effect::Once);
             ready.push(Call { message, attempt: number, endpoint, address, letter, timeout, once });
         }
         let seq = self.journal.last_seq();
@@ -663,7 +808,7 @@
 
     fn probe(&mut self, endpoint: EndpointId) {
         if let Some(address) = self.endpoints.get(&endpoint).and_then(|e| e.address) {
-            let timeout = self.config.settings.connect_timeout * 2;
+            let timeout = self.setup.settings.connect_timeout * 2;
             tokio::task::spawn_local(self.calls.clone().probe(endpoint, address, timeout, self.news.clone()));
         }
     }
@@ -671,13 +816,14 @@
     /// One watch lasts for good and asks again by itself.
     fn watch(&mut self) {
         if self.watch.is_none() {
-            let known = self.config.known.as_ref();
+            let known = self.setup.known.as_ref();
             self.watch_from(known.map_or(0, |l| l.seq), known.is_none());
         }
     }
 
     fn watch_from(&mut self, seq: u64, fresh: bool) {
-        let watch = Watch { address: self.config.discovery, seed: self.config.seed, seq, fresh };
+        let Some(address) = self.setup.discovery else { return };
+        let watch = Watch { address, seed: self.setup.seed, seq, fresh };
         let task = tokio::task::spawn_local(watch.run(self.news.clone()));
         self.watch = Some(task.abort_handle());
     }
@@ -685,10 +831,10 @@
     /// Discovery has another address. A watch that went on at the old one would hear of drains only once
     /// that has closed it; and the new one's versions need not continue the old one's, so all is asked for.
     fn moved(&mut self, discovery: SocketAddr) {
-        if std::mem::replace(&mut self.config.discovery, discovery) == discovery {
+        if self.setup.discovery.replace(discovery) == Some(discovery) {
             return;
         }
-        self.platform.move_to(discovery);
+        self.outcomes.move_to(discovery);
         if let Some(watch) = self.watch.take() {
             watch.abort();
             self.watch_from(0, true);
@@ -705,7 +851,7 @@
             }
             let batch: Vec<_> = self.notices.drain(..kept).map(|(_, notice)| notice).collect();
             self.posts += 1;
-            tokio::task::spawn_local(self.platform.clone().post(batch, self.news.clone()));
+            tokio::task::spawn_local(self.outcomes.clone().post(batch, self.news.clone()));
         }
     }
 
--- a/crates/courier/src/intake.rs
+++ b/crates/courier/src/intake.rs
@@ -1,5 +1,6 @@
 //! The clients' side: takes messages in over HTTP, and tells whether the courier is ready.
 
+use crate::effective::Effective;
 use crate::news::{News, Offer, Reply};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -10,6 +11,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use stairshed_journal::{Letter, Refusal};
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -22,6 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 pub const BODY_MOST: usize = 64 * 1024;
@@ -54,6 +57,8 @@
     /// Told to all connections when the courier stops.
     pub open: RefCell<BTreeMap<u64, Rc<Line>>>,
     next: Cell<u64>,
+    /// The task that takes clients in; it changes with the address.
+    accepting: RefCell<Option<AbortHandle>>,
     /// Bytes of bodies that are being read or have no answer yet.
     bodies: Cell<usize>,
 }
@@ -216,6 +221,18 @@
 }
 
 impl Standing {
+    /// The task that takes clients in is another.
+    pub fn listens(&self, task: AbortHandle) {
+        *self.accepting.borrow_mut() = Some(task);
+    }
+
+    /// Takes no more clients in.
+    pub fn close_listener(&self) {
+        if let Some(task) = self.accepting.borrow_mut().take() {
+            task.abort();
+        }
+    }
+
     /// Readiness off; idle connections close, the others after their answer.
     pub fn stop(&self) {
         self.ready.set(false);
@@ -255,8 +272,28 @@
     }
 }
 
+/// Who says what a request means.
+pub enum Front {
+    /// PROTOCOL: the path names a class, `Envelope` the destination.
+    Platform { classes: Vec<String> },
+    /// The routes of what is in effect.
+    Routes(Effective),
+}
+
+/// A request that is not taken.
+pub struct Unfit {
+    pub status: StatusCode,
+    pub why: Cow<'static, str>,
+}
+
+impl From<&'static str> for Unfit {
+    fn from(why: &'static str) -> Self {
+        Unfit { status: StatusCode::BAD_REQUEST, why: Cow::Borrowed(why) }
+    }
+}
+
 pub struct Intake {
-    pub classes: Vec<String>,
+    pub front: Front,
     pub standing: Rc<Standing>,
     pub news: Sender<News>,
     /// Clients' connections at most.
@@ -267,8 +304,8 @@
 
 impl Intake {
     /// Accepts clients until the task is dropped.
-    pub async fn run(self, listener: TcpListener) {
-        let this = Rc::new(self);
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        let this = self;
         loop {
             // Out of sockets is backpressure: the one of least use makes room, else the newcomer waits
             // outside. Each closed one lets one in at once, so that hundreds that say nothing starve nobody.
@@ -335,6 +372,8 @@
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             },
             (&Method::POST, _) => self.take(request, line).await,
+            (&Method::GET | &Method::HEAD, _) => plain(StatusCode::NOT_FOUND, "no such page\n"),
+            _ if matches!(self.front, Front::Routes(_)) => self.take(request, line).await,
             _ => plain(StatusCode::NOT_FOUND, "no such page\n"),
         };
         if self.standing.stopping.get() {
@@ -370,62 +409,94 @@
             return closing(status, why);
         }
         let at = Instant::now();
-        let (letter, class, time_left) = match self.letter(parts.uri.path(), &parts.headers, body) {
+        let read = match &self.front {
+            Front::Platform { classes } => letter(classes, parts.uri.path(), &parts.headers, body),
+            Front::Routes(effective) => effective.letter(&parts, body),
+        };
+        let (letter, time_left) = match read {
             Ok(read) => read,
-            Err(why) => return plain(StatusCode::BAD_REQUEST, why),
+            Err(unfit) => return text(unfit.status, unfit.why),
         };
         let (reply, answered) = oneshot::channel();
-        let offer = Offer { letter: Rc::new(letter), class, time_left, at, reply };
+        let id = letter.routed.is_some().then(|| letter.id.clone());
+        let offer = Offer { letter: Rc::new(letter), time_left, at, reply };
         let reply = match timeout(PATIENCE, self.news.send(News::Offered(offer))).await {
             Ok(Ok(())) => answered.await.unwrap_or(Reply::Unavailable),
             _ => Reply::Unavailable,
         };
-        respond(reply)
+        let mut answer = respond(reply);
+        // The client may have named none.
+        if let Some(id) = id.and_then(|id| HeaderValue::from_str(&id).ok()) {
+            answer.headers_mut().insert("X-Request-ID", id);
+        }
+        answer
     }
+}
+
+/// Headers that name a message, as a client tells them.
+pub struct Named<'a> {
+    pub id: Option<&'a str>,
+    pub class: Option<&'a str>,
+    pub time_left: Option<Duration>,
+    pub key: Option<String>,
+}
 
-    /// Reads a message from its head. An error is told to the client.
-    fn letter(
-        &self,
-        path: &str,
-        headers: &HeaderMap,
-        body: Bytes,
-    ) -> Result<(Letter, usize, Duration), &'static str> {
+impl<'a> Named<'a> {
+    pub fn read(headers: &'a HeaderMap) -> Result<Self, Unfit> {
         // Two that name different messages: one reader would take the first and another the last.
         for name in ["X-Request-ID", "X-Priority-Class", "X-Timeout", "Envelope", "Idempotency-Key"] {
             if headers.get_all(name).iter().nth(1).is_some() {
-                return Err("a header that may come once comes twice\n");
+                return Err("a header that may come once comes twice\n".into());
             }
         }
         let head = |name| headers.get(name).map(|v| v.to_str().map(str::trim));
-        let id = head("X-Request-ID").ok_or("no X-Request-ID\n")?.map_err(|_| "X-Request-ID is no text\n")?;
-        if id.is_empty() || id.len() > ID_MOST {
-            return Err("X-Request-ID is empty or too long\n");
-        }
-        let place = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let name = match head("X-Priority-Class") {
-            Some(name) => name.map_err(|_| "X-Priority-Class is no text\n")?,
-            None => place,
-        };
-        let class = self.classes.iter().position(|c| c == name).ok_or("no such class\n")?;
-        if place != name {
-            return Err("the path names another class\n");
+        let id = head("X-Request-ID").transpose().map_err(|_| "X-Request-ID is no text\n")?;
+        if id.is_some_and(|id| id.is_empty() || id.len() > ID_MOST) {
+            return Err("X-Request-ID is empty or too long\n".into());
         }
-        let text = head("X-Timeout").ok_or("no X-Timeout\n")?.map_err(|_| "X-Timeout is no text\n")?;
-        let time_left = span(text).ok_or("X-Timeout cannot be read\n")?;
-        let text = head("Envelope").ok_or("no Envelope\n")?.map_err(|_| "Envelope is no text\n")?;
-        let destination = envelope(text).ok_or("Envelope names no destination\n")?;
+        let class = head("X-Priority-Class").transpose().map_err(|_| "X-Priority-Class is no text\n")?;
+        let time = head("X-Timeout").transpose().map_err(|_| "X-Timeout is no text\n")?;
+        let time_left = time.map(|t| span(t).ok_or("X-Timeout cannot be read\n")).transpose()?;
         let key = match head("Idempotency-Key") {
             Some(Ok(key)) if !key.is_empty() && key.len() <= ID_MOST => Some(key.to_owned()),
-            Some(_) => return Err("Idempotency-Key cannot be read\n"),
+            Some(_) => return Err("Idempotency-Key cannot be read\n".into()),
             None => None,
         };
-        let taken = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let until = taken + time_left;
-        let (id, class_name) = (id.to_owned(), name.to_owned());
-        Ok((Letter { id, class: class_name, destination, key, taken, until, body }, class, time_left))
+        Ok(Named { id, class, time_left, key })
     }
 }
 
+/// Unix time.
+pub fn now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+/// Reads a message of the platform's from its head. An error is told to the client.
+fn letter(
+    classes: &[String],
+    path: &str,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<(Letter, Duration), Unfit> {
+    let named = Named::read(headers)?;
+    let id = named.id.ok_or("no X-Request-ID\n")?;
+    let place = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+    let name = named.class.unwrap_or(place);
+    if !classes.iter().any(|c| c == name) {
+        return Err("no such class\n".into());
+    }
+    if place != name {
+        return Err("the path names another class\n".into());
+    }
+    let time_left = named.time_left.ok_or("no X-Timeout\n")?;
+    let text = headers.get("Envelope").ok_or("no Envelope\n")?;
+    let text = text.to_str().map_err(|_| "Envelope is no text\n")?;
+    let destination = envelope(text.trim()).ok_or("Envelope names no destination\n")?;
+    let (id, class, key, taken) = (id.to_owned(), name.to_owned(), named.key, now());
+    let until = taken + time_left;
+    Ok((Letter { id, class, destination, key, taken, until, body, routed: None }, time_left))
+}
+
 enum Unread {
     Large,
     Broken,
@@ -476,6 +547,15 @@
     answer
 }
 
+fn text(status: StatusCode, text: Cow<'static, str>) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(match text {
+        Cow::Borrowed(text) => Full::from(text),
+        Cow::Owned(text) => Full::from(text),
+    });
+    *answer.status_mut() = status;
+    answer
+}
+
 /// An answer after which the connection is of no more use.
 fn closing(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut answer = plain(status, text);
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -1,24 +1,38 @@
 //! The real courier: the decision module on real sockets. Each part has one job; `courier` owns the module
 //! and the others tell it what happened.
 
+mod admin;
 mod calls;
+pub mod client;
 mod config;
+mod control;
 mod courier;
+mod dev;
 mod discovery;
+mod dns;
+mod effective;
 mod intake;
 mod link;
+mod names;
 mod news;
 mod outcomes;
+mod serve;
 pub mod settings;
+mod setup;
 
 use calls::Calls;
-use config::{Config, Fault};
+use config::Config;
+pub use config::Fault;
 use courier::Courier;
-use intake::{Intake, Standing};
+pub use effective::host_name;
+use intake::{Front, Intake, Standing};
 use news::News;
+use outcomes::Outcomes;
 use settings::Settings;
 use stairshed_decide::brain::Brain;
 use stairshed_journal::{Files, Journal, Report};
+use std::future::Future;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -42,26 +56,44 @@
 const END_TIME: Duration = Duration::from_millis(200);
 /// Share of the memory that bodies of clients may take while they are read.
 const BODIES_SHARE: f64 = 0.125;
-/// Share of the endpoints' limit for which a connection may stand idle here.
-const KEEP_SHARE: f64 = 0.75;
 
 /// Reads the configuration, then serves until it is told to stop.
 pub fn run(settings: Option<&Path>) -> Result<(), Fault> {
     let config = Config::read()?;
     let settings = Settings::read(settings).map_err(|e| Fault::Bad("--settings", e.to_string()))?;
+    block_on(platform(config, settings))
+}
+
+/// Runs an operator's courier until it is told to stop.
+///
+/// # Errors
+/// What kept it from its start.
+pub fn serve(file: PathBuf) -> Result<(), Fault> {
+    block_on(serve::serve(file))
+}
+
+/// Runs a sample installation with a stand-in endpoint.
+///
+/// # Errors
+/// What kept it from its start.
+pub fn dev(listen: SocketAddr) -> Result<(), Fault> {
+    block_on(dev::dev(listen))
+}
+
+fn block_on(work: impl Future<Output = Result<(), Fault>>) -> Result<(), Fault> {
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Fault::Bad("runtime", e.to_string()))?;
-    let done = LocalSet::new().block_on(&runtime, serve(config, settings));
+    let done = LocalSet::new().block_on(&runtime, work);
     // A sync that hangs in the device must not hold up the end: nothing that depends on it was told.
     runtime.shutdown_timeout(END_TIME);
     done
 }
 
-fn listen(config: &Config) -> std::io::Result<TcpListener> {
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // The address of the process before this one may still be in use by its last connections.
     socket.set_reuseaddr(true)?;
-    socket.bind(config.listen)?;
+    socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
@@ -116,7 +148,7 @@
     }
 }
 
-async fn serve(mut config: Config, settings: Settings) -> Result<(), Fault> {
+async fn platform(mut config: Config, settings: Settings) -> Result<(), Fault> {
     // First of all: without a handler either signal ends the process at once.
     let mut terminate = on(SignalKind::terminate(), "SIGTERM")?;
     let hangup = on(SignalKind::hangup(), "SIGHUP")?;
@@ -125,28 +157,29 @@
     let opened = lock(&config.state).await.and_then(|files| Journal::open(Arc::new(files), options));
     let (journal, report) = opened.map_err(|e| Fault::Bad("LB_STATE", e.to_string()))?;
     tell(&report);
-    let keep = config.settings.keepalive.mul_f64(KEEP_SHARE);
+    let for_calls = (config.limits.sockets / 3).max(16);
+    let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS).max(8);
+    let calls = Calls::new(config.settings.connect_timeout, config.settings.keepalive, for_calls);
     // The module reckons with the connections that are kept here.
-    config.settings.keepalive = keep;
+    config.settings.keepalive = calls.keep_time();
     let brain = Brain::new(config.settings.clone(), config.seed);
     let brain = brain.map_err(|e| Fault::Bad("LB_CONFIG", e))?;
     let (news, inbox) = mpsc::channel(INBOX);
-    let for_calls = (config.limits.sockets / 3).max(16);
-    let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS).max(8);
-    let calls = Calls::new(config.settings.connect_timeout, keep, for_calls);
     let standing = Rc::new(Standing::default());
-    let listener = listen(&config).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
+    let listener = listen(config.listen).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let (name, kept) = (config.name.clone(), journal.len());
-    let intake = Intake {
-        classes: config.classes.clone(),
+    let intake = Rc::new(Intake {
+        front: Front::Platform { classes: config.classes.clone() },
         standing: standing.clone(),
         news: news.clone(),
         sockets: for_clients,
         bodies: (config.limits.memory_mb * 1e6 * BODIES_SHARE) as usize,
-    };
+    });
     tokio::task::spawn_local(reload(hangup, config.file.clone(), news.clone()));
-    let courier = Courier::new(config, brain, journal, calls, standing.clone(), news.clone());
+    let outcomes = Outcomes::platform(config.discovery);
+    let setup = config.setup();
+    let courier = Courier::new(setup, brain, journal, calls, outcomes, standing.clone(), news.clone());
     standing.ready.set(true);
     let accepting = tokio::task::spawn_local(intake.run(listener));
     tokio::task::spawn_local(async move {
--- /dev/null
+++ b/crates/courier/src/names.rs
@@ -0,0 +1,188 @@
+//! Which names of endpoints are to be looked up, and what they stand for. A state machine without a socket or
+//! a clock: a failed look-up keeps the last good answer, which is never thrown away while the name is used.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// After a failure: the first pause, doubled up to the longest.
+const RETRY_FIRST: Duration = Duration::from_millis(500);
+const RETRY_MOST: Duration = Duration::from_secs(30);
+
+/// Times are since an origin of the caller's.
+#[derive(Debug)]
+pub struct Names {
+    least: Duration,
+    most: Duration,
+    names: BTreeMap<String, Name>,
+}
+
+#[derive(Debug, Default)]
+struct Name {
+    /// When it is asked for next; None while it is.
+    due: Option<Duration>,
+    addresses: BTreeSet<IpAddr>,
+    answered: Option<Duration>,
+    failures: u32,
+}
+
+/// What a look-up changed.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Change {
+    pub name: String,
+    pub come: Vec<IpAddr>,
+    pub gone: Vec<IpAddr>,
+}
+
+/// A look-up that failed: the first time in a row it is worth a line in the log.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Failure {
+    pub first: bool,
+    /// Age of the answer that still holds; None if there never was one.
+    pub age: Option<Duration>,
+}
+
+impl Names {
+    /// Answers are asked for again after their time to live, no sooner than `least` and no later than `most`.
+    pub fn new(least: Duration, most: Duration) -> Self {
+        Names { least, most, names: BTreeMap::new() }
+    }
+
+    /// The names that are used from now on. What is known of the others is dropped; theirs is returned.
+    pub fn set(&mut self, names: &BTreeSet<String>, now: Duration) -> Vec<Change> {
+        let mut dropped = Vec::new();
+        self.names.retain(|name, entry| {
+            let kept = names.contains(name);
+            if !kept {
+                let gone = entry.addresses.iter().copied().collect();
+                dropped.push(Change { name: name.clone(), come: Vec::new(), gone });
+            }
+            kept
+        });
+        for name in names {
+            self.names.entry(name.clone()).or_insert_with(|| Name { due: Some(now), ..Name::default() });
+        }
+        dropped
+    }
+
+    /// Names to be asked for now. Each is out until it is answered or has failed.
+    pub fn due(&mut self, now: Duration) -> Vec<String> {
+        let due = self.names.iter_mut().filter(|(_, e)| e.due.is_some_and(|at| at <= now));
+        due.map(|(name, entry)| {
+            entry.due = None;
+            name.clone()
+        })
+        .collect()
+    }
+
+    /// When one is due next.
+    pub fn next(&self) -> Option<Duration> {
+        self.names.values().filter_map(|e| e.due).min()
+    }
+
+    /// What a name stands for, as far as it is known.
+    pub fn addresses(&self, name: &str) -> Vec<IpAddr> {
+        self.names.get(name).map(|e| e.addresses.iter().copied().collect()).unwrap_or_default()
+    }
+
+    /// An answer came.
+    pub fn answered(
+        &mut self,
+        name: &str,
+        addresses: &[IpAddr],
+        ttl: Duration,
+        now: Duration,
+    ) -> Option<Change> {
+        let entry = self.names.get_mut(name)?;
+        entry.due = Some(now + ttl.clamp(self.least, self.most));
+        (entry.answered, entry.failures) = (Some(now), 0);
+        let new: BTreeSet<IpAddr> = addresses.iter().copied().collect();
+        let come: Vec<IpAddr> = new.difference(&entry.addresses).copied().collect();
+        let gone: Vec<IpAddr> = entry.addresses.difference(&new).copied().collect();
+        entry.addresses = new;
+        let changed = !come.is_empty() || !gone.is_empty();
+        changed.then(|| Change { name: name.to_owned(), come, gone })
+    }
+
+    /// No answer came, or one that tells nothing.
+    pub fn failed(&mut self, name: &str, now: Duration) -> Option<Failure> {
+        let entry = self.names.get_mut(name)?;
+        entry.due = Some(now + (RETRY_FIRST * (1 << entry.failures.min(10))).min(RETRY_MOST));
+        entry.failures += 1;
+        let age = entry.answered.map(|at| now.saturating_sub(at));
+        Some(Failure { first: entry.failures == 1, age })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn s(secs: u64) -> Duration {
+        Duration::from_secs(secs)
+    }
+
+    fn ip(last: u8) -> IpAddr {
+        IpAddr::from([127, 0, 0, last])
+    }
+
+    fn names() -> Names {
+        let mut names = Names::new(s(1), s(300));
+        names.set(&BTreeSet::from(["a".to_owned()]), s(0));
+        names
+    }
+
+    #[test]
+    fn an_answer_is_asked_for_again_after_its_time_to_live_within_bounds() {
+        for (ttl, next) in [(60, 60), (0, 1), (100_000, 300)] {
+            let mut names = names();
+            assert_eq!(names.due(s(0)), ["a"]);
+            assert_eq!(names.due(s(0)), [] as [&str; 0], "it is out");
+            let change = names.answered("a", &[ip(1)], s(ttl), s(0)).expect("a change");
+            assert_eq!((change.come, change.gone), (vec![ip(1)], vec![]));
+            assert_eq!(names.next(), Some(s(next)));
+        }
+    }
+
+    #[test]
+    fn a_failed_look_up_keeps_the_last_good_answer_and_says_how_old_it_is() {
+        let mut names = names();
+        names.due(s(0));
+        assert_eq!(names.failed("a", s(0)), Some(Failure { first: true, age: None }));
+        names.due(s(10));
+        names.answered("a", &[ip(1)], s(5), s(10));
+        for (n, at) in [(0, 20), (1, 30), (2, 50)] {
+            names.due(s(at));
+            assert_eq!(names.failed("a", s(at)), Some(Failure { first: n == 0, age: Some(s(at - 10)) }));
+            assert_eq!(names.addresses("a"), [ip(1)]);
+        }
+        names.due(s(90));
+        assert_eq!(names.answered("a", &[ip(1)], s(5), s(90)), None, "as it was");
+    }
+
+    #[test]
+    fn failures_are_tried_again_ever_more_seldom() {
+        let mut names = names();
+        let mut now = s(0);
+        let mut pauses = Vec::new();
+        for _ in 0..12 {
+            assert_eq!(names.due(now).len(), 1);
+            names.failed("a", now);
+            let next = names.next().expect("a time");
+            pauses.push(next - now);
+            now = next;
+        }
+        assert!(pauses.is_sorted() && pauses[0] == RETRY_FIRST && pauses[11] == RETRY_MOST, "{pauses:?}");
+    }
+
+    #[test]
+    fn a_name_that_is_used_no_more_gives_up_its_addresses_and_a_late_answer_changes_nothing() {
+        let mut names = names();
+        names.due(s(0));
+        names.answered("a", &[ip(1), ip(2)], s(5), s(0));
+        let dropped = names.set(&BTreeSet::new(), s(1));
+        assert_eq!(dropped, [Change { name: "a".to_owned(), come: vec![], gone: vec![ip(1), ip(2)] }]);
+        assert_eq!(names.answered("a", &[ip(3)], s(5), s(2)), None);
+        assert_eq!(names.next(), None);
+    }
+}
--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -1,11 +1,15 @@
 //! What crosses between the courier's parts: the news that its owner of the decision module hears, and
 //! what they carry. It stands below all of them, so that no part imports the owner.
 
+use crate::effective::Effective;
 use serde::Deserialize;
+use stairshed_config::Installation;
+use stairshed_config::change::Changed;
 use stairshed_decide::interface::{EndpointId, Outcome, Report};
 use stairshed_journal::{Letter, Refusal, Synced};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -29,6 +33,12 @@
     Told(Vec<u64>),
     /// The configuration was read again: where discovery is now.
     Moved(SocketAddr),
+    /// A configuration is to take effect now.
+    Configured(Box<Configured>),
+    /// What names of endpoints stand for now: entries that changed.
+    Resolved(List),
+    /// Discovery is to be watched from now on.
+    Watch,
     /// What became of the journal's sync.
     Synced(Synced),
     Stop,
@@ -37,12 +47,26 @@
 /// A message that is offered, and where its answer goes.
 pub struct Offer {
     pub letter: Rc<Letter>,
-    pub class: usize,
     pub time_left: Duration,
     pub at: Instant,
     pub reply: oneshot::Sender<Reply>,
 }
 
+/// A configuration with what it changes, both made ready elsewhere.
+pub struct Configured {
+    /// 0 for the operator's file.
+    pub version: u64,
+    pub installation: Arc<Installation>,
+    /// Where the fronts look.
+    pub effective: Effective,
+    pub changes: Vec<Changed>,
+    /// Destinations that are there no more, and those that are.
+    pub gone: Vec<u64>,
+    pub there: Vec<u64>,
+    /// Told once it is in effect.
+    pub done: oneshot::Sender<()>,
+}
+
 /// What a client is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -79,7 +103,7 @@
     pub hosts: Vec<Host>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Host {
     pub host: String,
     #[serde(default)]
--- /dev/null
+++ b/crates/courier/src/serve.rs
@@ -0,0 +1,212 @@
+//! An operator's courier: started from a file, with versions of a control service over it.
+
+use crate::admin;
+use crate::calls::Calls;
+use crate::config::Fault;
+use crate::control::{Configurator, Status, Store};
+use crate::courier::Courier;
+use crate::dns;
+use crate::effective::Effective;
+use crate::intake::{Front, Intake, Standing};
+use crate::news::News;
+use crate::outcomes::Outcomes;
+use crate::settings;
+use crate::setup::Setup;
+use crate::{INBOX, SPARE_SOCKETS, listen, lock, on, tell};
+use stairshed_config::Installation;
+use stairshed_config::classes::ClassTable;
+use stairshed_config::installation::{Document, OWN, SHARED};
+use stairshed_config::version::{Version, Versions};
+use stairshed_decide::brain::Brain;
+use stairshed_journal::{Durability, Journal};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::SignalKind;
+use tokio::sync::mpsc;
+
+/// Room of a journal where the file tells none.
+const ROOM: u64 = 1_000_000_000;
+/// Longest name of an endpoint with its pool and its zone: room is kept for it in each attempt.
+const NAMES: u64 = 200;
+
+fn bad(what: &'static str, why: impl ToString) -> Fault {
+    Fault::Bad(what, why.to_string())
+}
+
+/// Names of the kinds of endpoint, in the order of their numbers.
+fn kinds() -> Vec<String> {
+    let mut kinds = vec![String::new(); 2];
+    kinds[SHARED] = "shared".to_owned();
+    kinds[OWN] = "own".to_owned();
+    kinds
+}
+
+/// What the owner of the decision module is told at the start.
+fn setup(installation: &Arc<Installation>) -> Setup {
+    let names = installation.classes.iter().map(|c| c.name.clone());
+    let classes = ClassTable::new(names.zip(installation.settings.classes.iter().cloned()));
+    let mut zones: Vec<String> = Vec::new();
+    for member in installation.pools.iter().flat_map(|p| &p.members) {
+        if !zones.contains(&member.zone) {
+            zones.push(member.zone.clone());
+        }
+    }
+    Setup {
+        settings: installation.settings.clone(),
+        classes,
+        zones,
+        kinds: kinds(),
+        seed: rand::random(),
+        known: None,
+        discovery: installation.discovery,
+        installation: Some(installation.clone()),
+        pool_wait: installation.file.limits.pool_wait.0,
+    }
+}
+
+/// The state folder of an operator's file.
+pub fn state_folder(file: &Path, installation: &Installation) -> PathBuf {
+    let beside = file.parent().unwrap_or(Path::new("."));
+    beside.join(installation.file.state.as_deref().unwrap_or(Path::new("state")))
+}
+
+/// What a start comes up on: the last good version over the file, or the file's own.
+fn start(document: &Document, store: &Store) -> Result<(Option<Version>, Arc<Installation>), Fault> {
+    let own = document.installation(None);
+    let own =
+        own.map_err(|problems| Fault::Lines(problems.to_string().lines().map(str::to_owned).collect()))?;
+    if own.control.is_none() {
+        return Ok((None, Arc::new(own)));
+    }
+    match store.load() {
+        Ok(Some(version)) => match document.installation(Some(&version.config)) {
+            Ok(installation) => {
+                eprintln!("configuration: the last good version, {}", version.version);
+                return Ok((Some(version), Arc::new(installation)));
+            }
+            Err(problems) => {
+                let number = version.version;
+                eprintln!("configuration: stored version {number} does not go with the file any more:");
+                eprintln!("{problems}");
+            }
+        },
+        Ok(None) => {}
+        Err(why) => eprintln!("configuration: the stored version cannot be read: {why}"),
+    }
+    Ok((None, Arc::new(own)))
+}
+
+/// Runs an operator's courier until it is told to stop.
+pub async fn serve(file: PathBuf) -> Result<(), Fault> {
+    let mut terminate = on(SignalKind::terminate(), "SIGTERM")?;
+    let mut interrupt = on(SignalKind::interrupt(), "SIGINT")?;
+    let hangup = on(SignalKind::hangup(), "SIGHUP")?;
+    let document = settings::document(&file).map_err(|e| Fault::Lines(vec![e.to_string()]))?;
+    let own = document.installation(None);
+    let own =
+        own.map_err(|problems| Fault::Lines(problems.to_string().lines().map(str::to_owned).collect()))?;
+    let state = state_folder(&file, &own);
+    let folder = state.join("journal");
+    std::fs::create_dir_all(&folder).map_err(|e| bad("state", format!("{}: {e}", folder.display())))?;
+    let files = lock(&folder).await.map_err(|e| bad("state", e))?;
+    let store = Store::new(state.join("version.json"));
+    let (version, installation) = start(&document, &store)?;
+    if installation.routes.is_empty() && installation.control.is_none() {
+        return Err(bad(
+            "configuration",
+            format!("{}: it has no routes, so nothing can be taken", file.display()),
+        ));
+    }
+    let journal = &installation.file.journal;
+    let attempts = installation.file.classes.values().filter_map(|c| c.attempts).max().unwrap_or_default();
+    let mut options = journal.options(ROOM, u64::from(attempts.max(installation.file.limits.attempts)));
+    options.names = options.names.max(NAMES);
+    let machine = options.durability == Durability::Machine;
+    let (journal, report) = Journal::open(Arc::new(files), options).map_err(|e| bad("journal", e))?;
+    tell(&report);
+    let name = installation.file.name.clone().unwrap_or_else(|| "stairshed".to_owned());
+    let limits = &installation.file.limits;
+    let for_calls = (limits.connections / 3).max(4);
+    let for_clients = limits.connections.saturating_sub(for_calls + SPARE_SOCKETS).max(4);
+    let mut setup = setup(&installation);
+    let calls = Calls::new(setup.settings.connect_timeout, setup.settings.keepalive, for_calls);
+    setup.settings.keepalive = calls.keep_time();
+    // The module has to have a class, also while no version has come.
+    let mut first = setup.settings.clone();
+    if first.classes.is_empty() {
+        first.classes = ClassTable::none().classes();
+        setup.classes = ClassTable::none();
+        setup.settings = first.clone();
+    }
+    let brain = Brain::new(first, setup.seed).map_err(|e| bad("configuration", e))?;
+    let (news, inbox) = mpsc::channel(INBOX);
+    let standing = Rc::new(Standing::default());
+    let effective = Effective::new(version.as_ref().map_or(0, |v| v.version), installation.clone());
+    let intake = Rc::new(Intake {
+        front: Front::Routes(effective.clone()),
+        standing: standing.clone(),
+        news: news.clone(),
+        sockets: for_clients,
+        bodies: limits.bodies.0 as usize,
+    });
+    let outcomes = &installation.file.outcomes;
+    let unread = state.join("outcomes.ndjson");
+    let to = outcomes.file.as_ref().map(|f| state.join(f));
+    let to = if installation.outcomes.is_none() { to.or(Some(unread.clone())) } else { to };
+    let outcomes = Outcomes::operator(installation.outcomes.as_ref(), to, unread, machine);
+    let (lookups, resolver) = dns::start(&installation, news.clone());
+    let status = Rc::new(Status::new(file.clone(), version.as_ref().map(|v| v.version)));
+    let waits = version.is_none() && installation.routes.is_empty();
+    let first_wait = installation.file.control.as_ref().map(|c| c.first_wait.0).filter(|_| waits);
+    let admin = installation.admin;
+    let kept = journal.len();
+    let discovery = installation.pools.iter().any(|p| p.discovery);
+    let courier = Courier::new(setup, brain, journal, calls, outcomes, standing.clone(), news.clone());
+    let running = tokio::task::spawn_local(courier.run(inbox));
+    let mut configurator = Configurator::new(
+        (file, document, store),
+        (Versions::new(version), installation),
+        (effective.clone(), news.clone(), intake),
+        status.clone(),
+        lookups,
+    );
+    if let Some(wait) = first_wait {
+        eprintln!("configuration: no version yet and no routes in the file; waits for one");
+        if !configurator.first(wait).await {
+            return Err(bad(
+                "control",
+                "no version came, none is stored, and the file has no routes of its own",
+            ));
+        }
+    }
+    let at = configurator.listen().map_err(|e| bad("listen.http", e))?;
+    if let Some(admin) = admin {
+        let listener = listen(admin).map_err(|e| bad("listen.admin", format!("{admin}: {e}")))?;
+        let at = listener.local_addr().map_err(|e| bad("listen.admin", e))?;
+        eprintln!("the operator's pages are at {at}");
+        tokio::task::spawn_local(admin::run(listener, configurator.view(), standing.clone()));
+    }
+    if discovery {
+        let _ = news.send(News::Watch).await;
+    }
+    standing.ready.set(true);
+    let configuring = tokio::task::spawn_local(configurator.run(hangup));
+    let stopper = standing.clone();
+    tokio::task::spawn_local(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        eprintln!("stopping");
+        configuring.abort();
+        let _ = news.send(News::Stop).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        stopper.close_listener();
+    });
+    eprintln!("{name} serves {at}; {kept} messages resumed");
+    running.await.map_err(|e| bad("courier", e))?;
+    drop(resolver);
+    Ok(())
+}
--- a/crates/courier/src/settings.rs
+++ b/crates/courier/src/settings.rs
@@ -1,9 +1,8 @@
-//! The operator's file (TOML): what the platform does not tell. `deploy/stairshed.example.toml` shows every
-//! key with its default; a file may leave out any.
+//! The operator's settings beside the platform's configuration: of the operator's file only `[journal]`.
 
-use bytesize::ByteSize;
-use serde::Deserialize;
-use stairshed_journal::{Durability, OnDamage, Options};
+use stairshed_config::Problems;
+use stairshed_config::file::Journal;
+use stairshed_config::installation::Document;
 use std::fs;
 use std::path::{Path, PathBuf};
 
@@ -12,68 +11,24 @@
 pub enum Error {
     #[error("{}: {why}", file.display())]
     Unread { file: PathBuf, why: std::io::Error },
-    /// The text names line, column and key.
-    #[error("{}: {why}", file.display())]
-    Bad { file: PathBuf, why: String },
+    /// All that is wrong with it, each with its line and key.
+    #[error("{0}")]
+    Bad(Problems),
 }
 
 /// All settings.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub journal: Journal,
 }
 
-/// `[journal]`
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Journal {
-    /// When a record counts as kept: `process` or `machine`.
-    pub durability: Durability,
-    /// What all files may take; without it the platform's `disk_mb`.
-    pub room: Option<ByteSize>,
-    /// A segment; without it a share of the room.
-    pub segment: Option<ByteSize>,
-    /// Sets room aside on the disk for what accepted messages may still need.
-    pub set_aside: bool,
-    /// Bytes of an endpoint's and its zone's name for which room is kept in each attempt.
-    pub names: u64,
-    /// Share of the room that live messages may take with all that they may still need, above 0, 0.9 at most.
-    pub live_share: f64,
-    /// What a start does with a journal of which a part cannot be read: `salvage` or `stop`.
-    pub on_damage: OnDamage,
-}
-
-impl Default for Journal {
-    fn default() -> Self {
-        let usual = Options::new(0);
-        Journal {
-            durability: usual.durability,
-            room: None,
-            segment: None,
-            set_aside: usual.set_aside,
-            names: usual.names,
-            live_share: usual.live_share,
-            on_damage: usual.on_damage,
-        }
-    }
-}
-
-impl Journal {
-    /// The journal's options, with `room` bytes where the file tells none.
-    pub fn options(&self, room: u64, attempts: u64) -> Options {
-        let room = self.room.map_or(room, |room| room.as_u64());
-        Options {
-            segment: self.segment.map(|segment| segment.as_u64()),
-            durability: self.durability,
-            set_aside: self.set_aside,
-            attempts,
-            names: self.names,
-            live_share: self.live_share,
-            on_damage: self.on_damage,
-            ..Options::new(room)
-        }
-    }
+/// Reads an operator's file as it stands on the disk.
+///
+/// # Errors
+/// It cannot be read, or its syntax is at fault.
+pub fn document(file: &Path) -> Result<Document, Error> {
+    let text = fs::read_to_string(file).map_err(|why| Error::Unread { file: file.to_owned(), why })?;
+    Document::read(&file.display().to_string(), &text).map_err(Error::Bad)
 }
 
 impl Settings {
@@ -83,51 +38,72 @@
     /// What is wrong with it, and where.
     pub fn read(file: Option<&Path>) -> Result<Self, Error> {
         let Some(file) = file else { return Ok(Settings::default()) };
-        let text = fs::read_to_string(file).map_err(|why| Error::Unread { file: file.to_owned(), why })?;
-        Self::parse(&text).map_err(|why| Error::Bad { file: file.to_owned(), why })
-    }
-
-    fn parse(text: &str) -> Result<Self, String> {
-        let settings: Settings = toml::from_str(text).map_err(|e| e.to_string())?;
-        let share = settings.journal.live_share;
-        if !(share > 0.0 && share <= 0.9) {
-            return Err(format!("journal.live_share: {share} is not above 0 and 0.9 at most"));
-        }
-        if settings.journal.names > 1024 {
-            return Err("journal.names: 1024 at most".to_owned());
-        }
-        Ok(settings)
+        let installation = document(file)?.installation(None).map_err(Error::Bad)?;
+        Ok(Settings { journal: installation.file.journal })
     }
 }
 
 #[cfg(test)]
 mod tests {
-    use super::*;
+    use stairshed_config::File;
 
-    #[test]
-    fn the_example_shows_every_key_with_its_default() {
+    /// Lines that begin with `#= ` show what has no default, or has no meaning without more.
+    fn example(all: bool) -> String {
         let example = include_str!("../../../deploy/stairshed.example.toml");
-        let lines = example.lines().map(|l| l.strip_prefix("#= ").unwrap_or(l));
-        let all = lines.collect::<Vec<_>>().join("\n");
-        let read = Settings::parse(&all).expect("the example is sound");
-        let usual = Journal::default();
-        let j = &read.journal;
-        assert_eq!((j.durability, j.set_aside, j.names), (usual.durability, usual.set_aside, usual.names));
-        assert_eq!((j.live_share, j.on_damage), (usual.live_share, usual.on_damage));
-        assert!(j.room.is_some() && j.segment.is_some(), "those without a default are shown, too");
+        let lines = example.lines().map(|l| l.strip_prefix("#= ").filter(|_| all).unwrap_or(l));
+        lines.collect::<Vec<_>>().join("\n")
     }
 
     #[test]
-    fn errors_name_the_line_and_the_key() {
-        for (text, named) in [
-            ("[journal]\nroom = \"3 apples\"", "line 2"),
-            ("[journal]\nrooms = \"3MB\"", "rooms"),
-            ("[journal]\nlive_share = 1.0", "journal.live_share"),
-            ("[journal]\ndurability = \"always\"", "always"),
-            ("[jornal]", "jornal"),
+    fn the_example_is_sound_with_and_without_its_commented_keys() {
+        for all in [false, true] {
+            let read = stairshed_config::load("example", &example(all));
+            assert!(read.is_ok(), "{}", read.expect_err("checked"));
+        }
+    }
+
+    #[test]
+    fn the_example_shows_every_key_with_its_default() {
+        let read = stairshed_config::load("example", &example(true)).expect("sound").file;
+        let json = |file: &File| serde_json::to_value(file).expect("JSON");
+        let (read, usual) = (json(&read), json(&File::default()));
+        for section in ["limits", "journal", "dns"] {
+            for (key, value) in usual[section].as_object().expect("a section") {
+                // What has no default is shown all the same.
+                let right = if value.is_null() {
+                    !read[section][key].is_null()
+                } else {
+                    read[section][key] == *value
+                };
+                assert!(
+                    right,
+                    "{section}.{key}: {} in the example, {value} is the default",
+                    read[section][key]
+                );
+            }
+        }
+        for (section, keys) in [
+            ("listen", vec!["http", "admin"]),
+            ("control", vec!["url", "version_most", "first_wait", "heartbeat"]),
+            ("outcomes", vec!["url", "file"]),
+            ("discovery", vec!["address"]),
         ] {
-            let why = Settings::parse(text).expect_err(text);
-            assert!(why.contains(named), "{text}: {why}");
+            for key in keys {
+                assert!(!read[section][key].is_null(), "{section}.{key} is not shown");
+            }
+        }
+        for (section, of) in [("classes", 9), ("pools", 4), ("routes", 9)] {
+            let mut keys: Vec<&String> = Vec::new();
+            for entry in read[section].as_object().expect("a section").values() {
+                let fields = entry.as_object().expect("an entry");
+                let empty = |v: &serde_json::Value| {
+                    v.is_null() || v == "" || v == &serde_json::json!([]) || v == &serde_json::json!({})
+                };
+                keys.extend(fields.iter().filter(|(_, v)| !empty(v)).map(|(k, _)| k));
+            }
+            keys.sort();
+            keys.dedup();
+            assert!(keys.len() >= of, "{section} shows {keys:?}");
         }
     }
 }
--- /dev/null
+++ b/crates/courier/src/setup.rs
@@ -0,0 +1,25 @@
+//! What the owner of the decision module is told at its start: by the platform, or by an operator's file.
+
+use crate::news::List;
+use stairshed_config::Installation;
+use stairshed_config::classes::ClassTable;
+use stairshed_decide::interface::Settings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub struct Setup {
+    /// Its classes are those of `classes`.
+    pub settings: Settings,
+    pub classes: ClassTable,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub seed: u64,
+    /// The list as it was when the configuration was written.
+    pub known: Option<List>,
+    pub discovery: Option<SocketAddr>,
+    /// For an operator's courier: what is in effect.
+    pub installation: Option<Arc<Installation>>,
+    /// How long messages of a pool that is gone wait for it to come back.
+    pub pool_wait: Duration,
+}
--- a/crates/decide/examples/embed.rs
+++ b/crates/decide/examples/embed.rs
@@ -15,6 +15,7 @@
             effect: Effect::Once,
             ordered: false,
             aim_stretch: 0.0,
+            attempts: None,
         }],
         kinds: vec![Kind { separate_routes: false, bundle_max: 1 }],
         tenants: 0,
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -275,7 +275,8 @@
     fn back_off(&mut self, id: MessageId, full: bool) {
         let u = 0.5 + self.rng.random::<f64>();
         let m = self.messages.get_mut(&id).expect("known");
-        let left = self.set.attempt_cap.saturating_sub(m.attempts);
+        let cap = self.set.classes[m.class].attempts.unwrap_or(self.set.attempt_cap);
+        let left = cap.saturating_sub(m.attempts);
         let share = match (left, full) {
             (left, _) if left <= LAST_ATTEMPTS => 1.0 / f64::from(left + 1),
             (_, false) if m.attempts > 1 => RETRY_SHARE * 3f64.powi(m.attempts as i32 - 2),
@@ -642,7 +643,7 @@
             (Some(_), Effect::Once) => false,
             (Some((_, _, at)), Effect::Keyed { window, .. }) => self.now < at + ns(window),
         };
-        in_window && m.attempts < self.set.attempt_cap
+        in_window && m.attempts < self.set.classes[m.class].attempts.unwrap_or(self.set.attempt_cap)
     }
 
     fn doubt(&self, e: &Endpoint) -> f64 {
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -54,6 +54,8 @@
     pub ordered: bool,
     /// The aim grows by this multiple of the message's estimated work.
     pub aim_stretch: f64,
+    /// Attempts a message may have; None for [`Settings::attempt_cap`].
+    pub attempts: Option<u32>,
 }
 
 /// How worth falls between the aim and the deadline.
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -141,6 +141,7 @@
                 effect,
                 ordered: lane.by_arrival,
                 aim_stretch: lane.aim_stretch,
+                attempts: None,
             });
         }
         let (family, limits, rules) = (&conf.family_info, &conf.limits, &conf.rules);
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -245,6 +245,35 @@
 }
 
 impl Brain {
+    /// Other settings from now on. Classes and kinds keep their numbers: new ones come behind.
+    ///
+    /// # Errors
+    /// Names the first figure that cannot be worked with; nothing is changed then.
+    pub fn reconfigure(&mut self, set: Settings) -> Result<(), String> {
+        set.check()?;
+        if set.classes.len() < self.set.classes.len() || set.kinds.len() < self.set.kinds.len() {
+            return Err("settings: a class or kind that may be in use is gone".to_owned());
+        }
+        if set.tenants == 0 {
+            self.tallies.resize(set.classes.len(), Tally::default());
+        }
+        self.tight.resize(set.kinds.len(), f64::MIN);
+        self.set = set;
+        Ok(())
+    }
+
+    /// The limit of an endpoint, or of all that share one with it, is now stated as this, calls a second.
+    pub fn relimit(&mut self, endpoint: EndpointId, limit: f64) {
+        if !self.endpoints.contains_key(&endpoint) {
+            return;
+        }
+        let id = self.pool_id(endpoint);
+        if let Some(pool) = self.pools.get_mut(&id) {
+            pool.limit = Some(limit);
+            pool.rate = pool.rate.map(|rate| rate.min(limit));
+        }
+    }
+
     /// Drops the rows of endpoints that are long gone and that no call, wait or message names: where
     /// endpoints are replaced all day, the tables would grow and each choice walk ever more of them.
     pub(crate) fn forget(&mut self, out: &mut Vec<Action>) {
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -18,6 +18,7 @@
         effect,
         ordered: false,
         aim_stretch: 0.0,
+        attempts: None,
     }
 }
 
--- a/crates/journal/benches/journal.rs
+++ b/crates/journal/benches/journal.rs
@@ -35,6 +35,7 @@
         taken: Duration::from_secs(1_789_999_990),
         until: Duration::from_secs(1_790_000_000),
         body: Bytes::from(vec![n as u8; body]),
+        routed: None,
     })
 }
 
--- a/crates/journal/src/legacy.rs
+++ b/crates/journal/src/legacy.rs
@@ -37,7 +37,8 @@
             let length = f.u32()? as usize;
             let body = Bytes::copy_from_slice(f.take(length)?);
             let key = keyed.then_some(key);
-            let letter = Letter { id, class, destination, key, taken: Duration::ZERO, until, body };
+            let letter =
+                Letter { id, class, destination, key, taken: Duration::ZERO, until, body, routed: None };
             live.insert(message, Live { letter: Rc::new(letter), attempts: Vec::new(), verdict: None });
         }
         ATTEMPT => {
--- a/crates/journal/src/legacy_test.rs
+++ b/crates/journal/src/legacy_test.rs
@@ -53,6 +53,7 @@
         class: "notice".to_owned(),
         destination: 7,
         key: (!body.is_empty()).then(|| format!("k-{id}")),
+        routed: None,
         taken: Duration::ZERO,
         until: Duration::from_micros(1_790_000_000_000_001),
         body: Bytes::from_static(body),
--- a/crates/journal/src/options.rs
+++ b/crates/journal/src/options.rs
@@ -5,7 +5,7 @@
 use crate::record::{self, Letter};
 
 /// When a record counts as kept.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Durability {
     /// Once it is written: it outlasts the process, also SIGKILL, not a power cut.
@@ -16,7 +16,7 @@
 }
 
 /// What a start does with a journal of which a part cannot be read.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum OnDamage {
     /// Goes on with what can be read; whatever may have been hidden counts as sent.
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -2,6 +2,7 @@
 //! same byte by byte. Integers are little-endian.
 
 use bytes::{BufMut, Bytes};
+use stairshed_decide::interface::{Effect, KeyScope};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,24 @@
     /// When its time is up, Unix time.
     pub until: Duration,
     pub body: Bytes,
+    /// How an operator's route sends it on; None for the platform's messages.
+    pub routed: Option<Routed>,
+}
+
+/// What a route made of a message. On record, so that it is sent by one version of the configuration from its
+/// start to its end, whatever has changed since.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Routed {
+    /// The version; 0 for the operator's file.
+    pub version: u64,
+    pub route: String,
+    pub method: String,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    /// What a repeat did by the class as it was: a class that changes later is never less strict for it.
+    pub effect: Effect,
+    /// What it is ordered by, where its class asks for that.
+    pub order: Option<String>,
 }
 
 /// An attempt, recorded before its first byte goes out.
@@ -97,6 +116,8 @@
 const ENDED: u8 = 5;
 const TRIM: u8 = 6;
 const SYNCED: u8 = 7;
+/// A snapshot with [`Routed`] behind it.
+const ROUTED: u8 = 8;
 
 /// Kind and number at the head of each record.
 const HEAD: usize = 1 + 8;
@@ -116,7 +137,53 @@
 /// Bytes of the snapshot of a message that has no attempts yet.
 pub(crate) fn snapshot_bytes(letter: &Letter) -> u64 {
     let texts = letter.id.len() + letter.class.len() + letter.key.as_ref().map_or(0, String::len);
-    HEAD as u64 + 8 + 8 + 8 + 2 + 2 + 1 + 2 + 2 + 1 + 4 + (texts + letter.body.len()) as u64
+    let routed = letter.routed.as_ref().map_or(0, routed_bytes);
+    HEAD as u64 + 8 + 8 + 8 + 2 + 2 + 1 + 2 + 2 + 1 + 4 + (texts + letter.body.len() + routed) as u64
+}
+
+fn routed_bytes(r: &Routed) -> usize {
+    let headers: usize = r.headers.iter().map(|(n, v)| 4 + n.len() + v.len()).sum();
+    let order = r.order.as_ref().map_or(0, String::len);
+    8 + 2 + r.route.len() + 2 + r.method.len() + 2 + r.path.len() + 2 + headers + 1 + 8 + 1 + 2 + order
+}
+
+fn put_routed(to: &mut Vec<u8>, r: &Routed) {
+    to.put_u64_le(r.version);
+    put_text(to, &r.route);
+    put_text(to, &r.method);
+    put_text(to, &r.path);
+    to.put_u16_le(r.headers.len() as u16);
+    for (name, value) in &r.headers {
+        put_text(to, name);
+        put_text(to, value);
+    }
+    let (effect, window) = match r.effect {
+        Effect::Repeatable => (0, Duration::ZERO),
+        Effect::Once => (1, Duration::ZERO),
+        Effect::Keyed { scope: KeyScope::All, window } => (2, window),
+        Effect::Keyed { scope: KeyScope::Zone, window } => (3, window),
+        Effect::Keyed { scope: KeyScope::Endpoint, window } => (4, window),
+    };
+    to.put_u8(effect);
+    to.put_u64_le(micros(window));
+    to.put_u8(u8::from(r.order.is_some()));
+    put_text(to, r.order.as_deref().unwrap_or_default());
+}
+
+fn read_routed(f: &mut Fields) -> Option<Routed> {
+    let (version, route, method, path) = (f.u64()?, f.text()?, f.text()?, f.text()?);
+    let headers = (0..f.u16()?).map(|_| Some((f.text()?, f.text()?))).collect::<Option<Vec<_>>>()?;
+    let (effect, window) = (f.byte()?, f.time()?);
+    let effect = match effect {
+        0 => Effect::Repeatable,
+        1 => Effect::Once,
+        2 => Effect::Keyed { scope: KeyScope::All, window },
+        3 => Effect::Keyed { scope: KeyScope::Zone, window },
+        4 => Effect::Keyed { scope: KeyScope::Endpoint, window },
+        _ => return None,
+    };
+    let (ordered, order) = (f.byte()? == 1, f.text()?);
+    Some(Routed { version, route, method, path, headers, effect, order: ordered.then_some(order) })
 }
 
 fn put_text(to: &mut Vec<u8>, text: &str) {
@@ -143,7 +210,7 @@
 /// Writes the snapshot of a message.
 fn put_snapshot(to: &mut Vec<u8>, message: u64, live: &Live) {
     let letter = &live.letter;
-    to.put_u8(SNAPSHOT);
+    to.put_u8(if letter.routed.is_some() { ROUTED } else { SNAPSHOT });
     to.put_u64_le(message);
     to.put_u64_le(micros(letter.taken));
     to.put_u64_le(micros(letter.until));
@@ -165,6 +232,9 @@
     }
     to.put_u32_le(letter.body.len() as u32);
     to.put_slice(&letter.body);
+    if let Some(routed) = &letter.routed {
+        put_routed(to, routed);
+    }
 }
 
 impl Record {
@@ -219,7 +289,9 @@
         let mut f = Fields(bytes);
         let (kind, number) = (f.byte()?, f.u64()?);
         let record = match kind {
-            SNAPSHOT => Record::Snapshot { message: number, live: read_snapshot(&mut f)? },
+            SNAPSHOT | ROUTED => {
+                Record::Snapshot { message: number, live: read_snapshot(&mut f, kind == ROUTED)? }
+            }
             ATTEMPT => {
                 let (index, sent) = (f.u16()?, f.time()?);
                 let attempt = Attempt { host: f.text()?, zone: f.text()?, sent, may_have_run: true };
@@ -248,7 +320,7 @@
     }
 }
 
-fn read_snapshot(f: &mut Fields) -> Option<Live> {
+fn read_snapshot(f: &mut Fields, routed: bool) -> Option<Live> {
     let (taken, until, destination) = (f.time()?, f.time()?, f.u64()?);
     let (id, class, keyed, key) = (f.text()?, f.text()?, f.byte()? == 1, f.text()?);
     let attempts = (0..f.u16()?)
@@ -260,7 +332,8 @@
     let verdict = read_verdict(f)?;
     let length = f.u32()? as usize;
     let body = Bytes::copy_from_slice(f.take(length)?);
-    let letter = Letter { id, class, destination, key: keyed.then_some(key), taken, until, body };
+    let routed = if routed { Some(read_routed(f)?) } else { None };
+    let letter = Letter { id, class, destination, key: keyed.then_some(key), taken, until, body, routed };
     Some(Live { letter: Rc::new(letter), attempts, verdict })
 }
 
@@ -330,7 +403,21 @@
             taken: Duration::from_micros(1_790_000_000_000_000),
             until: Duration::from_micros(1_790_000_000_000_001),
             body: Bytes::from_static(b"bo\0dy"),
+            routed: None,
+        };
+        let routed = Routed {
+            version: 7,
+            route: "fuel".to_owned(),
+            method: "PUT".to_owned(),
+            path: "/a/b".to_owned(),
+            headers: vec![("x-note".to_owned(), "1".to_owned())],
+            effect: Effect::Keyed { scope: KeyScope::Zone, window: Duration::from_secs(3) },
+            order: Some("car-1".to_owned()),
         };
+        let once = Routed { effect: Effect::Once, order: None, headers: Vec::new(), ..routed.clone() };
+        let with = |routed| Letter { routed: Some(routed), ..letter.clone() };
+        let routed =
+            [routed, once].map(|r| Live { letter: Rc::new(with(r)), attempts: Vec::new(), verdict: None });
         let sent = Duration::from_micros(1_790_000_000_000_002);
         let attempt = Attempt { host: "s-1".to_owned(), zone: "a".to_owned(), sent, may_have_run: true };
         let mut live = Live { letter: Rc::new(letter), attempts: Vec::new(), verdict: None };
@@ -338,6 +425,7 @@
         live.attempts = vec![attempt.clone(), Attempt { may_have_run: false, ..attempt.clone() }];
         live.verdict = Some(Verdict::Bounced { wait: Some(Duration::from_micros(5)) });
         let bounced = Verdict::Bounced { wait: None };
+        let [routed, once] = routed;
         vec![
             Record::Snapshot { message: 1, live: fresh },
             Record::Snapshot { message: 2, live },
@@ -348,6 +436,8 @@
             Record::Ended { message: u64::MAX },
             Record::Trim { oldest: 6 },
             Record::Synced { upto: 7 },
+            Record::Snapshot { message: 8, live: routed },
+            Record::Snapshot { message: 9, live: once },
         ]
     }
 
--- a/crates/journal/tests/common/mod.rs
+++ b/crates/journal/tests/common/mod.rs
@@ -35,6 +35,7 @@
         taken: NOW,
         until: NOW + Duration::from_secs(30),
         body: Bytes::from(vec![id as u8; body]),
+        routed: None,
     })
 }
 
