Large versions do not hold up the serving thread: read, compared and freed beside it

Cause: a version of 1,000 pools with 10,000 endpoints held the serving loop for up to 52 ms: it was parsed, copied and freed there, and all endpoints were told to the module in one turn.

--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -10,6 +10,7 @@
 use stairshed_decide::interface as decide;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Headers that a rewrite neither passes on nor sets: the courier's own, and those of one hop (RFC 9110, 7.6.1).
@@ -44,8 +45,8 @@
 pub struct Document {
     /// What it is called in errors.
     pub source: String,
-    pub text: String,
-    tree: Node,
+    pub text: Arc<str>,
+    tree: Arc<Node>,
 }
 
 /// All that a courier must know.
@@ -159,7 +160,7 @@
     /// What is wrong with its syntax.
     pub fn read(source: &str, text: &str) -> Result<Document, Problems> {
         let (tree, all) = tree::from_toml(text);
-        let document = Document { source: source.to_owned(), text: text.to_owned(), tree };
+        let document = Document { source: source.to_owned(), text: text.into(), tree: Arc::new(tree) };
         if all.is_empty() { Ok(document) } else { Err(Problems { source: source.to_owned(), all }) }
     }
 
@@ -168,7 +169,7 @@
     /// # Errors
     /// All that is wrong with it.
     pub fn installation(&self, version: Option<&serde_json::Value>) -> Result<Installation, Problems> {
-        let mut tree = self.tree.clone();
+        let mut tree = Node::clone(&self.tree);
         let mut all = Vec::new();
         if let Some(version) = version {
             overlay(&mut tree, tree::from_json(version), &mut all);
--- a/crates/config/src/version.rs
+++ b/crates/config/src/version.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::fmt;
+use std::sync::Arc;
 
 /// A line of the stream.
 #[derive(Clone, Debug, Deserialize)]
@@ -26,7 +27,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Version {
     pub version: u64,
-    pub config: Value,
+    /// Shared: a large one takes milliseconds to be copied.
+    pub config: Arc<Value>,
 }
 
 /// Why a version is refused.
@@ -126,7 +128,7 @@
             (Some(config), None, None) => (config, None),
             (None, Some(patch), Some(base)) => match newest.filter(|n| n.version == base) {
                 Some(newest) => {
-                    let mut config = newest.config.clone();
+                    let mut config = Value::clone(&newest.config);
                     json_patch::merge(&mut config, &patch);
                     (config, Some(base))
                 }
@@ -144,7 +146,7 @@
                 return refuse(Refusal::Unreadable(why));
             }
         };
-        let version = Version { version: number, config };
+        let version = Version { version: number, config: Arc::new(config) };
         if let Some(known) = self.known(number) {
             return match (known == &version, self.held.as_ref().is_some_and(|h| h.version == number)) {
                 (true, true) => vec![Step::Acknowledge { version: number }],
@@ -279,7 +281,7 @@
     }
 
     fn work(version: u64, config: Value) -> Step {
-        Step::Work(Version { version, config })
+        Step::Work(Version { version, config: Arc::new(config) })
     }
 
     fn refuse(version: u64, why: Refusal) -> Step {
@@ -303,7 +305,7 @@
 
     #[test]
     fn numbers_that_go_back_or_repeat_are_told_apart() {
-        let mut v = Versions::new(Some(Version { version: 5, config: json!({"a": 1}) }));
+        let mut v = Versions::new(Some(Version { version: 5, config: Arc::new(json!({"a": 1})) }));
         assert_eq!(v.offer(&whole(5, json!({"a": 1}))), [ack(5)], "sent again: its answer may be lost");
         assert_eq!(v.offer(&whole(5, json!({"a": 2}))), [refuse(5, Refusal::OtherContent)]);
         assert_eq!(v.offer(&whole(4, json!({"a": 1}))), [refuse(4, Refusal::GoesBack { newest: 5 })]);
@@ -315,7 +317,8 @@
 
     #[test]
     fn patches_need_the_version_that_they_are_made_of() {
-        let mut v = Versions::new(Some(Version { version: 5, config: json!({"a": {"b": 1, "c": 2}}) }));
+        let mut v =
+            Versions::new(Some(Version { version: 5, config: Arc::new(json!({"a": {"b": 1, "c": 2}})) }));
         let newest = Some(5);
         assert_eq!(v.offer(&patch(7, 6, json!({}))), [refuse(7, Refusal::BaseUnknown { base: 6, newest })]);
         assert_eq!(
--- a/crates/courier/benches/versions.rs
+++ b/crates/courier/benches/versions.rs
@@ -17,9 +17,10 @@
 
 const ROUNDS: u64 = 10;
 
-/// Every endpoint is another in each version, so that all of them change.
-fn config(version: u64, pools: usize, endpoints: usize) -> Value {
+/// The endpoints of the first `changed` pools are others in each version.
+fn config(version: u64, pools: usize, endpoints: usize, changed: usize) -> Value {
     let host = |pool: usize, n: usize| {
+        let version = if pool < changed { version } else { 0 };
         let n = pool * endpoints + n;
         json!({"address": format!("127.{}.{}.{}:9", version % 250 + 1, n / 250, n % 250 + 1)})
     };
@@ -90,8 +91,8 @@
     let courier = Courier::serve(&folder, &file);
     until("the stream", || control.is_open());
     let mut next = 1;
-    let mut send = |pools, endpoints| {
-        let config = config(next, pools, endpoints);
+    let mut send = |pools, endpoints, changed| {
+        let config = config(next, pools, endpoints, changed);
         let line = json!({"version": next, "config": config}).to_string() + "\n";
         assert!(control.send(&line));
         // From its last byte on.
@@ -101,13 +102,13 @@
         next += 1;
         (answer.at - began, line.len())
     };
-    send(1, 1);
+    send(1, 1, 1);
     show("nothing changes", &probed(courier.address, || thread::sleep(Duration::from_secs(2))));
-    for (pools, endpoints) in [(10, 10), (1000, 10)] {
+    for (pools, endpoints, changed) in [(10, 10, 10), (1000, 10, 10), (1000, 10, 100), (1000, 10, 1000)] {
         let (mut times, mut bytes) = (Vec::new(), 0);
         let pauses = probed(courier.address, || {
             for _ in 0..ROUNDS {
-                let (time, size) = send(pools, endpoints);
+                let (time, size) = send(pools, endpoints, changed);
                 (bytes, times) = (size, [times.as_slice(), &[time]].concat());
                 thread::sleep(Duration::from_millis(100));
             }
@@ -116,7 +117,7 @@
         let (middle, most) =
             (times[times.len() / 2].as_secs_f64() * 1e3, times[times.len() - 1].as_secs_f64() * 1e3);
         println!(
-            "{pools} pools with {endpoints} endpoints, {bytes} bytes: acknowledged after {middle:.1} ms, {most:.1} at most"
+            "{pools} pools with {endpoints} endpoints, those of {changed} changed, {bytes} bytes: acknowledged after {middle:.1} ms, {most:.1} at most"
         );
         show("  meanwhile", &pauses);
         let raw = (0..5).map(|_| {
--- a/crates/courier/src/admin.rs
+++ b/crates/courier/src/admin.rs
@@ -67,7 +67,7 @@
 fn values(view: &View) -> Value {
     let (version, installation) = view.effective.get();
     let held = view.document.borrow();
-    let over = held.1.as_ref().map(|v| (v.version, &v.config));
+    let over = held.1.as_ref().map(|v| (v.version, &*v.config));
     let values = report::leaves(&installation.file).into_iter().map(|leaf| {
         let source = report::source(&leaf.path, &held.0, over).to_string();
         json!({"key": leaf.path.to_string(), "value": leaf.value, "source": source})
--- a/crates/courier/src/control.rs
+++ b/crates/courier/src/control.rs
@@ -7,8 +7,9 @@
 use crate::intake::Intake;
 use crate::link::Link;
 use crate::listen;
-use crate::news::{Configured, News};
+use crate::news::{Changes, Configured, News};
 use crate::settings;
+use crate::setup::hosts;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
@@ -297,18 +298,16 @@
             done = work => {
                 self.work = None;
                 match done {
-                    Ok(done) => self.done(done),
+                    Ok(done) => self.done(done).await,
                     Err(e) => {
                         eprintln!("configuration: the check of a version broke off: {e}");
-                        let steps = self.versions.done(Err(vec!["its check broke off".to_owned()]));
-                        self.steps(steps);
+                        self.machine(|v| v.done(Err(vec!["its check broke off".to_owned()]))).await;
                     }
                 }
             }
             heard = self.heard.recv(), if self.answers.is_some() => match heard {
                 Some(Heard::Line(line)) => {
-                    let steps = self.versions.offer(&line);
-                    self.steps(steps);
+                    self.machine(move |v| v.offer(&line)).await;
                 }
                 Some(Heard::Opened) => {
                     eprintln!("control: the stream is open");
@@ -336,6 +335,24 @@
         true
     }
 
+    /// Lets the state machine have something, off the serving thread: to read, compare or free a large version
+    /// takes milliseconds.
+    async fn machine(&mut self, with: impl FnOnce(&mut Versions) -> Vec<Step> + Send + 'static) {
+        let mut versions = std::mem::take(&mut self.versions);
+        let worked = tokio::task::spawn_blocking(move || {
+            let steps = with(&mut versions);
+            (versions, steps)
+        });
+        match worked.await {
+            Ok((versions, steps)) => {
+                self.versions = versions;
+                self.steps(steps);
+            }
+            // Nothing in it panics; if it does, what is in effect stays, and the next start finds it stored.
+            Err(e) => eprintln!("control: versions are taken no more: {e}"),
+        }
+    }
+
     /// Begins what is due, one at a time.
     fn begin(&mut self) {
         if self.work.is_some() {
@@ -392,15 +409,14 @@
         }
     }
 
-    fn done(&mut self, done: Done) {
+    async fn done(&mut self, done: Done) {
         let Done { task, document, result } = done;
         let prepared = match result {
             Ok(prepared) => prepared,
             Err(reasons) => {
                 match task {
                     Task::Version(_) => {
-                        let steps = self.versions.done(Err(reasons));
-                        self.steps(steps);
+                        self.machine(|v| v.done(Err(reasons))).await;
                     }
                     Task::Reload => {
                         eprintln!("configuration not read again, the old one stays:");
@@ -417,19 +433,19 @@
         }
         self.lookups.set(&prepared.installation);
         let old = std::mem::replace(&mut self.installation, prepared.installation);
-        // Large ones take a while to be freed, which the serving thread has not.
-        tokio::task::spawn_blocking(move || drop(old));
-        if let Some(document) = document {
-            self.document.borrow_mut().0 = document;
+        let before = document.map(|new| std::mem::replace(&mut self.document.borrow_mut().0, new));
+        let mut held = None;
+        if let Task::Version(version) = &task {
+            held = self.document.borrow_mut().1.replace(version.clone());
         }
+        // Large ones take a while to be freed, which the serving thread has not.
+        tokio::task::spawn_blocking(move || drop((old, before, held)));
         match task {
             Task::Version(version) => {
                 let number = version.version;
                 eprintln!("configuration: version {number} is in effect");
-                self.document.borrow_mut().1 = Some(version);
                 self.status.in_effect(Some(number));
-                let steps = self.versions.done(Ok(()));
-                self.steps(steps);
+                self.machine(|v| v.done(Ok(()))).await;
             }
             Task::Reload => {
                 eprintln!("configuration: the file is read again and in effect");
@@ -465,7 +481,7 @@
                 true => settings::document(&file).map_err(|e| vec![e.to_string()])?,
                 false => document,
             };
-            let installation = document.installation(config.as_ref());
+            let installation = document.installation(config.as_deref());
             // A version has no lines that its sender could look at.
             let lines = |p: stairshed_config::Problems| {
                 if reload { p.to_string().lines().map(str::to_owned).collect() } else { p.lines() }
@@ -473,14 +489,15 @@
             let installation = installation.map_err(lines)?;
             let changes = changes(Some(&before), &installation);
             let (gone, there) = destinations(Some(&before), &installation);
-            Ok((document, Arc::new(installation), changes, gone, there))
+            let (hosts, limits) = hosts(&changes);
+            Ok((document, Arc::new(installation), Changes { hosts, limits, gone, there }))
         });
         let checked = checked.await.unwrap_or_else(|e| Err(vec![format!("its check broke off: {e}")]));
-        let (document, installation, changes, gone, there) = match checked {
+        let (document, installation, changes) = match checked {
             Ok(checked) => checked,
             Err(reasons) => return Done { task, document: None, result: Err(reasons) },
         };
-        let result = self.effect(&task, number, installation, (changes, gone, there)).await;
+        let result = self.effect(&task, number, installation, changes).await;
         Done { task, document: reload.then_some(document).filter(|_| result.is_ok()), result }
     }
 
@@ -490,7 +507,7 @@
         task: &Task,
         number: u64,
         installation: Arc<Installation>,
-        (changes, gone, there): (Vec<stairshed_config::change::Changed>, Vec<u64>, Vec<u64>),
+        changes: Changes,
     ) -> Result<Prepared, Vec<String>> {
         let listener = match installation.http == self.before.http {
             true => None,
@@ -513,8 +530,6 @@
             installation: installation.clone(),
             effective: self.effective.clone(),
             changes,
-            gone,
-            there,
             done,
         };
         let stopping = || vec!["the courier is stopping".to_owned()];
--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -4,11 +4,10 @@
 use crate::calls::{Call, Calls};
 use crate::discovery::Watch;
 use crate::intake::Standing;
-use crate::news::{CallEnd, Configured, Health, Host, List, News, Offer, Reply};
+use crate::news::{CallEnd, Changes, Configured, Health, Host, List, News, Offer, Reply};
 use crate::outcomes::{Notice, Outcomes};
 use crate::setup::Setup;
-use stairshed_config::change::{Changed, changes};
-use stairshed_config::installation::{At, OWN, SHARED};
+use stairshed_config::change::changes;
 use stairshed_decide::brain::Brain;
 use stairshed_decide::interface::{self, *};
 use stairshed_journal::{Attempt, Journal, Letter, Live, Refusal, Synced, Verdict};
@@ -33,6 +32,10 @@
 /// Bytes that a step of compaction copies: some 50 us. And the pause before the next when nothing else is on.
 const COMPACT_STEP: u64 = 64 * 1024;
 const COMPACT_PAUSE: Duration = Duration::from_millis(1);
+/// Endpoints of a changed configuration that the module hears of in one turn, and turns that all take at most:
+/// with turns 5 ms apart an endpoint that is gone gets nothing new after a fifth of a second.
+const SLICE: usize = 250;
+const SLICES_MOST: usize = 40;
 /// When a disk that failed is tried again.
 const DISK_RETRY: Duration = Duration::from_millis(200);
 
@@ -93,6 +96,11 @@
     disk_failed: Option<Instant>,
     /// When a sync failed last; until all is kept again.
     sync_failed: Option<Instant>,
+    /// What a configuration changes among the endpoints and the module has not heard of yet, and how many of
+    /// them it hears of in a turn; who is told once it has.
+    changes: VecDeque<Host>,
+    slice: usize,
+    in_effect: Option<oneshot::Sender<()>>,
     /// Destinations that a configuration has removed, and when what is held for them ends.
     removed: BTreeMap<u64, Instant>,
 }
@@ -139,6 +147,9 @@
             stopping: None,
             disk_failed: None,
             sync_failed: None,
+            changes: VecDeque::new(),
+            slice: 0,
+            in_effect: None,
             removed: BTreeMap::new(),
         };
         let known = courier.setup.known.clone().unwrap_or_default();
@@ -146,7 +157,10 @@
         if let Some(installation) = courier.setup.installation.clone() {
             courier.listed = true;
             courier.destinations.extend(installation.pools.iter().map(|p| p.destination));
-            courier.members(&changes(None, &installation));
+            let (hosts, limits) = crate::setup::hosts(&changes(None, &installation));
+            courier.members(hosts, limits);
+            courier.slice = usize::MAX;
+            courier.change();
         }
         courier.resume();
         courier
@@ -229,7 +243,8 @@
 
     /// Puts a configuration into effect: whole, between two turns.
     fn configured(&mut self, configured: Configured) {
-        let Configured { version, installation, effective, changes, gone, there, done } = configured;
+        let Configured { version, installation, effective, changes, done } = configured;
+        let Changes { hosts, limits, gone, there } = changes;
         let held = self.held.values().map(|m| m.class);
         let in_use: BTreeSet<usize> = held.chain(self.offers.values().map(|(class, _)| *class)).collect();
         let classes = installation.classes.iter().map(|c| c.name.clone());
@@ -251,35 +266,39 @@
         }
         effective.set(version, installation.clone());
         self.setup.installation = Some(installation);
-        self.members(&changes);
-        // Its sender may be gone, which changes nothing.
-        let _ = done.send(());
+        self.members(hosts, limits);
+        self.in_effect = Some(done);
+    }
+
+    /// The next slice of changed endpoints, one a turn: thousands at once would hold everybody up.
+    fn change(&mut self) {
+        if !self.changes.is_empty() {
+            let hosts = self.changes.drain(..self.slice.min(self.changes.len())).collect();
+            self.list(List { seq: 0, whole: false, hosts });
+        }
+        if self.changes.is_empty()
+            && let Some(done) = self.in_effect.take()
+        {
+            // Its sender may be gone, which changes nothing.
+            let _ = done.send(());
+        }
     }
 
     /// Takes in what a configuration changes among the endpoints.
-    fn members(&mut self, changes: &[Changed]) {
-        let mut hosts = Vec::with_capacity(changes.len());
-        for change in changes {
-            let At::Address(address) = change.member.at else { continue };
-            let zone = &change.member.zone;
-            if !self.setup.zones.contains(zone) {
-                self.setup.zones.push(zone.clone());
+    fn members(&mut self, hosts: Vec<Host>, limits: Vec<(String, f64)>) {
+        for host in &hosts {
+            if !self.setup.zones.contains(&host.site) {
+                self.setup.zones.push(host.site.clone());
             }
-            hosts.push(Host {
-                host: change.member.host.clone(),
-                dial: address.to_string(),
-                site: zone.clone(),
-                class: self.setup.kinds[if change.member.limit.is_some() { OWN } else { SHARED }].clone(),
-                block: change.destination,
-                health: if change.gone { Health::Gone } else { Health::Ready },
-                share: change.limit.unwrap_or_default(),
-            });
-            if let Some(limit) = change.limit.filter(|_| !change.gone) {
-                let endpoint = self.number(&change.member.host);
-                self.brain.relimit(endpoint, limit);
+        }
+        for (host, limit) in limits {
+            // One that is new takes it from the list.
+            if let Some(endpoint) = self.numbers.get(&host) {
+                self.brain.relimit(*endpoint, limit);
             }
         }
-        self.list(List { seq: 0, whole: false, hosts });
+        self.slice = SLICE.max(hosts.len().div_ceil(SLICES_MOST));
+        self.changes.extend(hosts);
     }
 
     /// Ends what is still held for destinations that have been gone for long enough: nothing can deliver it
@@ -338,7 +357,13 @@
 
     fn list(&mut self, list: List) {
         let mut entries = Vec::new();
-        let before: Vec<_> = self.endpoints.iter().filter(|(_, e)| e.ready).map(|(id, _)| *id).collect();
+        // Only those that the list names can change by one that is not whole.
+        let named = list.hosts.iter().filter_map(|h| self.numbers.get(&h.host).copied());
+        let before: Vec<EndpointId> = match list.whole {
+            true => self.endpoints.keys().copied().collect(),
+            false => named.collect(),
+        };
+        let before: Vec<_> = before.into_iter().filter(|id| self.endpoints[id].ready).collect();
         if list.whole {
             self.endpoints.values_mut().for_each(|e| e.ready = false);
         }
@@ -385,7 +410,8 @@
         self.post();
         loop {
             let due = self.wake.map(|(at, _)| at);
-            let due = if self.events.is_empty() { due } else { Some(Instant::now()) };
+            let idle = self.events.is_empty() && self.changes.is_empty() && self.in_effect.is_none();
+            let due = if idle { due } else { Some(Instant::now()) };
             let due = due.map(|at| last.map_or(at, |t| at.max(t + tick)));
             let retry = self.disk_failed.or(self.sync_failed).map(|t| t + DISK_RETRY);
             let compact = self.journal.wants_compaction() && self.disk_failed.is_none();
@@ -623,6 +649,7 @@
             self.events.push(Event::Woken { token });
         }
         self.drop_deserted();
+        self.change();
         let events = std::mem::take(&mut self.events);
         let mut actions = Vec::new();
         self.brain.handle(now.duration_since(self.origin), &events, &mut actions);
--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -4,7 +4,6 @@
 use crate::effective::Effective;
 use serde::Deserialize;
 use stairshed_config::Installation;
-use stairshed_config::change::Changed;
 use stairshed_decide::interface::{EndpointId, Outcome, Report};
 use stairshed_journal::{Letter, Refusal, Synced};
 use std::net::SocketAddr;
@@ -52,6 +51,16 @@
     pub reply: oneshot::Sender<Reply>,
 }
 
+/// What a configuration changes.
+pub struct Changes {
+    /// Endpoints that are new, other than before, or gone; and their limits, where stated.
+    pub hosts: Vec<Host>,
+    pub limits: Vec<(String, f64)>,
+    /// Destinations that are there no more, and those that are.
+    pub gone: Vec<u64>,
+    pub there: Vec<u64>,
+}
+
 /// A configuration with what it changes, both made ready elsewhere.
 pub struct Configured {
     /// 0 for the operator's file.
@@ -59,10 +68,7 @@
     pub installation: Arc<Installation>,
     /// Where the fronts look.
     pub effective: Effective,
-    pub changes: Vec<Changed>,
-    /// Destinations that are there no more, and those that are.
-    pub gone: Vec<u64>,
-    pub there: Vec<u64>,
+    pub changes: Changes,
     /// Told once it is in effect.
     pub done: oneshot::Sender<()>,
 }
--- a/crates/courier/src/serve.rs
+++ b/crates/courier/src/serve.rs
@@ -11,11 +11,11 @@
 use crate::news::News;
 use crate::outcomes::Outcomes;
 use crate::settings;
-use crate::setup::Setup;
+use crate::setup::{Setup, kinds};
 use crate::{INBOX, SPARE_SOCKETS, listen, lock, on, tell};
 use stairshed_config::Installation;
 use stairshed_config::classes::ClassTable;
-use stairshed_config::installation::{Document, OWN, SHARED};
+use stairshed_config::installation::Document;
 use stairshed_config::version::{Version, Versions};
 use stairshed_decide::brain::Brain;
 use stairshed_journal::{Durability, Journal};
@@ -35,14 +35,6 @@
     Fault::Bad(what, why.to_string())
 }
 
-/// Names of the kinds of endpoint, in the order of their numbers.
-fn kinds() -> Vec<String> {
-    let mut kinds = vec![String::new(); 2];
-    kinds[SHARED] = "shared".to_owned();
-    kinds[OWN] = "own".to_owned();
-    kinds
-}
-
 /// What the owner of the decision module is told at the start.
 fn setup(installation: &Arc<Installation>) -> Setup {
     let names = installation.classes.iter().map(|c| c.name.clone());
--- a/crates/courier/src/setup.rs
+++ b/crates/courier/src/setup.rs
@@ -1,8 +1,10 @@
 //! What the owner of the decision module is told at its start: by the platform, or by an operator's file.
 
-use crate::news::List;
+use crate::news::{Health, Host, List};
 use stairshed_config::Installation;
+use stairshed_config::change::Changed;
 use stairshed_config::classes::ClassTable;
+use stairshed_config::installation::{At, OWN, SHARED};
 use stairshed_decide::interface::Settings;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,3 +25,30 @@
     /// How long messages of a pool that is gone wait for it to come back.
     pub pool_wait: Duration,
 }
+
+/// Names of the kinds of endpoint, in the order of their numbers.
+pub fn kinds() -> Vec<String> {
+    let mut kinds = vec![String::new(); 2];
+    kinds[SHARED] = "shared".to_owned();
+    kinds[OWN] = "own".to_owned();
+    kinds
+}
+
+/// What a configuration changes, as a list tells it, and the limits that it states. Names come from look-ups.
+pub fn hosts(changes: &[Changed]) -> (Vec<Host>, Vec<(String, f64)>) {
+    let (kinds, mut hosts, mut limits) = (kinds(), Vec::new(), Vec::new());
+    for change in changes {
+        let At::Address(address) = change.member.at else { continue };
+        hosts.push(Host {
+            host: change.member.host.clone(),
+            dial: address.to_string(),
+            site: change.member.zone.clone(),
+            class: kinds[if change.member.limit.is_some() { OWN } else { SHARED }].clone(),
+            block: change.destination,
+            health: if change.gone { Health::Gone } else { Health::Ready },
+            share: change.limit.unwrap_or_default(),
+        });
+        limits.extend(change.limit.filter(|_| !change.gone).map(|l| (change.member.host.clone(), l)));
+    }
+    (hosts, limits)
+}
