Discovery beside the file's endpoints; the values page is made off the serving thread

Cause: a whole list from discovery took the file's own endpoints for gone, and fed pools that do not ask for it. The page of all values walked the whole version for each value on the serving thread. Names of a burst of configurations could be put off. Change: what discovery lists is kept apart and told as differences, to pools with discovery = true; the page is made beside the serving thread with trees and line ends looked up once; look-ups always hear of the latest configuration. Two tests: discovery beside the file, and 5,000 messages of a pool that is removed.

--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -194,14 +194,24 @@
         }
     }
 
-    pub fn tree(&self) -> &Node {
-        &self.tree
+    /// For looking up many lines.
+    pub fn lines(&self) -> Lines<'_> {
+        Lines { tree: &self.tree, ends: self.text.match_indices('\n').map(|(at, _)| at).collect() }
     }
+}
+
+/// The lines of a document's values.
+pub struct Lines<'a> {
+    tree: &'a Node,
+    /// Where each line ends.
+    ends: Vec<usize>,
+}
 
-    /// Where a value of the file stands, if it stands there: its line.
+impl Lines<'_> {
+    /// Where a value stands, if it stands in the file: its line, from 1.
     pub fn line(&self, path: &Path) -> Option<usize> {
         self.tree.at(path)?;
-        self.tree.start(path).map(|at| place_of(&self.text, at).0)
+        self.tree.start(path).map(|at| self.ends.partition_point(|end| *end < at) + 1)
     }
 }
 
--- a/crates/config/src/report.rs
+++ b/crates/config/src/report.rs
@@ -2,7 +2,7 @@
 
 use crate::file::File;
 use crate::installation::Document;
-use crate::problem::{Path, Step};
+use crate::problem::Path;
 use crate::tree;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -58,21 +58,21 @@
     }
 }
 
-/// Where a value of the effective configuration comes from.
-pub fn source(path: &Path, document: &Document, version: Option<(u64, &Value)>) -> Source {
-    if let Some((number, config)) = version {
-        let admin = path.to_string() == "listen.admin";
-        let section =
-            path.0.first().and_then(|s| if let Step::Key(key) = s { config.get(key) } else { None });
-        if let Some(section) = section.filter(|_| !admin) {
-            let inner = Path(path.0[1..].to_vec());
-            return match tree::from_json(section).at(&inner) {
-                Some(_) => Source::Version(number),
-                None => Source::Default,
-            };
+/// All values of the effective configuration with their sources. Takes a while for a large one.
+pub fn values(file: &File, document: &Document, version: Option<(u64, &Value)>) -> Vec<(Leaf, Source)> {
+    let over = version.map(|(number, config)| (number, tree::from_json(config)));
+    let lines = document.lines();
+    let source = |path: &Path| {
+        let own = || lines.line(path).map_or(Source::Default, |line| Source::File { line });
+        let Some((number, over)) = &over else { return own() };
+        let section = Path(path.0.iter().take(1).cloned().collect());
+        // The operator's pages stay where the operator put them.
+        match over.at(&section).filter(|_| path.to_string() != "listen.admin") {
+            None => own(),
+            Some(_) => over.at(path).map_or(Source::Default, |_| Source::Version(*number)),
         }
-    }
-    document.line(path).map_or(Source::Default, |line| Source::File { line })
+    };
+    leaves(file).into_iter().map(|leaf| (source(&leaf.path), leaf)).map(|(s, l)| (l, s)).collect()
 }
 
 /// One value that differs.
--- a/crates/courier/src/admin.rs
+++ b/crates/courier/src/admin.rs
@@ -36,8 +36,8 @@
         let (view, standing) = (view.clone(), standing.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
-                let answer = answer(&request, &view, &standing);
-                async move { Ok::<_, Infallible>(answer) }
+                let (view, standing) = (view.clone(), standing.clone());
+                async move { Ok::<_, Infallible>(answer(&request, &view, &standing).await) }
             });
             let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             let _ = timeout(CONNECTION_TIME, conn).await;
@@ -46,16 +46,20 @@
     }
 }
 
-fn answer(request: &Request<Incoming>, view: &View, standing: &Standing) -> Response<Full<Bytes>> {
+async fn answer(request: &Request<Incoming>, view: &View, standing: &Standing) -> Response<Full<Bytes>> {
     let page = match (request.method(), request.uri().path()) {
         (&Method::GET, "/-/config") => Some(view.status.json()),
-        (&Method::GET, "/-/config/values") => Some(values(view)),
+        (&Method::GET, "/-/config/values") => Some(values(view).await),
         (&Method::GET, "/-/ready") => Some(json!({"ready": standing.ready.get()})),
         _ => None,
     };
     let found = page.is_some();
     let page = page.unwrap_or_else(|| json!({"pages": ["/-/config", "/-/config/values", "/-/ready"]}));
-    let text = serde_json::to_string_pretty(&page).unwrap_or_default() + "\n";
+    let text = match page {
+        Value::String(made) => made,
+        page => serde_json::to_string_pretty(&page).unwrap_or_default(),
+    };
+    let text = text + "\n";
     let mut answer = Response::new(Full::from(text));
     *answer.status_mut() = if found { StatusCode::OK } else { StatusCode::NOT_FOUND };
     let json = header::HeaderValue::from_static("application/json");
@@ -63,14 +67,19 @@
     answer
 }
 
-/// The effective configuration, each value with its source.
-fn values(view: &View) -> Value {
+/// The effective configuration, each value with its source. Made off the serving thread: a large one takes
+/// tenths of a second.
+async fn values(view: &View) -> Value {
     let (version, installation) = view.effective.get();
-    let held = view.document.borrow();
-    let over = held.1.as_ref().map(|v| (v.version, &*v.config));
-    let values = report::leaves(&installation.file).into_iter().map(|leaf| {
-        let source = report::source(&leaf.path, &held.0, over).to_string();
-        json!({"key": leaf.path.to_string(), "value": leaf.value, "source": source})
+    let (document, held) = view.document.borrow().clone();
+    let made = tokio::task::spawn_blocking(move || {
+        let over = held.as_ref().map(|v| (v.version, &*v.config));
+        let values = report::values(&installation.file, &document, over).into_iter().map(|(leaf, source)| {
+            json!({"key": leaf.path.to_string(), "value": leaf.value, "source": source.to_string()})
+        });
+        let page = json!({"version": version, "values": values.collect::<Vec<_>>()});
+        serde_json::to_string_pretty(&page).unwrap_or_default()
     });
-    json!({"version": version, "values": values.collect::<Vec<_>>()})
+    // Nothing in it panics.
+    Value::String(made.await.unwrap_or_default())
 }
--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -101,6 +101,9 @@
     changes: VecDeque<Host>,
     slice: usize,
     in_effect: Option<oneshot::Sender<()>>,
+    /// For an operator's courier: what discovery lists, and what of it the module was told.
+    discovered: BTreeMap<String, Host>,
+    told: BTreeMap<String, Host>,
     /// Destinations that a configuration has removed, and when what is held for them ends.
     removed: BTreeMap<u64, Instant>,
 }
@@ -150,6 +153,8 @@
             changes: VecDeque::new(),
             slice: 0,
             in_effect: None,
+            discovered: BTreeMap::new(),
+            told: BTreeMap::new(),
             removed: BTreeMap::new(),
         };
         let known = courier.setup.known.clone().unwrap_or_default();
@@ -267,9 +272,44 @@
         effective.set(version, installation.clone());
         self.setup.installation = Some(installation);
         self.members(hosts, limits);
+        self.tell_discovered();
         self.in_effect = Some(done);
     }
 
+    /// Takes in what discovery lists beside the endpoints of the configuration: a whole list says nothing of
+    /// those.
+    fn discovered(&mut self, list: List) {
+        if list.whole {
+            self.discovered.clear();
+        }
+        for host in list.hosts {
+            match host.health {
+                Health::Gone => drop(self.discovered.remove(&host.host)),
+                _ => drop(self.discovered.insert(host.host.clone(), host)),
+            }
+        }
+        self.tell_discovered();
+    }
+
+    /// Tells the module of what is discovered for pools that take their endpoints from there.
+    fn tell_discovered(&mut self) {
+        let Some(installation) = &self.setup.installation else { return };
+        let takes: BTreeSet<u64> =
+            installation.pools.iter().filter(|p| p.discovery).map(|p| p.destination).collect();
+        let of = self.discovered.iter().filter(|(_, host)| takes.contains(&host.block));
+        let now: BTreeMap<String, Host> = of.map(|(name, host)| (name.clone(), host.clone())).collect();
+        let gone = self.told.iter().filter(|(name, _)| !now.contains_key(*name));
+        let gone = gone.map(|(_, host)| Host { health: Health::Gone, ..host.clone() });
+        let new = now.iter().filter(|(name, host)| self.told.get(*name) != Some(host));
+        let hosts: Vec<Host> = gone.chain(new.map(|(_, host)| host.clone())).collect();
+        self.told = now;
+        if hosts.is_empty() {
+            return;
+        }
+        self.know_zones(&hosts);
+        self.list(List { seq: 0, whole: false, hosts });
+    }
+
     /// The next slice of changed endpoints, one a turn: thousands at once would hold everybody up.
     fn change(&mut self) {
         if !self.changes.is_empty() {
@@ -284,13 +324,18 @@
         }
     }
 
-    /// Takes in what a configuration changes among the endpoints.
-    fn members(&mut self, hosts: Vec<Host>, limits: Vec<(String, f64)>) {
-        for host in &hosts {
+    /// Numbers zones that were not known yet.
+    fn know_zones(&mut self, hosts: &[Host]) {
+        for host in hosts {
             if !self.setup.zones.contains(&host.site) {
                 self.setup.zones.push(host.site.clone());
             }
         }
+    }
+
+    /// Takes in what a configuration changes among the endpoints.
+    fn members(&mut self, hosts: Vec<Host>, limits: Vec<(String, f64)>) {
+        self.know_zones(&hosts);
         for (host, limit) in limits {
             // One that is new takes it from the list.
             if let Some(endpoint) = self.numbers.get(&host) {
@@ -542,7 +587,10 @@
             }
             News::Listed(list) => {
                 self.listed = true;
-                self.list(list);
+                match self.setup.installation.is_some() {
+                    true => self.discovered(list),
+                    false => self.list(list),
+                }
             }
             News::Told(messages) => {
                 self.posts -= 1;
@@ -552,7 +600,10 @@
             }
             News::Moved(discovery) => self.moved(discovery),
             News::Configured(configured) => self.configured(*configured),
-            News::Resolved(list) => self.list(list),
+            News::Resolved(list) => {
+                self.know_zones(&list.hosts);
+                self.list(list);
+            }
             News::Watch => self.watch(),
             News::Synced(done) => self.synced(done),
             News::Stop => {
--- a/crates/courier/src/dns.rs
+++ b/crates/courier/src/dns.rs
@@ -14,7 +14,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Semaphore;
-use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::sync::mpsc::{self, Sender};
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -61,14 +62,12 @@
 
 /// Tells the look-ups of another configuration.
 #[derive(Clone)]
-pub struct Lookups(Sender<Vec<Wanted>>);
+pub struct Lookups(watch::Sender<Vec<Wanted>>);
 
 impl Lookups {
     pub fn set(&self, installation: &Installation) {
-        // The queue is short, and a later configuration holds all that an earlier one told.
-        if self.0.try_send(wanted(installation)).is_err() {
-            eprintln!("dns: the names of a configuration are taken in with the next one");
-        }
+        // A later configuration holds all that an earlier one told.
+        self.0.send_replace(wanted(installation));
     }
 }
 
@@ -90,8 +89,7 @@
 
 /// Begins to look up the names of an installation and of those that follow it.
 pub fn start(installation: &Installation, news: Sender<News>) -> (Lookups, Resolver) {
-    // Room for the configurations of a second in which nothing is read.
-    let (tell, told) = mpsc::channel(64);
+    let (tell, told) = watch::channel(Vec::new());
     let dns = &installation.file.dns;
     let task = Task {
         server: installation.resolver,
@@ -119,7 +117,7 @@
 type Answer = Result<(Vec<IpAddr>, Duration), String>;
 
 impl Task {
-    async fn run(mut self, mut told: Receiver<Vec<Wanted>>) {
+    async fn run(mut self, mut told: watch::Receiver<Vec<Wanted>>) {
         let (answer, mut answers) = mpsc::channel::<(String, Answer)>(64);
         let room = Rc::new(Semaphore::new(OUT_MOST));
         loop {
@@ -144,8 +142,11 @@
                 }
             };
             tokio::select! {
-                wanted = told.recv() => {
-                    let Some(wanted) = wanted else { return };
+                changed = told.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let wanted = told.borrow_and_update().clone();
                     let names: BTreeSet<String> = wanted.iter().map(|w| w.name.clone()).collect();
                     self.wanted = wanted;
                     self.names.set(&names, self.origin.elapsed());
--- a/crates/courier/src/serve.rs
+++ b/crates/courier/src/serve.rs
@@ -154,7 +154,7 @@
     let first_wait = installation.file.control.as_ref().map(|c| c.first_wait.0).filter(|_| waits);
     let admin = installation.admin;
     let kept = journal.len();
-    let discovery = installation.pools.iter().any(|p| p.discovery);
+    let discovery = installation.discovery.is_some();
     let courier = Courier::new(setup, brain, journal, calls, outcomes, standing.clone(), news.clone());
     let running = tokio::task::spawn_local(courier.run(inbox));
     let mut configurator = Configurator::new(
--- a/crates/courier/tests/operator.rs
+++ b/crates/courier/tests/operator.rs
@@ -483,6 +483,69 @@
     }
 }
 
+#[test]
+fn endpoints_come_from_discovery_beside_those_of_the_file_and_leave_with_it() {
+    let (own, found, other, folder) = (well(), well(), well(), Folder::new());
+    let discovery = Discovery::new(list(1, true, vec![host("d-1", &found, 7, "ready"), host("d-2", &other, 8, "ready")]));
+    let service = format!("[discovery]\naddress = \"{}\"\n", discovery.address);
+    let pools = pool("p", &[&own]) + "[pools.q]\ndestination = 7\ndiscovery = true\n[pools.r]\ndestination = 8\n";
+    let routes: String = ["p", "q", "r"].map(|name| route(name, name, "status")).concat();
+    let file = [HEAD, CLASSES, &pools, &routes, &service].concat();
+    let courier = Courier::serve(&folder, &file);
+    let mut n = 0;
+    let mut deliver = |path: &str, to: &Endpoint| {
+        n += 1;
+        let id = format!("m{n}");
+        assert_eq!(courier.post(path, &id, "", "x").status(), 202);
+        until("the delivery", || to.ids().contains(&id));
+    };
+    deliver("/q", &found);
+    // A whole list says nothing of the file's own endpoints.
+    deliver("/p", &own);
+    let moved = well();
+    discovery.tell(list(2, true, vec![host("d-3", &moved, 7, "ready")]));
+    thread::sleep(Duration::from_millis(1200));
+    let before = found.calls().len();
+    deliver("/q", &moved);
+    deliver("/p", &own);
+    assert_eq!(found.calls().len(), before, "it is listed no more");
+    assert!(other.calls().is_empty(), "its pool takes none from discovery");
+}
+
+#[test]
+fn five_thousand_messages_of_a_pool_that_is_removed_end_once_and_truthfully() {
+    const MESSAGES: usize = 5000;
+    let folder = Folder::new();
+    const NO: &str = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+    let slow = Endpoint::new(|_| Act::Late(Duration::from_secs(12), NO));
+    let class = "[classes.pay]\neffect = \"once\"\ndeadline = \"60s\"\naim = \"60s\"\n";
+    let limits = "[limits]\npool_wait = \"500ms\"\nheld = 6000\ncalls = 32\n";
+    let all = [HEAD, class, limits, &pool("p", &[&slow]), &route("a", "p", "pay")].concat();
+    let courier = Courier::serve(&folder, &all);
+    let address = courier.address;
+    let hand_in = |thread: usize| {
+        let of = (0..MESSAGES / 8).map(|n| format!("m{thread}-{n}"));
+        of.filter(|id| post(address, "/a", id, "", "x").is_some_and(|p| p.status() == 202)).collect::<Vec<_>>()
+    };
+    let taken: Vec<String> = thread::scope(|scope| {
+        let all: Vec<_> = (0..8).map(|t| scope.spawn(move || hand_in(t))).collect();
+        all.into_iter().flat_map(|t| t.join().expect("a client")).collect()
+    });
+    assert!(taken.len() > MESSAGES * 9 / 10, "{} were taken on", taken.len());
+    courier.reread(&folder, &[HEAD, class, limits].concat());
+    courier.says("in effect");
+    until("every end", || outcomes(&folder).len() >= taken.len());
+    let ended = outcomes(&folder);
+    assert_eq!(ended.len(), taken.len(), "each ends once");
+    let seen = slow.ids();
+    assert!(!seen.is_empty(), "some were out");
+    let ended: std::collections::BTreeMap<String, String> = ended.into_iter().collect();
+    for id in &taken {
+        let right = if seen.contains(id) { "dead" } else { "bounced" };
+        assert_eq!(ended.get(id).map(String::as_str), Some(right), "{id}");
+    }
+}
+
 #[test]
 fn one_that_is_told_how_to_listen_twice_says_so() {
     let folder = Folder::new();
