One piece for lines, host differences, zones and figures; nothing done twice at the start

A start checked its file twice. Each offer copied the class table, on the platform too, to learn whether it had grown. A long line of the control service was searched whole for its end at each piece. Discovery keeps its stricter bound on what is buffered.

--- a/crates/config/src/classes.rs
+++ b/crates/config/src/classes.rs
@@ -47,6 +47,14 @@
         ClassTable { rows: vec![Row { name: String::new(), class, current: false }] }
     }
 
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// The classes in the order of their numbers.
     pub fn classes(&self) -> Vec<Class> {
         self.rows.iter().map(|r| r.class.clone()).collect()
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`route`]: a request in, a route out, or a named reason.
 //! - [`installation`]: a file checked as a whole, in the terms of the courier.
 //! - [`change`], [`classes`]: what a new configuration changes, and what stays for what is held.
+//! - [`lines`]: a stream of bytes as lines.
 //! - [`version`]: numbered versions of it: which is worked on, acknowledged, refused.
 //! - [`report`]: the effective configuration with the source of each value; differences of two.
 
@@ -18,6 +19,7 @@
 pub mod decode;
 pub mod file;
 pub mod installation;
+pub mod lines;
 pub mod problem;
 pub mod report;
 pub mod route;
--- a/crates/config/src/version.rs
+++ b/crates/config/src/version.rs
@@ -216,55 +216,6 @@
     }
 }
 
-/// Cuts a stream of bytes into lines, with a bound on each.
-#[derive(Debug)]
-pub struct Lines {
-    bytes: Vec<u8>,
-    /// Up to here there is no end of a line.
-    seen: usize,
-    most: usize,
-}
-
-/// A line is longer than the bound.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TooLong;
-
-impl Lines {
-    pub fn new(most: usize) -> Self {
-        Lines { bytes: Vec::new(), seen: 0, most }
-    }
-
-    /// # Errors
-    /// [`TooLong`]; the rest of the stream means nothing then.
-    pub fn push(&mut self, piece: &[u8]) -> Result<(), TooLong> {
-        self.bytes.extend_from_slice(piece);
-        let open = self.bytes.len() - self.bytes.iter().rposition(|b| *b == b'\n').map_or(0, |n| n + 1);
-        if open > self.most { Err(TooLong) } else { Ok(()) }
-    }
-
-    /// Whether part of a line is here.
-    pub fn is_open(&self) -> bool {
-        !self.bytes.is_empty()
-    }
-}
-
-impl Iterator for Lines {
-    type Item = Vec<u8>;
-
-    fn next(&mut self) -> Option<Vec<u8>> {
-        let Some(at) = self.bytes[self.seen..].iter().position(|b| *b == b'\n') else {
-            self.seen = self.bytes.len();
-            return None;
-        };
-        let end = self.seen + at;
-        self.seen = 0;
-        let rest = self.bytes.split_off(end + 1);
-        let mut line = std::mem::replace(&mut self.bytes, rest);
-        line.truncate(end);
-        Some(line)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -414,14 +365,4 @@
             assert_eq!(v.held(), effect.as_ref());
         }
     }
-
-    #[test]
-    fn a_line_without_end_is_cut_off_at_its_bound() {
-        let mut lines = Lines::new(10);
-        assert_eq!(lines.push(b"one\ntwo\nthree"), Ok(()));
-        assert_eq!(lines.by_ref().collect::<Vec<_>>(), [b"one".to_vec(), b"two".to_vec()]);
-        assert!(lines.is_open());
-        assert_eq!(lines.push(b"45678"), Ok(()));
-        assert_eq!(lines.push(b"9"), Err(TooLong));
-    }
 }
--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -3,8 +3,8 @@
 
 use crate::calls::{Call, Calls};
 use crate::discovery::Watch;
-use crate::intake::Standing;
-use crate::news::{CallEnd, Changes, Configured, Health, Host, List, News, Offer, Reply};
+use crate::intake::{Standing, unix};
+use crate::news::{CallEnd, Changes, Configured, Health, Host, List, News, Offer, Reply, differences};
 use crate::outcomes::{Notice, Outcomes};
 use crate::setup::Setup;
 use stairshed_config::change::changes;
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
@@ -108,10 +108,6 @@
     removed: BTreeMap<u64, Instant>,
 }
 
-fn unix() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-}
-
 impl Courier {
     pub fn new(
         setup: Setup,
@@ -232,9 +228,8 @@
     /// Tells the module of classes that came since it was told last: what was taken by an earlier version may
     /// be of one that the present one has not.
     fn reclassify(&mut self) {
-        let classes = self.setup.classes.classes();
-        if classes.len() != self.setup.settings.classes.len() {
-            self.setup.settings.classes = classes;
+        if self.setup.classes.len() != self.setup.settings.classes.len() {
+            self.setup.settings.classes = self.setup.classes.classes();
             self.reconfigure();
         }
     }
@@ -298,16 +293,11 @@
             installation.pools.iter().filter(|p| p.discovery).map(|p| p.destination).collect();
         let of = self.discovered.iter().filter(|(_, host)| takes.contains(&host.block));
         let now: BTreeMap<String, Host> = of.map(|(name, host)| (name.clone(), host.clone())).collect();
-        let gone = self.told.iter().filter(|(name, _)| !now.contains_key(*name));
-        let gone = gone.map(|(_, host)| Host { health: Health::Gone, ..host.clone() });
-        let new = now.iter().filter(|(name, host)| self.told.get(*name) != Some(host));
-        let hosts: Vec<Host> = gone.chain(new.map(|(_, host)| host.clone())).collect();
+        let hosts = differences(&self.told, &now);
         self.told = now;
-        if hosts.is_empty() {
-            return;
+        if !hosts.is_empty() {
+            self.list(List { seq: 0, whole: false, hosts });
         }
-        self.know_zones(&hosts);
-        self.list(List { seq: 0, whole: false, hosts });
     }
 
     /// The next slice of changed endpoints, one a turn: thousands at once would hold everybody up.
@@ -324,18 +314,8 @@
         }
     }
 
-    /// Numbers zones that were not known yet.
-    fn know_zones(&mut self, hosts: &[Host]) {
-        for host in hosts {
-            if !self.setup.zones.contains(&host.site) {
-                self.setup.zones.push(host.site.clone());
-            }
-        }
-    }
-
     /// Takes in what a configuration changes among the endpoints.
     fn members(&mut self, hosts: Vec<Host>, limits: Vec<(String, f64)>) {
-        self.know_zones(&hosts);
         for (host, limit) in limits {
             // One that is new takes it from the list.
             if let Some(endpoint) = self.numbers.get(&host) {
@@ -384,9 +364,16 @@
         }
     }
 
-    fn zone(&self, name: &str) -> usize {
-        let zones = &self.setup.zones;
-        zones.iter().position(|z| z == name).unwrap_or(zones.len())
+    /// The number of a zone. The platform tells all of its zones at the start; an operator's are numbered as
+    /// they are heard of, also those that only the journal names: another must not get the same number.
+    fn zone(&mut self, name: &str) -> usize {
+        let zones = &mut self.setup.zones;
+        let known = zones.iter().position(|z| z == name);
+        if known.is_none() && self.setup.installation.is_some() {
+            zones.push(name.to_owned());
+            return zones.len() - 1;
+        }
+        known.unwrap_or(zones.len())
     }
 
     fn number(&mut self, host: &str) -> EndpointId {
@@ -600,10 +587,7 @@
             }
             News::Moved(discovery) => self.moved(discovery),
             News::Configured(configured) => self.configured(*configured),
-            News::Resolved(list) => {
-                self.know_zones(&list.hosts);
-                self.list(list);
-            }
+            News::Resolved(list) => self.list(list),
             News::Watch => self.watch(),
             News::Synced(done) => self.synced(done),
             News::Stop => {
--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use stairshed_config::lines::Lines;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -62,13 +63,13 @@
         if answer.status() != StatusCode::OK {
             return false;
         }
-        let (mut body, mut lines) = (answer.into_body(), Lines::default());
+        let (mut body, mut lines) = (answer.into_body(), Lines::new(LINE_MOST));
         let mut heard = false;
         while let Some(piece) = link.piece(&mut body, SILENT).await {
-            if !lines.push(&piece) {
+            if lines.push(&piece).is_err() || lines.buffered() > LINE_MOST {
                 return heard;
             }
-            while let Some(line) = lines.next() {
+            for line in lines.by_ref() {
                 // An empty line says that all is as it was: an answer too.
                 let list = match line.iter().all(u8::is_ascii_whitespace) {
                     true => List { seq: self.seq, ..List::default() },
@@ -99,32 +100,3 @@
         heard
     }
 }
-
-/// Cuts a stream of bytes into lines.
-#[derive(Default)]
-struct Lines {
-    bytes: Vec<u8>,
-    /// Up to here there is no end of a line.
-    seen: usize,
-}
-
-impl Lines {
-    /// False if a line has grown too long.
-    fn push(&mut self, piece: &[u8]) -> bool {
-        self.bytes.extend_from_slice(piece);
-        self.bytes.len() <= LINE_MOST
-    }
-
-    fn next(&mut self) -> Option<Vec<u8>> {
-        let Some(at) = self.bytes[self.seen..].iter().position(|b| *b == b'\n') else {
-            self.seen = self.bytes.len();
-            return None;
-        };
-        let end = self.seen + at;
-        self.seen = 0;
-        let rest = self.bytes.split_off(end + 1);
-        let mut line = std::mem::replace(&mut self.bytes, rest);
-        line.truncate(end);
-        Some(line)
-    }
-}
--- a/crates/courier/src/dns.rs
+++ b/crates/courier/src/dns.rs
@@ -2,7 +2,7 @@
 //! answer is cut short.
 
 use crate::names::Names;
-use crate::news::{Health, Host, List, News};
+use crate::news::{Health, Host, List, News, differences};
 use simple_dns::rdata::RData;
 use simple_dns::{CLASS, Name, Packet, PacketFlag, QCLASS, QTYPE, Question, RCODE, TYPE};
 use stairshed_config::Installation;
@@ -205,10 +205,7 @@
                 now.insert(host.host.clone(), host);
             }
         }
-        let gone = self.listed.iter().filter(|(name, _)| !now.contains_key(*name));
-        let gone = gone.map(|(_, host)| Host { health: Health::Gone, ..host.clone() });
-        let new = now.iter().filter(|(name, host)| self.listed.get(*name) != Some(host));
-        let hosts: Vec<Host> = gone.chain(new.map(|(_, host)| host.clone())).collect();
+        let hosts = differences(&self.listed, &now);
         self.listed = now;
         if !hosts.is_empty() {
             let _ = self.news.send(News::Resolved(List { seq: 0, whole: false, hosts })).await;
--- a/crates/courier/src/effective.rs
+++ b/crates/courier/src/effective.rs
@@ -1,6 +1,6 @@
 //! The configuration in effect, as the fronts see it: which route a request takes, and what is made of it.
 
-use crate::intake::{Named, Unfit, now};
+use crate::intake::{Named, Unfit, unix};
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode};
@@ -141,7 +141,7 @@
         }
         // Longer than its class has it the message would not be worth anything.
         let time_left = named.time_left.unwrap_or(terms.deadline).min(terms.deadline);
-        let taken = now();
+        let taken = unix();
         let routed = Routed {
             version,
             route: chosen.route.name.clone(),
--- a/crates/courier/src/intake.rs
+++ b/crates/courier/src/intake.rs
@@ -467,7 +467,7 @@
 }
 
 /// Unix time.
-pub fn now() -> Duration {
+pub fn unix() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
@@ -492,7 +492,7 @@
     let text = headers.get("Envelope").ok_or("no Envelope\n")?;
     let text = text.to_str().map_err(|_| "Envelope is no text\n")?;
     let destination = envelope(text.trim()).ok_or("Envelope names no destination\n")?;
-    let (id, class, key, taken) = (id.to_owned(), name.to_owned(), named.key, now());
+    let (id, class, key, taken) = (id.to_owned(), name.to_owned(), named.key, unix());
     let until = taken + time_left;
     Ok((Letter { id, class, destination, key, taken, until, body, routed: None }, time_left))
 }
--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -6,6 +6,7 @@
 use stairshed_config::Installation;
 use stairshed_decide::interface::{EndpointId, Outcome, Report};
 use stairshed_journal::{Letter, Refusal, Synced};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -124,6 +125,14 @@
     pub share: f64,
 }
 
+/// What differs from `before` to `now`, both by name: what is gone first.
+pub fn differences(before: &BTreeMap<String, Host>, now: &BTreeMap<String, Host>) -> Vec<Host> {
+    let gone = before.iter().filter(|(name, _)| !now.contains_key(*name));
+    let gone = gone.map(|(_, host)| Host { health: Health::Gone, ..host.clone() });
+    let new = now.iter().filter(|(name, host)| before.get(*name) != Some(host));
+    gone.chain(new.map(|(_, host)| host.clone())).collect()
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Health {
--- a/crates/courier/src/serve.rs
+++ b/crates/courier/src/serve.rs
@@ -18,6 +18,7 @@
 use stairshed_config::installation::Document;
 use stairshed_config::version::{Version, Versions};
 use stairshed_decide::brain::Brain;
+use stairshed_decide::interface::Settings;
 use stairshed_journal::{Durability, Journal};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -38,17 +39,15 @@
 /// What the owner of the decision module is told at the start.
 fn setup(installation: &Arc<Installation>) -> Setup {
     let names = installation.classes.iter().map(|c| c.name.clone());
-    let classes = ClassTable::new(names.zip(installation.settings.classes.iter().cloned()));
-    let mut zones: Vec<String> = Vec::new();
-    for member in installation.pools.iter().flat_map(|p| &p.members) {
-        if !zones.contains(&member.zone) {
-            zones.push(member.zone.clone());
-        }
-    }
+    let classes = match installation.classes.is_empty() {
+        // The module has to have a class, also while no version has come.
+        true => ClassTable::none(),
+        false => ClassTable::new(names.zip(installation.settings.classes.iter().cloned())),
+    };
     Setup {
-        settings: installation.settings.clone(),
+        settings: Settings { classes: classes.classes(), ..installation.settings.clone() },
         classes,
-        zones,
+        zones: Vec::new(),
         kinds: kinds(),
         seed: rand::random(),
         known: None,
@@ -65,18 +64,15 @@
 }
 
 /// What a start comes up on: the last good version over the file, or the file's own.
-fn start(document: &Document, store: &Store) -> Result<(Option<Version>, Arc<Installation>), Fault> {
-    let own = document.installation(None);
-    let own =
-        own.map_err(|problems| Fault::Lines(problems.to_string().lines().map(str::to_owned).collect()))?;
+fn start(document: &Document, own: Installation, store: &Store) -> (Option<Version>, Arc<Installation>) {
     if own.control.is_none() {
-        return Ok((None, Arc::new(own)));
+        return (None, Arc::new(own));
     }
     match store.load() {
         Ok(Some(version)) => match document.installation(Some(&version.config)) {
             Ok(installation) => {
                 eprintln!("configuration: the last good version, {}", version.version);
-                return Ok((Some(version), Arc::new(installation)));
+                return (Some(version), Arc::new(installation));
             }
             Err(problems) => {
                 let number = version.version;
@@ -87,7 +83,7 @@
         Ok(None) => {}
         Err(why) => eprintln!("configuration: the stored version cannot be read: {why}"),
     }
-    Ok((None, Arc::new(own)))
+    (None, Arc::new(own))
 }
 
 /// Runs an operator's courier until it is told to stop.
@@ -104,7 +100,7 @@
     std::fs::create_dir_all(&folder).map_err(|e| bad("state", format!("{}: {e}", folder.display())))?;
     let files = lock(&folder).await.map_err(|e| bad("state", e))?;
     let store = Store::new(state.join("version.json"));
-    let (version, installation) = start(&document, &store)?;
+    let (version, installation) = start(&document, own, &store);
     if installation.routes.is_empty() && installation.control.is_none() {
         return Err(bad(
             "configuration",
@@ -125,14 +121,7 @@
     let mut setup = setup(&installation);
     let calls = Calls::new(setup.settings.connect_timeout, setup.settings.keepalive, for_calls);
     setup.settings.keepalive = calls.keep_time();
-    // The module has to have a class, also while no version has come.
-    let mut first = setup.settings.clone();
-    if first.classes.is_empty() {
-        first.classes = ClassTable::none().classes();
-        setup.classes = ClassTable::none();
-        setup.settings = first.clone();
-    }
-    let brain = Brain::new(first, setup.seed).map_err(|e| bad("configuration", e))?;
+    let brain = Brain::new(setup.settings.clone(), setup.seed).map_err(|e| bad("configuration", e))?;
     let (news, inbox) = mpsc::channel(INBOX);
     let standing = Rc::new(Standing::default());
     let effective = Effective::new(version.as_ref().map_or(0, |v| v.version), installation.clone());
--- a/crates/courier/tests/crash.rs
+++ b/crates/courier/tests/crash.rs
@@ -21,10 +21,6 @@
 const CLIENTS: u64 = 4;
 const BODY: usize = 1500;
 
-fn number(name: &str, or: u64) -> u64 {
-    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(or)
-}
-
 /// What clients were told: ids that were taken on, with their class.
 type Accepted = Arc<Mutex<BTreeMap<String, &'static str>>>;
 
@@ -58,7 +54,7 @@
 }
 
 fn killed_many_times(kills: u64, settings: &str) {
-    let seed = number("SEED", 1);
+    let seed = figure("SEED", 1);
     println!("SEED={seed} KILLS={kills}");
     let mut rng = SmallRng::seed_from_u64(seed);
     let charges = Charges::default();
@@ -133,10 +129,10 @@
 
 #[test]
 fn no_charge_is_doubled_or_lost_though_it_is_killed_again_and_again() {
-    killed_many_times(number("KILLS", 40), PROCESS);
+    killed_many_times(figure("KILLS", 40), PROCESS);
 }
 
 #[test]
 fn with_syncs_no_charge_is_doubled_or_lost_either() {
-    killed_many_times(number("KILLS", 40) / 4, MACHINE);
+    killed_many_times(figure("KILLS", 40) / 4, MACHINE);
 }
--- a/crates/courier/tests/operator.rs
+++ b/crates/courier/tests/operator.rs
@@ -486,9 +486,11 @@
 #[test]
 fn endpoints_come_from_discovery_beside_those_of_the_file_and_leave_with_it() {
     let (own, found, other, folder) = (well(), well(), well(), Folder::new());
-    let discovery = Discovery::new(list(1, true, vec![host("d-1", &found, 7, "ready"), host("d-2", &other, 8, "ready")]));
+    let discovery =
+        Discovery::new(list(1, true, vec![host("d-1", &found, 7, "ready"), host("d-2", &other, 8, "ready")]));
     let service = format!("[discovery]\naddress = \"{}\"\n", discovery.address);
-    let pools = pool("p", &[&own]) + "[pools.q]\ndestination = 7\ndiscovery = true\n[pools.r]\ndestination = 8\n";
+    let pools =
+        pool("p", &[&own]) + "[pools.q]\ndestination = 7\ndiscovery = true\n[pools.r]\ndestination = 8\n";
     let routes: String = ["p", "q", "r"].map(|name| route(name, name, "status")).concat();
     let file = [HEAD, CLASSES, &pools, &routes, &service].concat();
     let courier = Courier::serve(&folder, &file);
@@ -525,7 +527,8 @@
     let address = courier.address;
     let hand_in = |thread: usize| {
         let of = (0..MESSAGES / 8).map(|n| format!("m{thread}-{n}"));
-        of.filter(|id| post(address, "/a", id, "", "x").is_some_and(|p| p.status() == 202)).collect::<Vec<_>>()
+        of.filter(|id| post(address, "/a", id, "", "x").is_some_and(|p| p.status() == 202))
+            .collect::<Vec<_>>()
     };
     let taken: Vec<String> = thread::scope(|scope| {
         let all: Vec<_> = (0..8).map(|t| scope.spawn(move || hand_in(t))).collect();
--- a/crates/courier/tests/versions.rs
+++ b/crates/courier/tests/versions.rs
@@ -23,10 +23,6 @@
 /// What the test's own threads may be late by, when several share a core: calls are timed at their arrival.
 const SLACK: Duration = Duration::from_millis(150);
 
-fn dice(name: &str, or: u64) -> u64 {
-    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(or)
-}
-
 /// A good configuration: which endpoints each pool has, and which pool each route leads to.
 #[derive(Clone, Debug)]
 struct Plan {
@@ -281,7 +277,7 @@
 
 #[test]
 fn versions_under_traffic_do_what_their_answers_say_and_nothing_else() {
-    let (seed, versions) = (dice("SEED", 20_261_201), dice("VERSIONS", 300));
+    let (seed, versions) = (figure("SEED", 20_261_201), figure("VERSIONS", 300));
     println!("SEED={seed} VERSIONS={versions}");
     let (mut service, endpoints, charges, clients) = run(seed);
     let folder = Folder::new();
@@ -331,7 +327,7 @@
 
 #[test]
 fn after_sigkill_it_comes_up_on_the_last_version_that_it_acknowledged() {
-    let (seed, kills) = (dice("SEED", 20_261_202), dice("KILLS", 12));
+    let (seed, kills) = (figure("SEED", 20_261_202), figure("KILLS", 12));
     println!("SEED={seed} KILLS={kills}");
     let (mut service, endpoints, charges, clients) = run(seed);
     let folder = Folder::new();
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -20,6 +20,11 @@
 pub const LIMIT: Duration = Duration::from_secs(60);
 pub const MS: Duration = Duration::from_millis(1);
 
+/// A figure from the environment, for a test that can be played for longer, or again.
+pub fn figure(name: &str, or: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(or)
+}
+
 /// Waits until something holds; a fault if it never does.
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + LIMIT;
