--- /dev/null
+++ b/crates/courier/src/clock.rs
@@ -0,0 +1,8 @@
+//! The time of day.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Unix time.
+pub fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- a/crates/courier/src/admin.rs
+++ b/crates/courier/src/front/admin.rs
@@ -1,8 +1,8 @@
 //! The operator's pages: what configuration is in effect, since when, and what was refused. On an address of
 //! their own, off unless configured, loopback only.
 
-use crate::control::View;
-use crate::intake::Standing;
+use crate::front::intake::Standing;
+use crate::place::control::View;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
--- a/crates/courier/src/intake.rs
+++ b/crates/courier/src/front/intake.rs
@@ -1,6 +1,8 @@
 //! The clients' side: takes messages in over HTTP, and tells whether the courier is ready.
 
-use crate::effective::Effective;
+use crate::clock::unix;
+use crate::front::effective::Effective;
+use crate::front::named::{Named, Unfit};
 use crate::news::{COME_AGAIN, News, Offer, Reply, ReplyTo, reason};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -19,7 +21,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
@@ -41,9 +43,6 @@
 /// A new connection's request is mostly there already and read by then.
 const FRESH_TIME: Duration = Duration::from_millis(10);
 const HEAD_MOST: usize = 16 * 1024;
-pub const ID_MOST: usize = 256;
-/// No class has a time-out near this.
-const TIMEOUT_MOST: Duration = Duration::from_secs(24 * 3600);
 /// Well under the time for which a client waits.
 const PATIENCE: Duration = Duration::from_millis(300);
 
@@ -278,18 +277,6 @@
     Routes(Effective),
 }
 
-/// A request that is not taken.
-pub struct Unfit {
-    pub status: StatusCode,
-    pub why: Cow<'static, str>,
-}
-
-impl From<&'static str> for Unfit {
-    fn from(why: &'static str) -> Self {
-        Unfit { status: StatusCode::BAD_REQUEST, why: Cow::Borrowed(why) }
-    }
-}
-
 pub struct Intake {
     pub front: Front,
     pub standing: Rc<Standing>,
@@ -432,44 +419,6 @@
     }
 }
 
-/// Headers that name a message, as a client tells them.
-pub struct Named<'a> {
-    pub id: Option<&'a str>,
-    pub class: Option<&'a str>,
-    pub time_left: Option<Duration>,
-    pub key: Option<String>,
-}
-
-impl<'a> Named<'a> {
-    pub fn read(headers: &'a HeaderMap) -> Result<Self, Unfit> {
-        // Two that name different messages: one reader would take the first and another the last.
-        for name in ["X-Request-ID", "X-Priority-Class", "X-Timeout", "Envelope", "Idempotency-Key"] {
-            if headers.get_all(name).iter().nth(1).is_some() {
-                return Err("a header that may come once comes twice\n".into());
-            }
-        }
-        let head = |name| headers.get(name).map(|v| v.to_str().map(str::trim));
-        let id = head("X-Request-ID").transpose().map_err(|_| "X-Request-ID is no text\n")?;
-        if id.is_some_and(|id| id.is_empty() || id.len() > ID_MOST) {
-            return Err("X-Request-ID is empty or too long\n".into());
-        }
-        let class = head("X-Priority-Class").transpose().map_err(|_| "X-Priority-Class is no text\n")?;
-        let time = head("X-Timeout").transpose().map_err(|_| "X-Timeout is no text\n")?;
-        let time_left = time.map(|t| span(t).ok_or("X-Timeout cannot be read\n")).transpose()?;
-        let key = match head("Idempotency-Key") {
-            Some(Ok(key)) if !key.is_empty() && key.len() <= ID_MOST => Some(key.to_owned()),
-            Some(_) => return Err("Idempotency-Key cannot be read\n".into()),
-            None => None,
-        };
-        Ok(Named { id, class, time_left, key })
-    }
-}
-
-/// Unix time.
-pub fn unix() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-}
-
 /// Reads a message of the platform's from its head. An error is told to the client.
 fn letter(
     classes: &[String],
@@ -518,21 +467,6 @@
     if seen > BODY_MOST { Err(Unread::Large) } else { Ok(kept.into()) }
 }
 
-/// A number and a unit: `m` milliseconds or `u` microseconds.
-fn span(text: &str) -> Option<Duration> {
-    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
-    if !number.bytes().all(|b| b.is_ascii_digit()) {
-        return None;
-    }
-    let number = number.parse().ok()?;
-    let span = match unit {
-        "m" => Duration::from_millis(number),
-        "u" => Duration::from_micros(number),
-        _ => return None,
-    };
-    (!span.is_zero() && span <= TIMEOUT_MOST).then_some(span)
-}
-
 /// `dest=7`, perhaps among other fields.
 fn envelope(text: &str) -> Option<u64> {
     let fields = text.split([',', ';', '&', ' ']).filter_map(|f| f.trim().split_once('='));
@@ -594,17 +528,6 @@
 mod tests {
     use super::*;
 
-    #[test]
-    fn time_outs_have_a_number_and_a_unit() {
-        assert_eq!(span("480m"), Some(Duration::from_millis(480)));
-        assert_eq!(span("1500u"), Some(Duration::from_micros(1500)));
-        for bad in
-            ["", "m", "480", "0m", "-1m", "+1m", "1.5m", "4s", "é", "99999999999999999999m", "86400001m"]
-        {
-            assert_eq!(span(bad), None, "{bad}");
-        }
-    }
-
     #[test]
     fn frames_that_could_hide_a_request_are_seen() {
         let framing = |text: &str, size| {
--- a/crates/courier/src/mqtt.rs
+++ b/crates/courier/src/front/mqtt.rs
@@ -1,11 +1,11 @@
 //! MQTT clients' side: sockets around the state machine of `stairshed-mqtt`, which holds all connections and
 //! sessions. What a PUBLISH means is asked of the routes in effect, what becomes of it of the courier.
 
-use crate::effective::Effective;
-use crate::intake::unix;
+use crate::clock::unix;
+use crate::front::effective::Effective;
+use crate::front::users::Users;
 use crate::news::{COME_AGAIN, Front, News, Offer, Reply, ReplyTo, Store, reason};
-use crate::outcomes;
-use crate::users::Users;
+use crate::out::outcomes;
 use bytes::BytesMut;
 use stairshed_journal::{Refusal, Verdict};
 use stairshed_mqtt::packet::code;
--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -1,7 +1,6 @@
 //! What crosses between the courier's parts: the news that its owner of the decision module hears, and
 //! what they carry. It stands below all of them, so that no part imports the owner.
 
-use crate::effective::Effective;
 use serde::Deserialize;
 use stairshed_config::Installation;
 use stairshed_decide::interface::{EndpointId, Outcome, Report};
@@ -146,8 +145,6 @@
     /// 0 for the operator's file.
     pub version: u64,
     pub installation: Arc<Installation>,
-    /// Where the fronts look.
-    pub effective: Effective,
     pub changes: Changes,
     /// Told once it is in effect.
     pub done: oneshot::Sender<()>,
--- a/crates/courier/src/broker.rs
+++ b/crates/courier/src/out/broker.rs
@@ -1,8 +1,8 @@
 //! The connection to one MQTT broker: a socket around the state machine of `stairshed-mqtt`. It decides nothing.
 
-use crate::calls::Call;
-use crate::intake::unix;
+use crate::clock::unix;
 use crate::news::{CallEnd, News};
+use crate::out::calls::Call;
 use bytes::Bytes;
 use stairshed_config::file::{self, MqttVersion};
 use stairshed_decide::interface::{Effect, EndpointId, Outcome};
--- a/crates/courier/src/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -1,8 +1,8 @@
 //! Calls to endpoints and probes, and the connections kept for them. One call a connection at a time; what
 //! may have run is told apart from what never did.
 
-use crate::link::{Answer, Link, Lost};
 use crate::news::{CallEnd, News};
+use crate::out::link::{Answer, Link, Lost};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HOST};
--- a/crates/courier/src/outcomes.rs
+++ b/crates/courier/src/out/outcomes.rs
@@ -1,8 +1,8 @@
 //! Notices of what was taken on and is not delivered: to the platform, or where an operator wants them, by
 //! post, in a file, or both. Sent until they are acknowledged, however long that takes.
 
-use crate::link::Link;
 use crate::news::News;
+use crate::out::link::Link;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
--- /dev/null
+++ b/crates/courier/src/owner.rs
@@ -0,0 +1,288 @@
+//! The only owner of the decision module. Feeds it what happened, no oftener than once a tick, and carries
+//! out what it asks for. It decides nothing about a message itself. Here are the module and the turn; each room
+//! below has a part of the state and what is done with it:
+//!
+//! ```text
+//!   taking    offers, ids, replies          members   endpoints, zones, changes, drains
+//!   out       messages held, their calls    records   what waits on the journal, a failing disk
+//!   notices   verdicts to be acknowledged   stopping  the end after SIGTERM
+//!   ended     what stays of ended messages  brokers   attempts at MQTT brokers      notes  state by key
+//! ```
+
+mod brokers;
+mod ended;
+mod members;
+mod notes;
+mod notices;
+mod out;
+mod records;
+pub mod setup;
+mod stopping;
+mod taking;
+
+use crate::clock::unix;
+use crate::front::intake::Standing;
+use crate::news::{Front, List, News};
+use crate::out::calls::Calls;
+use crate::out::outcomes::Outcomes;
+use crate::place::hosts::hosts;
+use members::Members;
+use notices::Notices;
+use out::{Out, aged};
+use records::{COMPACT_PAUSE, DISK_RETRY, Records};
+use setup::Setup;
+use stairshed_config::change::changes;
+use stairshed_decide::brain::Brain;
+use stairshed_decide::interface::*;
+use stairshed_journal::{Journal, Verdict};
+use std::collections::HashMap;
+use std::rc::Rc;
+use stopping::{STOP_LOOK, Stopping};
+use taking::Taking;
+use tokio::sync::mpsc::{Receiver, Sender};
+use tokio::time::{Instant, sleep_until};
+
+pub struct Courier {
+    setup: Setup,
+    brain: Brain,
+    journal: Journal,
+    standing: Rc<Standing>,
+    news: Sender<News>,
+    origin: Instant,
+    /// What the module has not heard of yet.
+    events: Vec<Event>,
+    /// The module's one wake-up; a later request for one takes its place.
+    wake: Option<(Instant, u64)>,
+    taking: Taking,
+    out: Out,
+    members: Members,
+    records: Records,
+    notices: Notices,
+    stopping: Stopping,
+    /// Whose clients are told how their messages end.
+    front: Option<Rc<dyn Front>>,
+    ended: ended::Ended,
+    brokers: brokers::Brokers,
+    /// Numbers of the journal's notes, by key.
+    notes: HashMap<String, u64>,
+}
+
+impl Courier {
+    pub fn new(
+        setup: Setup,
+        brain: Brain,
+        journal: Journal,
+        calls: Calls,
+        outcomes: Outcomes,
+        standing: Rc<Standing>,
+        news: Sender<News>,
+    ) -> Self {
+        let taking = Taking::after(journal.last());
+        let mut courier = Courier {
+            setup,
+            brain,
+            journal,
+            standing,
+            news,
+            origin: Instant::now(),
+            events: Vec::new(),
+            wake: None,
+            taking,
+            out: Out::new(calls),
+            members: Members::default(),
+            records: Records::default(),
+            notices: Notices::new(outcomes),
+            stopping: Stopping::default(),
+            front: None,
+            ended: ended::Ended::default(),
+            brokers: brokers::Brokers::default(),
+            notes: HashMap::new(),
+        };
+        courier.resume_notes();
+        courier.resume_brokers();
+        let known = courier.setup.known.clone().unwrap_or_default();
+        courier.list(List { whole: true, ..known });
+        if let Some(installation) = courier.setup.installation.clone() {
+            courier.members.listed = true;
+            courier.members.destinations.extend(installation.pools.iter().map(|p| p.destination));
+            let (hosts, limits) = hosts(&changes(None, &installation));
+            courier.change_members(hosts, limits);
+            courier.members.slice = usize::MAX;
+            courier.change();
+        }
+        courier.resume();
+        courier.lose_open();
+        courier.resume_open();
+        courier
+    }
+
+    /// Tells the clients of this front how their messages end.
+    pub fn tells(&mut self, front: Rc<dyn Front>) {
+        self.front = Some(front);
+    }
+
+    /// What is on record under keys with this prefix.
+    pub fn on_record(&self, prefix: &str) -> Vec<(String, bytes::Bytes)> {
+        self.notes_under(prefix)
+    }
+
+    fn reconfigure(&mut self) {
+        if let Err(why) = self.brain.reconfigure(self.setup.settings.clone()) {
+            // Checked before; the module goes on with what it had.
+            eprintln!("configuration: {why}");
+        }
+    }
+
+    /// Runs until the courier has stopped.
+    pub async fn run(mut self, mut inbox: Receiver<News>) {
+        let tick = self.setup.settings.tick;
+        let mut last: Option<Instant> = None;
+        self.resume_ended();
+        self.post();
+        loop {
+            let due = self.wake.map(|(at, _)| at);
+            let idle =
+                self.events.is_empty() && self.members.changes.is_empty() && self.members.in_effect.is_none();
+            let due = if idle { due } else { Some(Instant::now()) };
+            let due = due.map(|at| last.map_or(at, |t| at.max(t + tick)));
+            let retry = self.records.disk_failed.or(self.records.sync_failed).map(|t| t + DISK_RETRY);
+            let compact = self.journal.wants_compaction() && self.records.disk_failed.is_none();
+            let compact = compact.then(|| Instant::now() + COMPACT_PAUSE);
+            let stop = self.stopping.since.map(|_| Instant::now() + STOP_LOOK);
+            let removed = self.members.removed.values().copied().filter(|at| *at > Instant::now()).min();
+            let forget = self.ended.next().map(|at| Instant::now() + at.saturating_sub(unix()));
+            let open = self.next_open();
+            let at = [due, retry, stop, compact, removed, forget, open].into_iter().flatten().min();
+            let nap = async {
+                match at {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                news = inbox.recv() => {
+                    let Some(news) = news else { return };
+                    self.hear(news);
+                    while let Ok(news) = inbox.try_recv() {
+                        self.hear(news);
+                    }
+                    self.settle();
+                    self.post();
+                }
+                () = nap => {
+                    let now = Instant::now();
+                    if retry.is_some_and(|at| at <= now) {
+                        self.settle();
+                    }
+                    if due.is_some_and(|at| at <= now) {
+                        last = Some(now);
+                        self.turn(now);
+                        self.post();
+                    }
+                }
+            }
+            self.end_removed();
+            self.end_open();
+            self.forget_due();
+            self.compact();
+            if self.stopped() {
+                return;
+            }
+        }
+    }
+
+    fn hear(&mut self, news: News) {
+        match news {
+            News::Offered(offer) => self.offered(offer),
+            News::Called { message, attempt, endpoint, end } => self.called(message, attempt, endpoint, end),
+            News::Probed { endpoint, sent, end } => {
+                let took = end.at.saturating_duration_since(sent);
+                let outcome = aged(end.outcome, end.at);
+                self.events.push(Event::Probed { endpoint, outcome, took, report: end.report });
+            }
+            News::Listed(list) => {
+                self.members.listed = true;
+                match self.setup.installation.is_some() {
+                    true => self.discovered(list),
+                    false => self.list(list),
+                }
+            }
+            News::Told(messages) => {
+                self.notices.posts -= 1;
+                for message in messages {
+                    let verdict = self.journal.get(message).and_then(|m| m.verdict);
+                    self.finish(message, verdict);
+                }
+            }
+            News::Moved(discovery) => self.moved(discovery),
+            News::Configured(configured) => self.configured(*configured),
+            News::Resolved(list) => self.list(list),
+            News::Watch => self.watch(),
+            News::Synced(done) => self.synced(done),
+            News::Store(store) => self.store(store),
+            News::OwnerTold { message } => self.owner_told(message),
+            News::Released { endpoint, id, message } => self.released(endpoint, id, message),
+            News::Resuming { endpoint, begins } => self.resuming(endpoint, begins),
+            News::Freed { endpoint, id } => self.unreserve(endpoint, id),
+            News::Stop => {
+                self.standing.stop();
+                self.stopping.since.get_or_insert(Instant::now());
+            }
+        }
+    }
+
+    /// One batch: what happened goes in, and what the module asks for is carried out.
+    fn turn(&mut self, now: Instant) {
+        if let Some((_, token)) = self.wake.take_if(|(at, _)| *at <= now) {
+            self.events.push(Event::Woken { token });
+        }
+        self.drop_deserted();
+        self.change();
+        let events = std::mem::take(&mut self.events);
+        let mut actions = Vec::new();
+        self.brain.handle(now.duration_since(self.origin), &events, &mut actions);
+        let (mut sends, mut refused, mut cancels) = (Vec::new(), HashMap::new(), Vec::new());
+        for action in actions {
+            match action {
+                Action::Send { message, endpoint, timeout } => sends.push((message.0, endpoint, timeout)),
+                Action::Refuse { message, wait } => {
+                    refused.insert(message.0, Verdict::Bounced { wait });
+                }
+                Action::Fail { message } => {
+                    refused.insert(message.0, Verdict::Dead);
+                }
+                Action::Cancel { message, .. } => cancels.push((message.0, self.publishing_to(message.0))),
+                Action::Probe { endpoint } => self.probe(endpoint),
+                Action::Close { endpoint } => {
+                    self.out.calls.close(endpoint);
+                    self.hang_up(endpoint);
+                }
+                Action::Subscribe { active: true } | Action::Fetch => self.watch(),
+                Action::Subscribe { active: false } | Action::Tell { .. } => {}
+                Action::Wake { token, after } => self.wake = Some((now + after, token)),
+                Action::Forget { endpoint } => {
+                    self.out.calls.forget(endpoint);
+                    self.forget_broker(endpoint);
+                    if let Some(e) = self.members.endpoints.remove(&endpoint) {
+                        self.members.numbers.remove(&e.host);
+                    }
+                }
+                Action::Note { text } => eprintln!("note: {text}"),
+            }
+        }
+        self.take_on(&mut refused);
+        for (message, verdict) in refused {
+            self.judge(message, verdict);
+        }
+        self.send(sends, now);
+        for (message, endpoint) in cancels {
+            let out = self.out.held.get_mut(&message).and_then(|m| m.out.as_mut());
+            match out.and_then(|(_, cancel)| cancel.take()) {
+                Some(cancel) => drop(cancel.send(())),
+                // A PUBLISH that has begun cannot be called off, and does not end as if it were.
+                None => endpoint.into_iter().for_each(|e| self.call_off_publish(e, message)),
+            }
+        }
+    }
+}
--- a/crates/courier/src/courier/brokers.rs
+++ b/crates/courier/src/owner/brokers.rs
@@ -1,11 +1,13 @@
 //! Attempts at MQTT brokers, as the owner of the decision module keeps them: each is on record with its packet id, so
 //! that one whose fate is open is resumed after a restart, and is never a second one.
 
-use super::{Courier, Held, Waiting};
-use crate::broker::Broker;
-use crate::calls::{Call, DRAIN_TIME};
-use crate::intake::unix;
+use super::Courier;
+use super::out::Held;
+use super::records::Waiting;
+use crate::clock::unix;
 use crate::news::CallEnd;
+use crate::out::broker::Broker;
+use crate::out::calls::{Call, DRAIN_TIME};
 use serde::{Deserialize, Serialize};
 use stairshed_decide::interface::*;
 use stairshed_journal::{Live, Verdict};
@@ -97,7 +99,7 @@
         }
         let (letter, attempts) = (live.letter.clone(), live.attempts.len() as u32);
         let out = Some((Instant::now(), None));
-        self.held.insert(message, Held { letter, class, attempts, out });
+        self.out.held.insert(message, Held { letter, class, attempts, out });
         true
     }
 
@@ -107,7 +109,7 @@
         if let Some(broker) = known.filter(|b| !self.brokers.stale.contains(&endpoint) || b.is_busy()) {
             return Some(broker.clone());
         }
-        let e = self.endpoints.get(&endpoint)?;
+        let e = self.members.endpoints.get(&endpoint)?;
         let (address, topic) = (e.address?, e.topic.clone()?);
         let installation = self.setup.installation.as_ref()?;
         let pool = installation.pools.iter().find(|p| p.destination == e.destination);
@@ -134,7 +136,7 @@
     pub(super) fn reserve(&mut self, endpoint: EndpointId, message: u64) -> Option<u16> {
         let broker = self.broker(endpoint)?;
         let id = broker.reserve()?;
-        let host = self.endpoints.get(&endpoint)?.host.clone();
+        let host = self.members.endpoints.get(&endpoint)?.host.clone();
         self.put_in_use(&host, id, InUse { message, released: false });
         Some(id)
     }
@@ -153,7 +155,7 @@
 
     /// What a repeat of a held message does; of one that is not known, the strictest.
     fn effect_of(&self, message: u64) -> Effect {
-        let class = self.held.get(&message).and_then(|m| self.setup.classes.get(m.class));
+        let class = self.out.held.get(&message).and_then(|m| self.setup.classes.get(m.class));
         class.map_or(Effect::Once, |c| c.effect)
     }
 
@@ -167,13 +169,13 @@
 
     /// What was not handed over after all.
     pub(super) fn unreserve(&mut self, endpoint: EndpointId, id: u16) {
-        if let Some(host) = self.endpoints.get(&endpoint).map(|e| e.host.clone()) {
+        if let Some(host) = self.members.endpoints.get(&endpoint).map(|e| e.host.clone()) {
             self.erase(&key(&host, id));
         }
     }
 
     pub(super) fn released(&mut self, endpoint: EndpointId, id: u16, message: u64) {
-        let Some(host) = self.endpoints.get(&endpoint).map(|e| e.host.clone()) else { return };
+        let Some(host) = self.members.endpoints.get(&endpoint).map(|e| e.host.clone()) else { return };
         self.put_in_use(&host, id, InUse { message, released: true });
         self.settle();
         self.when_kept(self.journal.last_seq(), Waiting::Recorded { endpoint, id });
@@ -181,7 +183,7 @@
 
     /// A broker's session is about to be resumed, or what became of it is known.
     pub(super) fn resuming(&mut self, endpoint: EndpointId, begins: bool) {
-        let Some(host) = self.endpoints.get(&endpoint).map(|e| e.host.clone()) else { return };
+        let Some(host) = self.members.endpoints.get(&endpoint).map(|e| e.host.clone()) else { return };
         let key = format!("{RESUMING}{host}");
         if !begins {
             return self.erase(&key);
@@ -211,7 +213,7 @@
 
     /// News of an endpoint that is a broker: what waits for it is resumed, a drain is kept.
     pub(super) fn broker_stands(&mut self, endpoint: EndpointId, ready: bool) {
-        let Some(e) = self.endpoints.get(&endpoint).filter(|e| e.topic.is_some()) else { return };
+        let Some(e) = self.members.endpoints.get(&endpoint).filter(|e| e.topic.is_some()) else { return };
         self.brokers.stale.insert(endpoint);
         let host = e.host.clone();
         if ready {
@@ -226,7 +228,7 @@
 
     /// Resumes what can be at the endpoints that were listed before it was read.
     pub(super) fn resume_open(&mut self) {
-        let ready = self.endpoints.iter().filter(|(_, e)| e.ready && e.topic.is_some());
+        let ready = self.members.endpoints.iter().filter(|(_, e)| e.ready && e.topic.is_some());
         let ready: Vec<EndpointId> = ready.map(|(id, _)| *id).collect();
         ready.into_iter().for_each(|endpoint| self.broker_stands(endpoint, true));
     }
@@ -259,7 +261,7 @@
             return false;
         }
         if end.over || self.journal.get(message).is_none_or(|m| m.verdict.is_some()) {
-            self.held.remove(&message);
+            self.out.held.remove(&message);
             return true;
         }
         self.hand_over(message);
@@ -269,7 +271,7 @@
     /// Gives a message to the module with what it went through.
     fn hand_over(&mut self, message: u64) {
         let Some(live) = self.journal.get(message).cloned() else { return };
-        let Some(held) = self.held.get_mut(&message) else { return };
+        let Some(held) = self.out.held.get_mut(&message) else { return };
         held.out = None;
         let class = held.class;
         let taken = self.taken_before(message, &live, class);
@@ -289,7 +291,7 @@
         for message in due {
             let Some(open) = self.brokers.open.remove(&message) else { continue };
             let harmless = self.effect_of(message) == Effect::Repeatable;
-            if let Some(held) = self.held.get_mut(&message) {
+            if let Some(held) = self.out.held.get_mut(&message) {
                 held.out = None;
             }
             if !open.resumed {
--- a/crates/courier/src/courier/ended.rs
+++ b/crates/courier/src/owner/ended.rs
@@ -1,8 +1,9 @@
 //! What stays of messages that have ended: so that a repeat is known as one, and a client that reads how its messages
 //! end is told, whatever crashes in between. The journal holds it; here stands what is looked up.
 
-use super::{Courier, Waiting};
-use crate::intake::unix;
+use super::Courier;
+use super::records::Waiting;
+use crate::clock::unix;
 use crate::news::{Offer, Reply, ReplyTo};
 use stairshed_journal::{Kept, Letter, Verdict};
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -113,7 +114,7 @@
     pub(super) fn finish(&mut self, message: u64, verdict: Option<Verdict>) {
         let Some(live) = self.journal.get(message) else { return };
         let letter = live.letter.clone();
-        self.ids.remove(&letter.id);
+        self.taking.ids.remove(&letter.id);
         let told = self.ended.told.remove(&message);
         let Some(routed) = letter.routed.as_ref().filter(|_| stays(&letter)) else {
             return self.journal.end(message);
@@ -187,12 +188,15 @@
         let verdict = Some(Verdict::Bounced { wait });
         let id = letter.id.clone();
         let room = self.journal.fits_note((id.len() + owner.len()) as u64);
-        if self.disk_failed.is_some() || room.is_err() || self.ended.kept.len() >= self.setup.remembered {
+        if self.records.disk_failed.is_some()
+            || room.is_err()
+            || self.ended.kept.len() >= self.setup.remembered
+        {
             let _ = to.send(reply);
             return;
         }
-        let message = self.next;
-        self.next += 1;
+        let message = self.taking.next;
+        self.taking.next += 1;
         let kept = Kept { id, owner: Some(owner), verdict, until: Duration::ZERO };
         self.ended.insert(message, &kept);
         self.journal.keep_new(message, kept);
--- a/crates/courier/src/courier/notes.rs
+++ b/crates/courier/src/owner/notes.rs
@@ -1,6 +1,7 @@
 //! State of other parts of the courier that outlasts the process: kept in the journal under a key each.
 
-use super::{Courier, Waiting};
+use super::Courier;
+use super::records::Waiting;
 use crate::news::Store;
 use stairshed_journal::{Note, Refusal};
 
@@ -20,8 +21,8 @@
 
     /// Puts a note in its place, whatever else the journal holds.
     pub(super) fn note(&mut self, key: &str, value: bytes::Bytes) {
-        let number = *self.notes.entry(key.to_owned()).or_insert(self.next);
-        self.next = self.next.max(number + 1);
+        let number = *self.notes.entry(key.to_owned()).or_insert(self.taking.next);
+        self.taking.next = self.taking.next.max(number + 1);
         self.journal.note(number, Note { key: key.to_owned(), value });
     }
 
@@ -35,7 +36,7 @@
     pub(super) fn store(&mut self, store: Store) {
         let Store { token, key, value } = store;
         let fits = match &value {
-            _ if self.disk_failed.is_some() => Err(Refusal::DiskFails),
+            _ if self.records.disk_failed.is_some() => Err(Refusal::DiskFails),
             Some(value) => self.journal.fits_note((key.len() + value.len()) as u64),
             None => Ok(()),
         };
--- /dev/null
+++ b/crates/courier/src/owner/out.rs
@@ -0,0 +1,180 @@
+//! What is out: the messages that are held, their calls, and how each call ended.
+
+use super::Courier;
+use super::records::Waiting;
+use super::stopping::STOP_SENDING;
+use crate::clock::unix;
+use crate::news::CallEnd;
+use crate::out::calls::{Call, Calls, To};
+use stairshed_decide::interface::*;
+use stairshed_journal::{Attempt, Letter, Verdict};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+pub(super) struct Out {
+    pub(super) held: BTreeMap<u64, Held>,
+    pub(super) calls: Calls,
+}
+
+impl Out {
+    pub(super) fn new(calls: Calls) -> Self {
+        Out { held: BTreeMap::new(), calls }
+    }
+}
+
+pub(super) struct Held {
+    pub(super) letter: Rc<Letter>,
+    pub(super) class: usize,
+    pub(super) attempts: u32,
+    /// The call that is out: when it left, and how to call it off.
+    pub(super) out: Option<(Instant, Option<oneshot::Sender<()>>)>,
+}
+
+impl Courier {
+    pub(super) fn called(&mut self, message: u64, attempt: u32, endpoint: EndpointId, end: CallEnd) {
+        // What proves that it never ran; all else may have.
+        let never = matches!(end.outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot);
+        if never {
+            self.journal.never_ran(message, attempt);
+        }
+        if end.over {
+            // Told to be over without a delivery: it never ran, and may be handed in again.
+            let verdict = (end.outcome != Outcome::Delivered).then_some(Verdict::Bounced { wait: None });
+            self.finish(message, verdict);
+        }
+        if self.resumed(message, &end) {
+            return;
+        }
+        // It may have gone while the call was out, and its connection was kept after that.
+        self.part(endpoint);
+        let Some(m) = self.out.held.get_mut(&message) else { return };
+        let Some((sent, _)) = m.out.take() else { return };
+        self.events.push(Event::Ended(Ended {
+            message: MessageId(message),
+            endpoint,
+            outcome: aged(end.outcome, end.at),
+            took: end.at.saturating_duration_since(sent),
+            over: end.over,
+            report: end.report,
+        }));
+        // The module drops a message with its last outcome, and so does the courier.
+        if self.journal.get(message).is_none_or(|m| m.verdict.is_some()) {
+            self.out.held.remove(&message);
+        }
+    }
+
+    pub(super) fn send(&mut self, sends: Vec<(u64, EndpointId, Duration)>, now: Instant) {
+        let late = self.stopping.since.is_some_and(|t| now >= t + STOP_SENDING);
+        let mut ready = Vec::new();
+        for (message, endpoint, timeout) in sends {
+            let e = self.members.endpoints.get(&endpoint);
+            let to = e.and_then(|e| Some((e, e.address?)));
+            let Some((m, (e, address))) = self.out.held.get_mut(&message).zip(to) else {
+                // Its client left in this very batch: the module hears that nothing was sent.
+                self.events.push(never_sent(message, endpoint, Outcome::Moot));
+                continue;
+            };
+            let zone = self.setup.zones.get(e.zone).cloned().unwrap_or_default();
+            let attempt = Attempt { host: e.host.clone(), zone, sent: unix(), may_have_run: true };
+            let broker = e.topic.is_some();
+            m.out = Some((now, None));
+            if late {
+                // This process ends before an answer could come: it is left to the next, as never sent.
+                continue;
+            }
+            let to = match broker {
+                false => Some(To::Http(address)),
+                true => self.reserve(endpoint, message).map(To::Broker),
+            };
+            let Some(m) = self.out.held.get_mut(&message) else { continue };
+            let Some(to) = to else {
+                // As many are on their way to the broker as may be.
+                m.out = None;
+                self.events.push(never_sent(message, endpoint, Outcome::Full { wait: None }));
+                continue;
+            };
+            let Ok(number) = self.journal.attempt(message, attempt) else {
+                // Names so long that no room was kept for them, and there is no other.
+                m.out = None;
+                self.take_back(&to, endpoint);
+                self.events.push(never_sent(message, endpoint, Outcome::Moot));
+                continue;
+            };
+            m.attempts += 1;
+            let letter = m.letter.clone();
+            let once = self.setup.classes.get(m.class).is_some_and(|c| c.effect == Effect::Once);
+            ready.push(Call { message, attempt: number, endpoint, to, letter, timeout, once });
+        }
+        let seq = self.journal.last_seq();
+        // The attempts are on record before their first byte goes out; the verdicts before their notice.
+        if !self.settle() {
+            for call in ready {
+                self.journal.never_ran(call.message, call.attempt);
+                self.take_back(&call.to, call.endpoint);
+                if let Some(m) = self.out.held.get_mut(&call.message) {
+                    m.out = None;
+                }
+                self.events.push(never_sent(call.message, call.endpoint, Outcome::Moot));
+            }
+            return;
+        }
+        for call in ready {
+            let (cancel, cancelled) = oneshot::channel();
+            if let Some(m) = self.out.held.get_mut(&call.message) {
+                m.out = Some((now, matches!(call.to, To::Http(_)).then_some(cancel)));
+            }
+            self.when_kept(seq, Waiting::Call { call, cancelled });
+        }
+    }
+
+    /// Nothing was sent there after all.
+    pub(super) fn take_back(&mut self, to: &To, endpoint: EndpointId) {
+        if let To::Broker(id) = to {
+            self.unreserve(endpoint, *id);
+        }
+    }
+
+    pub(super) fn call(&self, call: Call, cancelled: oneshot::Receiver<()>) {
+        match call.to {
+            To::Broker(id) => self.publish(call, id),
+            To::Http(address) => {
+                let call = self.out.calls.clone().call(call, address, cancelled, self.news.clone());
+                tokio::task::spawn_local(call);
+            }
+        }
+    }
+
+    pub(super) fn probe(&mut self, endpoint: EndpointId) {
+        if let Some(address) = self.members.endpoints.get(&endpoint).and_then(|e| e.address) {
+            let timeout = self.setup.settings.connect_timeout * 2;
+            tokio::task::spawn_local(self.out.calls.clone().probe(
+                endpoint,
+                address,
+                timeout,
+                self.news.clone(),
+            ));
+        }
+    }
+}
+
+/// A wait runs from when its answer arrived: the age of the batch is not added to it.
+pub(super) fn aged(outcome: Outcome, at: Instant) -> Outcome {
+    match outcome {
+        Outcome::Full { wait: Some(wait) } => Outcome::Full { wait: Some(wait.saturating_sub(at.elapsed())) },
+        other => other,
+    }
+}
+
+fn never_sent(message: u64, endpoint: EndpointId, outcome: Outcome) -> Event {
+    Event::Ended(Ended {
+        message: MessageId(message),
+        endpoint,
+        outcome,
+        took: Duration::ZERO,
+        over: false,
+        report: None,
+    })
+}
--- /dev/null
+++ b/crates/courier/src/owner/setup.rs
@@ -0,0 +1,33 @@
+//! What the owner of the decision module is told at its start: by the platform, or by an operator's file.
+
+use crate::front::effective::Effective;
+use crate::news::List;
+use stairshed_config::Installation;
+use stairshed_config::classes::ClassTable;
+use stairshed_decide::interface::Settings;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub struct Setup {
+    /// Its classes are those of `classes`.
+    pub settings: Settings,
+    pub classes: ClassTable,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub seed: u64,
+    /// The list as it was when the configuration was written.
+    pub known: Option<List>,
+    pub discovery: Option<SocketAddr>,
+    /// For an operator's courier: what is in effect.
+    pub installation: Option<Arc<Installation>>,
+    /// And where the fronts look for it.
+    pub effective: Option<Effective>,
+    /// How long messages of a pool that is gone wait for it to come back.
+    pub pool_wait: Duration,
+    /// Messages that have ended of which something may stay.
+    pub remembered: usize,
+    /// Where files stand that an installation names.
+    pub folder: PathBuf,
+}
--- /dev/null
+++ b/crates/courier/src/owner/taking.rs
@@ -0,0 +1,168 @@
+//! Taking on: what clients offer, until the module has judged it and they have heard. Owns the offers, the ids of
+//! all that is held, and the next message's number; `turn` calls it with the module's refusals.
+
+use super::out::Held;
+use super::records::Waiting;
+use super::{Courier, Verdict};
+use crate::news::{Offer, Reply, ReplyTo};
+use stairshed_decide::interface::*;
+use stairshed_journal::{Letter, Refusal};
+use std::collections::{BTreeMap, HashMap};
+
+#[derive(Default)]
+pub(super) struct Taking {
+    /// Those that wait for the module's word, with their class.
+    pub(super) offers: BTreeMap<u64, (usize, Offer)>,
+    /// Messages by the id that their clients gave them, until they have ended.
+    pub(super) ids: HashMap<String, u64>,
+    /// Of the next message.
+    pub(super) next: u64,
+}
+
+impl Taking {
+    /// Numbers go on behind the last that an earlier life has used.
+    pub(super) fn after(last: u64) -> Self {
+        Taking { next: last + 1, ..Taking::default() }
+    }
+}
+
+impl Courier {
+    pub(super) fn offered(&mut self, offer: Offer) {
+        let answer = |offer: Offer, reply| {
+            // A client that is gone hears nothing, and nothing was taken.
+            let _ = offer.reply.send(reply);
+        };
+        // Handed in twice under one id: it is taken already, or about to be judged.
+        if let Some(message) = self.taking.ids.get(&offer.letter.id) {
+            let judged = !self.taking.offers.contains_key(message);
+            return answer(offer, if judged { Reply::Taken } else { Reply::Unavailable });
+        }
+        if let Some(reply) = self.repeat(&offer.letter) {
+            return answer(offer, reply);
+        }
+        if let Some(reply) = self.no_place(&offer.letter) {
+            return self.turn_away(offer, reply);
+        }
+        let Some(class) = self.class(&offer.letter) else { return self.turn_away(offer, Reply::Failed) };
+        self.reclassify();
+        let message = self.taking.next;
+        self.taking.next += 1;
+        self.taking.ids.insert(offer.letter.id.clone(), message);
+        self.events.push(Event::Taken(Taken {
+            message: MessageId(message),
+            class,
+            tenant: 0,
+            destination: DestinationId(offer.letter.destination),
+            key: offer.letter.routed.as_ref().and_then(|r| r.order.clone()),
+            time_left: offer.time_left.saturating_sub(offer.at.elapsed()),
+            work: None,
+            past: Past::default(),
+        }));
+        self.taking.offers.insert(message, (class, offer));
+    }
+
+    /// Why a message cannot be taken on before the module is asked.
+    pub(super) fn no_place(&mut self, letter: &Letter) -> Option<Reply> {
+        if self.records.disk_failed.is_some() {
+            return Some(Reply::NoRecord(Refusal::DiskFails));
+        }
+        if self.members.removed.contains_key(&letter.destination) {
+            return Some(Reply::Unavailable);
+        }
+        if !self.members.destinations.contains(&letter.destination) {
+            return Some(if self.members.listed { Reply::NoDestination } else { Reply::Unavailable });
+        }
+        if self.out.held.len() + self.taking.offers.len() >= self.setup.settings.max_held {
+            return Some(Reply::Refused { wait: None });
+        }
+        if self.is_crowded(letter) {
+            return Some(Reply::Crowded);
+        }
+        self.journal.fits(letter).err().map(Reply::NoRecord)
+    }
+
+    /// A client that has given up before it was told counts its message as not taken, and may hand it in
+    /// again elsewhere: it must not be sent from here.
+    pub(super) fn drop_deserted(&mut self) {
+        let deserted: Vec<u64> =
+            self.taking.offers.iter().filter(|(_, (_, o))| o.reply.is_closed()).map(|(n, _)| *n).collect();
+        for message in deserted {
+            if let Some((_, offer)) = self.taking.offers.remove(&message) {
+                self.taking.ids.remove(&offer.letter.id);
+            }
+            let of = |e: &Event| matches!(e, Event::Taken(t) if t.message.0 == message);
+            self.events.retain(|e| !of(e));
+        }
+    }
+
+    /// Records the new messages that the module keeps, then tells the clients.
+    pub(super) fn take_on(&mut self, refused: &mut HashMap<u64, Verdict>) {
+        let mut taken = Vec::new();
+        for (message, (class, offer)) in std::mem::take(&mut self.taking.offers) {
+            if let Some(verdict) = refused.remove(&message) {
+                self.taking.ids.remove(&offer.letter.id);
+                let told = match verdict {
+                    Verdict::Bounced { wait } => Reply::Refused { wait },
+                    Verdict::Dead => Reply::Failed,
+                };
+                self.turn_away(offer, told);
+                continue;
+            }
+            // Others of this batch may have taken the room since it was offered.
+            if let Err(why) = self.journal.fits(&offer.letter) {
+                self.taking.ids.remove(&offer.letter.id);
+                self.events.push(Event::Withdrawn { message: MessageId(message) });
+                self.turn_away(offer, Reply::NoRecord(why));
+                continue;
+            }
+            let Offer { letter, reply, .. } = offer;
+            self.journal.accept(message, letter.clone());
+            self.out.held.insert(message, Held { letter, class, attempts: 0, out: None });
+            taken.push((message, reply));
+        }
+        if taken.is_empty() {
+            return;
+        }
+        let seq = self.journal.last_seq();
+        let recorded = self.settle();
+        for (message, reply) in taken {
+            if !recorded {
+                // Whether its client hears this or not, it is not taken on.
+                let _ = reply.send(Reply::NoRecord(Refusal::DiskFails));
+                self.withdraw(message);
+            } else {
+                self.when_kept(seq, Waiting::Reply { message, reply });
+            }
+        }
+    }
+
+    /// Tells a client that its message is taken on. One that has left counts it as not taken.
+    pub(super) fn taken(&mut self, message: u64, reply: ReplyTo) {
+        if reply.send(Reply::Taken).is_err() {
+            self.withdraw(message);
+        }
+    }
+
+    /// Nobody is owed anything for the message.
+    pub(super) fn withdraw(&mut self, message: u64) {
+        self.end(message);
+        self.out.held.remove(&message);
+        self.events.push(Event::Withdrawn { message: MessageId(message) });
+    }
+
+    /// The class of a message, by its name and, where a route took it, by what a repeat did then.
+    pub(super) fn class(&mut self, letter: &Letter) -> Option<usize> {
+        let Some(routed) = &letter.routed else { return self.setup.classes.named(&letter.class) };
+        let deadline = letter.until.saturating_sub(letter.taken);
+        Some(self.setup.classes.recorded(&letter.class, routed.effect, deadline))
+    }
+
+    /// Tells the module of classes that came since it was told last: what was taken by an earlier version may
+    /// be of one that the present one has not.
+    pub(super) fn reclassify(&mut self) {
+        if self.setup.classes.len() != self.setup.settings.classes.len() {
+            self.setup.settings.classes = self.setup.classes.classes();
+            self.reconfigure();
+        }
+    }
+}
--- a/crates/courier/src/control.rs
+++ b/crates/courier/src/place/control.rs
@@ -1,15 +1,15 @@
 //! The control service's versions and the operator's file, put into effect one after the other: checked off
 //! the serving thread, stored, told to the courier, and only then acknowledged.
 
-use crate::config::Fault;
-use crate::dns::Lookups;
-use crate::effective::Effective;
-use crate::intake::Intake;
-use crate::link::Link;
-use crate::listen;
+use crate::fault::Fault;
+use crate::front::effective::Effective;
+use crate::front::intake::Intake;
+use crate::front::listener::listen;
 use crate::news::{Changes, Configured, News};
-use crate::settings;
-use crate::setup::hosts;
+use crate::out::link::Link;
+use crate::place::dns::Lookups;
+use crate::place::file;
+use crate::place::hosts::hosts;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
@@ -373,7 +373,6 @@
             before: self.installation.clone(),
             store: self.store.clone(),
             news: self.news.clone(),
-            effective: self.effective.clone(),
         };
         self.work = Some(tokio::task::spawn_local(work.run(task)));
     }
@@ -463,7 +462,6 @@
     before: Arc<Installation>,
     store: Store,
     news: Sender<News>,
-    effective: Effective,
 }
 
 impl Work {
@@ -479,7 +477,7 @@
         let reload = matches!(task, Task::Reload);
         let checked = tokio::task::spawn_blocking(move || {
             let document = match reload {
-                true => settings::document(&file).map_err(|e| vec![e.to_string()])?,
+                true => file::document(&file).map_err(|e| vec![e.to_string()])?,
                 false => document,
             };
             let installation = document.installation(config.as_deref());
@@ -526,13 +524,7 @@
             })?;
         }
         let (done, in_effect) = oneshot::channel();
-        let configured = Configured {
-            version: number,
-            installation: installation.clone(),
-            effective: self.effective.clone(),
-            changes,
-            done,
-        };
+        let configured = Configured { version: number, installation: installation.clone(), changes, done };
         let stopping = || vec!["the courier is stopping".to_owned()];
         self.news.send(News::Configured(Box::new(configured))).await.map_err(|_| stopping())?;
         in_effect.await.map_err(|_| stopping())?;
--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/place/discovery.rs
@@ -1,8 +1,8 @@
 //! The watch on the list of endpoints. It lasts until its connection ends or falls silent; then it is
 //! asked for again, with backoff.
 
-use crate::link::Link;
 use crate::news::{List, News};
+use crate::out::link::Link;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
--- a/crates/courier/src/config.rs
+++ b/crates/courier/src/start/config.rs
@@ -1,40 +1,19 @@
 //! What the platform tells a courier: environment and `LB_CONFIG`, at its start and when it is told to read
 //! the file again.
 
+use crate::fault::Fault;
 use crate::news::List;
-use crate::setup::Setup;
+use crate::owner::setup::Setup;
 use serde::Deserialize;
 use stairshed_config::classes::ClassTable;
 use stairshed_decide::interface::Settings;
 use stairshed_decide::settings::Conf;
 use std::env;
-use std::fmt;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Why a start cannot go on.
-#[derive(Debug)]
-pub enum Fault {
-    Missing(&'static str),
-    Bad(&'static str, String),
-    /// Each a whole line already.
-    Lines(Vec<String>),
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            Fault::Missing(name) => write!(f, "{name} is not set"),
-            Fault::Lines(lines) => write!(f, "{}", lines.join("\n")),
-            Fault::Bad(name, why) => write!(f, "{name}: {}", why.replace('\n', " ")),
-        }
-    }
-}
-
-impl std::error::Error for Fault {}
-
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
     pub sockets: usize,
@@ -88,6 +67,7 @@
             known: self.known,
             discovery: Some(self.discovery),
             installation: None,
+            effective: None,
             pool_wait: Duration::ZERO,
             remembered: 0,
             folder: PathBuf::new(),
--- /dev/null
+++ b/crates/courier/src/start/platform.rs
@@ -0,0 +1,88 @@
+//! The platform's courier: told by its environment and `LB_CONFIG`.
+
+use super::config::{self, Config};
+use super::settings::Settings;
+use super::{INBOX, SPARE_SOCKETS, lock, on, tell};
+use crate::fault::Fault;
+use crate::front::intake::{Front, Intake, Standing};
+use crate::front::listener::listen;
+use crate::news::News;
+use crate::out::calls::Calls;
+use crate::out::outcomes::Outcomes;
+use crate::owner::Courier;
+use stairshed_decide::brain::Brain;
+use stairshed_journal::Journal;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::{Signal, SignalKind};
+use tokio::sync::mpsc;
+
+/// Share of the memory that bodies of clients may take while they are read.
+const BODIES_SHARE: f64 = 0.125;
+
+/// Reads the configuration again at each SIGHUP. A file that cannot be read changes nothing.
+async fn reload(mut hangup: Signal, file: PathBuf, news: mpsc::Sender<News>) {
+    while hangup.recv().await.is_some() {
+        match config::discovery_again(&file) {
+            Ok(Some(discovery)) => {
+                eprintln!("configuration read again: discovery at {discovery}");
+                let _ = news.send(News::Moved(discovery)).await;
+            }
+            Ok(None) => eprintln!("configuration read again: it names no discovery"),
+            Err(fault) => eprintln!("configuration not read again, the old one stays: {fault}"),
+        }
+    }
+}
+
+/// Serves until it is told to stop.
+///
+/// # Errors
+/// What kept it from its start.
+pub async fn platform(mut config: Config, settings: Settings) -> Result<(), Fault> {
+    // First of all: without a handler either signal ends the process at once.
+    let mut terminate = on(SignalKind::terminate(), "SIGTERM")?;
+    let hangup = on(SignalKind::hangup(), "SIGHUP")?;
+    let disk = (config.limits.disk_mb * 1e6) as u64;
+    let options = settings.journal.options(disk, u64::from(config.settings.attempt_cap));
+    let opened = lock(&config.state).await.and_then(|files| Journal::open(Arc::new(files), options));
+    let (journal, report) = opened.map_err(|e| Fault::Bad("LB_STATE", e.to_string()))?;
+    tell(&report);
+    let for_calls = (config.limits.sockets / 3).max(16);
+    let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS).max(8);
+    let calls = Calls::new(config.settings.connect_timeout, config.settings.keepalive, for_calls);
+    // The module reckons with the connections that are kept here.
+    config.settings.keepalive = calls.keep_time();
+    let brain = Brain::new(config.settings.clone(), config.seed);
+    let brain = brain.map_err(|e| Fault::Bad("LB_CONFIG", e))?;
+    let (news, inbox) = mpsc::channel(INBOX);
+    let standing = Rc::new(Standing::default());
+    let listener = listen(config.listen).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
+    let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
+    let (name, kept) = (config.name.clone(), journal.len());
+    let intake = Rc::new(Intake {
+        front: Front::Platform { classes: config.classes.clone() },
+        standing: standing.clone(),
+        news: news.clone(),
+        sockets: for_clients,
+        bodies: (config.limits.memory_mb * 1e6 * BODIES_SHARE) as usize,
+    });
+    tokio::task::spawn_local(reload(hangup, config.file.clone(), news.clone()));
+    let outcomes = Outcomes::platform(config.discovery);
+    let setup = config.setup();
+    let courier = Courier::new(setup, brain, journal, calls, outcomes, standing.clone(), news.clone());
+    standing.ready.set(true);
+    let accepting = tokio::task::spawn_local(intake.run(listener));
+    tokio::task::spawn_local(async move {
+        if terminate.recv().await.is_some() {
+            eprintln!("stopping");
+            let _ = news.send(News::Stop).await;
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            accepting.abort();
+        }
+    });
+    eprintln!("{name} serves {at}; {kept} messages resumed");
+    courier.run(inbox).await;
+    Ok(())
+}
--- a/crates/courier/src/serve.rs
+++ b/crates/courier/src/start/serve.rs
@@ -1,20 +1,22 @@
 //! An operator's courier: started from a file, with versions of a control service over it.
 
-use crate::admin;
-use crate::calls::Calls;
-use crate::config::Fault;
-use crate::control::{Configurator, Status, Store};
-use crate::courier::Courier;
-use crate::dns;
-use crate::effective::Effective;
-use crate::intake::{BODY_MOST, Front, Intake, Standing};
-use crate::mqtt::{self, Hub};
+use super::{INBOX, SPARE_SOCKETS, lock, on, tell};
+use crate::fault::Fault;
+use crate::front::admin;
+use crate::front::effective::Effective;
+use crate::front::intake::{BODY_MOST, Front, Intake, Standing};
+use crate::front::listener::listen;
+use crate::front::mqtt::{self, Hub};
+use crate::front::users::Users;
 use crate::news::News;
-use crate::outcomes::Outcomes;
-use crate::settings;
-use crate::setup::{Setup, kinds};
-use crate::users::Users;
-use crate::{INBOX, SPARE_SOCKETS, listen, lock, on, tell};
+use crate::out::calls::Calls;
+use crate::out::outcomes::Outcomes;
+use crate::owner::Courier;
+use crate::owner::setup::Setup;
+use crate::place::control::{Configurator, Status, Store};
+use crate::place::dns;
+use crate::place::file;
+use crate::place::hosts::kinds;
 use stairshed_config::Installation;
 use stairshed_config::classes::ClassTable;
 use stairshed_config::file::Wills;
@@ -78,7 +80,7 @@
 }
 
 /// What the owner of the decision module is told at the start.
-fn setup(installation: &Arc<Installation>, folder: &Path) -> Setup {
+fn setup(installation: &Arc<Installation>, effective: &Effective, folder: &Path) -> Setup {
     let names = installation.classes.iter().map(|c| c.name.clone());
     let classes = match installation.classes.is_empty() {
         // The module has to have a class, also while no version has come.
@@ -94,6 +96,7 @@
         known: None,
         discovery: installation.discovery,
         installation: Some(installation.clone()),
+        effective: Some(effective.clone()),
         pool_wait: installation.file.limits.pool_wait.0,
         remembered: installation.file.limits.remembered,
         folder: folder.to_owned(),
@@ -134,7 +137,7 @@
     let mut terminate = on(SignalKind::terminate(), "SIGTERM")?;
     let mut interrupt = on(SignalKind::interrupt(), "SIGINT")?;
     let hangup = on(SignalKind::hangup(), "SIGHUP")?;
-    let document = settings::document(&file).map_err(|e| Fault::Lines(vec![e.to_string()]))?;
+    let document = file::document(&file).map_err(|e| Fault::Lines(vec![e.to_string()]))?;
     let own = document.installation(None);
     let own =
         own.map_err(|problems| Fault::Lines(problems.to_string().lines().map(str::to_owned).collect()))?;
@@ -163,13 +166,13 @@
     let for_calls = (limits.connections / 3).max(4);
     let for_clients = limits.connections.saturating_sub(for_calls + SPARE_SOCKETS).max(4);
     let beside = file.parent().unwrap_or(Path::new(".")).to_owned();
-    let mut setup = setup(&installation, &beside);
+    let effective = Effective::new(version.as_ref().map_or(0, |v| v.version), installation.clone());
+    let mut setup = setup(&installation, &effective, &beside);
     let calls = Calls::new(setup.settings.connect_timeout, setup.settings.keepalive, for_calls);
     setup.settings.keepalive = calls.keep_time();
     let brain = Brain::new(setup.settings.clone(), setup.seed).map_err(|e| bad("configuration", e))?;
     let (news, inbox) = mpsc::channel(INBOX);
     let standing = Rc::new(Standing::default());
-    let effective = Effective::new(version.as_ref().map_or(0, |v| v.version), installation.clone());
     let intake = Rc::new(Intake {
         front: Front::Routes(effective.clone()),
         standing: standing.clone(),
--- a/crates/courier/src/settings.rs
+++ b/crates/courier/src/start/settings.rs
@@ -1,20 +1,8 @@
 //! The operator's settings beside the platform's configuration: of the operator's file only `[journal]`.
 
-use stairshed_config::Problems;
+use crate::place::file::{Error, document};
 use stairshed_config::file::Journal;
-use stairshed_config::installation::Document;
-use std::fs;
-use std::path::{Path, PathBuf};
-
-/// Why the operator's file cannot be used.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    #[error("{}: {why}", file.display())]
-    Unread { file: PathBuf, why: std::io::Error },
-    /// All that is wrong with it, each with its line and key.
-    #[error("{0}")]
-    Bad(Problems),
-}
+use std::path::Path;
 
 /// All settings.
 #[derive(Clone, Debug, Default)]
@@ -22,15 +10,6 @@
     pub journal: Journal,
 }
 
-/// Reads an operator's file as it stands on the disk.
-///
-/// # Errors
-/// It cannot be read, or its syntax is at fault.
-pub fn document(file: &Path) -> Result<Document, Error> {
-    let text = fs::read_to_string(file).map_err(|why| Error::Unread { file: file.to_owned(), why })?;
-    Document::read(&file.display().to_string(), &text).map_err(Error::Bad)
-}
-
 impl Settings {
     /// Reads the file, or gives the defaults where none is named.
     ///
@@ -49,7 +28,7 @@
 
     /// Lines that begin with `#= ` show what has no default, or has no meaning without more.
     fn example(all: bool) -> String {
-        let example = include_str!("../../../deploy/stairshed.example.toml");
+        let example = include_str!("../../../../deploy/stairshed.example.toml");
         let lines = example.lines().map(|l| l.strip_prefix("#= ").filter(|_| all).unwrap_or(l));
         lines.collect::<Vec<_>>().join("\n")
     }
--- a/crates/mqtt/src/frame.rs
+++ b/crates/mqtt/src/frame.rs
@@ -3,29 +3,11 @@
 //! be set, strings with U+0000, packets with something behind their end.
 
 use crate::convert;
+use crate::fault::Fault;
 use crate::packet::{Packet, Version, code};
 use bytes::{Buf, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
-/// Why a connection cannot go on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{why} (0x{code:02X})")]
-pub struct Fault {
-    /// As version 5 numbers it.
-    pub code: u8,
-    pub why: &'static str,
-}
-
-impl Fault {
-    pub const fn malformed(why: &'static str) -> Self {
-        Fault { code: code::MALFORMED_PACKET, why }
-    }
-
-    pub const fn protocol(why: &'static str) -> Self {
-        Fault { code: code::PROTOCOL_ERROR, why }
-    }
-}
-
 const CONNECT: u8 = 1;
 const PUBLISH: u8 = 3;
 const PUBREL: u8 = 6;
--- a/crates/mqtt/src/lib.rs
+++ b/crates/mqtt/src/lib.rs
@@ -13,12 +13,13 @@
 
 pub mod client;
 mod convert;
+pub mod fault;
 pub mod frame;
 pub mod packet;
 pub mod server;
 mod session;
 
-pub use frame::{Fault, Reader, encode};
+pub use frame::{Reader, encode};
 pub use packet::{Packet, Qos, Version};
 
 /// A point on a monotonic clock, as the time since an arbitrary origin.
--- /dev/null
+++ b/crates/mqtt/src/server/connecting.rs
@@ -0,0 +1,341 @@
+//! Connections from their first byte to their last: CONNECT and its answer, keep alive, wills, takeover.
+
+use super::{
+    After, CLIENT_MOST, Connection, Due, Effect, Outcome, Owner, Server, Stage, Timer, owner, silence,
+    wait_property, will_message,
+};
+use crate::Time;
+use crate::fault::Fault;
+use crate::frame::Reader;
+use crate::packet::{Connack, Connect, Disconnect, Packet, Properties, Version, code};
+use crate::session::Session;
+use stairshed_config::topic;
+use std::collections::HashMap;
+use std::time::Duration;
+
+impl Server {
+    /// The connection that has been without a CONNECT for longest, and since when.
+    pub fn silent(&self) -> Option<(u64, Time)> {
+        let of = self.connections.iter().filter(|(_, c)| matches!(c.stage, Stage::New));
+        of.map(|(id, c)| (*id, c.since)).min_by_key(|(_, since)| *since)
+    }
+
+    pub fn accepted(&mut self, connection: u64, now: Time) {
+        let of = Connection {
+            reader: Reader::server(self.limits.packet_most),
+            stage: Stage::New,
+            since: now,
+            heard: now,
+            silence: None,
+            version: Version::V5,
+            owner: Owner::new(),
+            aliases: HashMap::new(),
+            receive_maximum: u16::MAX,
+            packet_most: None,
+            problem_info: true,
+            loose: 0,
+            due: None,
+            paused: false,
+        };
+        self.connections.insert(connection, of);
+        self.look_after(connection, now + self.limits.connect_time);
+    }
+
+    /// Looks after a connection's silence at that time, and at no other.
+    pub(super) fn look_after(&mut self, connection: u64, at: Time) {
+        let Some(c) = self.connections.get_mut(&connection) else { return };
+        if let Some(due) = c.due.replace(at) {
+            self.agenda.remove(&(due, Due::Connection(connection)));
+        }
+        self.agenda.insert((at, Due::Connection(connection)));
+    }
+
+    pub(super) fn end(&mut self, connection: u64, code: u8, why: &str, properties: Properties, now: Time) {
+        let Some(c) = self.connections.get(&connection) else { return };
+        let known = c.reader.version();
+        let reason = Some(why.to_owned());
+        match (&c.stage, c.version) {
+            (Stage::Open, Version::V5) => {
+                let packet = Disconnect { reason, properties, ..Disconnect::new(code) };
+                self.write(connection, Packet::Disconnect(packet));
+            }
+            (Stage::Open, Version::V311) => {}
+            // Whoever does not speak MQTT at all is told nothing [MQTT-3.1.4-1].
+            (_, _) if known.is_none() && code != code::UNSUPPORTED_VERSION => {}
+            (_, _) if known.is_none() => {
+                // A client of another version reads the oldest form, section 3.1.2.2 of 3.1.1.
+                if let Some(c) = self.connections.get_mut(&connection) {
+                    c.version = Version::V311;
+                }
+                self.write(connection, Packet::Connack(Box::new(Connack::new(1))));
+            }
+            (_, Version::V5) => {
+                let packet = Connack { reason, properties, ..Connack::new(code) };
+                self.write(connection, Packet::Connack(Box::new(packet)));
+            }
+            (_, Version::V311) => {
+                let of = match code {
+                    code::CLIENT_ID_NOT_VALID => Some(2),
+                    code::BAD_USER_OR_PASSWORD => Some(4),
+                    code::MALFORMED_PACKET | code::PROTOCOL_ERROR => None,
+                    code::SERVER_UNAVAILABLE | code::SERVER_BUSY | code::QUOTA_EXCEEDED => Some(3),
+                    _ => Some(5),
+                };
+                if let Some(code) = of {
+                    self.write(connection, Packet::Connack(Box::new(Connack::new(code))));
+                }
+            }
+        }
+        self.effects.push_back(Effect::Close { connection });
+        self.lost(connection, now);
+    }
+
+    pub(super) fn connect(&mut self, connection: u64, mut connect: Connect) -> Result<(), Fault> {
+        let Some(c) = self.connections.get_mut(&connection) else { return Ok(()) };
+        c.version = connect.version;
+        c.packet_most = connect.packet_most;
+        c.problem_info = connect.problem_info;
+        c.receive_maximum = connect.receive_maximum;
+        if connect.method.is_some() {
+            return Err(Fault {
+                code: code::BAD_AUTHENTICATION_METHOD,
+                why: "no authentication method is supported",
+            });
+        }
+        let assigned = connect.client.is_empty();
+        if assigned {
+            // Nobody else must be able to guess it and take its session over.
+            connect.client = format!("auto-{:016x}{:08x}", self.nonce, self.next);
+            self.next += 1;
+        }
+        if connect.client.len() > CLIENT_MOST || connect.client.contains(['+', '#', '/']) {
+            return Err(Fault {
+                code: code::CLIENT_ID_NOT_VALID,
+                why: "a client id has 1 to 128 bytes without + # /",
+            });
+        }
+        if let Some(will) = &connect.will {
+            if !topic::is_name(&will.topic) || will.topic.starts_with('$') {
+                return Err(Fault { code: code::TOPIC_NAME_INVALID, why: "no topic for a will" });
+            }
+            if will.retain && connect.version == Version::V5 {
+                return Err(Fault { code: code::RETAIN_NOT_SUPPORTED, why: "nothing is retained here" });
+            }
+            if !self.limits.wills {
+                return Err(Fault { code: code::IMPLEMENTATION_SPECIFIC, why: "wills are not taken here" });
+            }
+            if will.payload.len() > self.limits.payload_most {
+                return Err(Fault { code: code::QUOTA_EXCEEDED, why: "a will that is too long" });
+            }
+        }
+        let owner = owner(connect.user.as_deref(), &connect.client);
+        let (user, password, will) = (connect.user.clone(), connect.password.take(), connect.will.clone());
+        c.owner = owner.clone();
+        c.stage = Stage::Judged { connect: Box::new(connect), assigned };
+        self.effects.push_back(Effect::Admit { connection, user, password, owner, will });
+        Ok(())
+    }
+
+    /// What was found out about a client; if it must not connect, why, as version 5 numbers it.
+    pub fn admitted(&mut self, connection: u64, verdict: Result<(), (u8, String)>, now: Time) {
+        let Some(c) = self.connections.get_mut(&connection) else { return };
+        let Stage::Judged { connect, assigned } = std::mem::replace(&mut c.stage, Stage::Opening) else {
+            return;
+        };
+        if let Err((code, why)) = verdict {
+            return self.end(connection, code, &why, Properties::new(), now);
+        }
+        let owner = c.owner.clone();
+        // A second connection of the same client takes over from the first [MQTT-3.1.4-3].
+        if let Some(old) = self.sessions.get(&owner).and_then(|s| s.connection) {
+            self.end(old, code::SESSION_TAKEN_OVER, "the client has connected again", Properties::new(), now);
+        }
+        let present = !connect.clean && self.sessions.contains_key(&owner);
+        if !present {
+            self.end_session(&owner, true);
+            if self.sessions.len() >= self.limits.sessions {
+                let wait = wait_property(Some(Duration::from_secs(1)));
+                return self.end(
+                    connection,
+                    code::QUOTA_EXCEEDED,
+                    "as many sessions as there may be",
+                    wait,
+                    now,
+                );
+            }
+        }
+        // Its will is not sent: the client is back before it was due [MQTT-3.1.3-9].
+        self.unschedule(&owner);
+        let expiry_most = self.limits.expiry_most;
+        let was = self.sessions.remove(&owner);
+        let mut session = was.unwrap_or_else(|| Session::new(&connect.client, connect.version));
+        session.version = connect.version;
+        session.expiry = connect.expiry.min(expiry_most);
+        session.connection = Some(connection);
+        session.gone = None;
+        session.will = connect.will.clone();
+        let recorded = session.recorded;
+        self.sessions.insert(owner.clone(), session);
+        let keep_alive = self.keep_alive(&connect);
+        let Some(c) = self.connections.get_mut(&connection) else { return };
+        c.silence = silence(keep_alive);
+        c.heard = now;
+        if let Some(silence) = c.silence {
+            self.look_after(connection, now + silence + Duration::from_millis(1));
+        }
+        // What the client must be told beside success.
+        let connack = Connack {
+            session_present: present,
+            client: assigned.then(|| connect.client.clone()),
+            expiry: (connect.expiry > expiry_most).then_some(expiry_most),
+            receive_maximum: self.limits.receive_maximum,
+            packet_most: Some(self.limits.packet_most as u32),
+            alias_most: self.limits.aliases,
+            keep_alive: (keep_alive != connect.keep_alive).then_some(keep_alive),
+            full_broker: false,
+            ..Connack::new(code::SUCCESS)
+        };
+        let lasts = self.sessions.get(&owner).is_some_and(Session::lasts);
+        let after = After::Open { connection, connack: Box::new(connack) };
+        match lasts || recorded {
+            true => self.store(&owner, after),
+            false => self.after(after, now),
+        }
+    }
+
+    pub(super) fn keep_alive(&self, connect: &Connect) -> u16 {
+        let most = self.limits.keep_alive_most;
+        match (connect.version, connect.keep_alive) {
+            // 3.1.1 has no way to tell a client of another one.
+            (Version::V311, asked) => asked,
+            (Version::V5, 0) => most,
+            (Version::V5, asked) => asked.min(most),
+        }
+    }
+
+    pub(super) fn opened(&mut self, connection: u64, connack: Box<Connack>, now: Time) {
+        let Some(c) = self.connections.get_mut(&connection) else { return };
+        c.stage = Stage::Open;
+        let owner = c.owner.clone();
+        self.write(connection, Packet::Connack(connack));
+        // What was sent and not acknowledged goes again, under its id [MQTT-4.4.0-1].
+        let again: Vec<(u16, Outcome)> = match self.sessions.get(&owner) {
+            Some(s) => s.sent.iter().map(|(id, o)| (*id, o.clone())).collect(),
+            None => Vec::new(),
+        };
+        for (id, outcome) in again {
+            self.publish_outcome(&owner, connection, id, &outcome, true);
+        }
+        self.flush(&owner);
+        self.go_on(connection, now);
+    }
+
+    pub(super) fn disconnect(
+        &mut self,
+        connection: u64,
+        packet: &Disconnect,
+        now: Time,
+    ) -> Result<(), Fault> {
+        let expiry_most = self.limits.expiry_most;
+        let Some(c) = self.connections.get(&connection) else { return Ok(()) };
+        let owner = c.owner.clone();
+        if let Some(session) = self.sessions.get_mut(&owner) {
+            if let Some(expiry) = packet.expiry {
+                if expiry > 0 && session.expiry == 0 {
+                    return Err(Fault::protocol("a session that was to end cannot be prolonged"));
+                }
+                session.expiry = expiry.min(expiry_most);
+            }
+            if packet.code != code::DISCONNECT_WITH_WILL {
+                session.will = None;
+            }
+        }
+        self.effects.push_back(Effect::Close { connection });
+        self.lost(connection, now);
+        Ok(())
+    }
+
+    /// A connection has ended, whoever ended it.
+    pub fn lost(&mut self, connection: u64, now: Time) {
+        let Some(c) = self.connections.remove(&connection) else { return };
+        if let Some(due) = c.due {
+            self.agenda.remove(&(due, Due::Connection(connection)));
+        }
+        let Some(session) = self.sessions.get_mut(&c.owner).filter(|s| s.connection == Some(connection))
+        else {
+            return;
+        };
+        session.connection = None;
+        session.gone = Some(self.origin + now);
+        self.part(&c.owner, now);
+        // Recorded also to say since when it is gone.
+        if self.sessions.get(&c.owner).is_some_and(Session::lasts) && !self.wills_out.contains(&c.owner) {
+            self.store(&c.owner, After::Nothing);
+        }
+    }
+
+    /// A session is without a connection: its will and its end come due.
+    pub(super) fn part(&mut self, owner: &str, now: Time) {
+        let Some(session) = self.sessions.get(owner) else { return };
+        let unix = self.origin + now;
+        let gone = session.gone.unwrap_or(unix);
+        let left = |seconds: u32| now + (gone + Duration::from_secs(u64::from(seconds))).saturating_sub(unix);
+        let (expiry, will) = (session.expiry, session.will.as_ref().map(|w| w.delay.min(session.expiry)));
+        // Whichever comes first, its delay or the session's end [MQTT-3.1.3-9].
+        if let Some(delay) = will {
+            match delay {
+                0 => self.send_will(owner),
+                delay => self.schedule(owner, left(delay), Timer::Will),
+            }
+        }
+        match expiry {
+            0 => self.end_session(owner, false),
+            u32::MAX => {}
+            expiry => self.schedule(owner, left(expiry), Timer::Expiry),
+        }
+    }
+
+    pub(super) fn send_will(&mut self, owner: &str) {
+        let Some(will) = self.sessions.get_mut(owner).and_then(|s| s.will.take()) else { return };
+        self.wills_out.insert(owner.to_owned());
+        self.offer(owner, 0, will_message(&will), None, true);
+    }
+
+    pub(super) fn silent_for(&mut self, connection: u64, now: Time) {
+        let Some(c) = self.connections.get_mut(&connection) else { return };
+        c.due = None;
+        match (&c.stage, c.silence) {
+            (Stage::New, _) => {
+                self.effects.push_back(Effect::Close { connection });
+                self.lost(connection, now);
+            }
+            (_, Some(silence)) if now > c.heard + silence => {
+                self.fail(
+                    connection,
+                    Fault { code: code::KEEP_ALIVE_TIMEOUT, why: "silent for longer than its keep alive" },
+                    now,
+                );
+            }
+            // At the very limit it is still in time.
+            (_, Some(silence)) => {
+                let next = (c.heard + silence).max(now) + Duration::from_millis(1);
+                self.look_after(connection, next);
+            }
+            (_, None) => {}
+        }
+    }
+
+    /// Closes a connection to make room.
+    pub fn shed(&mut self, connection: u64, now: Time) {
+        self.effects.push_back(Effect::Close { connection });
+        self.lost(connection, now);
+    }
+
+    /// The process is about to end: every client is told, and wills that their clients left are sent.
+    pub fn shutdown(&mut self, now: Time) {
+        let all: Vec<u64> = self.connections.keys().copied().collect();
+        for connection in all {
+            self.end(connection, code::SERVER_SHUTTING_DOWN, "the courier stops", Properties::new(), now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mqtt/src/server/outcomes.rs
@@ -0,0 +1,136 @@
+//! What clients are told of their messages: their subscription, and the outcomes on their way.
+
+use super::{After, Effect, OUTCOMES, Outcome, SENT_MOST, Server, Stage};
+use crate::fault::Fault;
+use crate::packet::{Packet, Publish, Qos, Subscribe, Version, code};
+use crate::session::Session;
+use bytes::Bytes;
+use stairshed_config::topic;
+
+impl Server {
+    pub(super) fn subscribe(&mut self, connection: u64, subscribe: Subscribe) -> Result<(), Fault> {
+        let Some(c) = self.connections.get(&connection) else { return Ok(()) };
+        let (owner, version) = (c.owner.clone(), c.version);
+        let Some(session) = self.sessions.get_mut(&owner) else { return Ok(()) };
+        let own = format!("{OUTCOMES}{}", session.client);
+        let (mut codes, mut changed) = (Vec::new(), false);
+        for (filter, qos) in &subscribe.filters {
+            let refused = if !topic::is_filter(filter) {
+                code::TOPIC_FILTER_INVALID
+            } else if filter.starts_with("$share/") {
+                code::SHARED_NOT_SUPPORTED
+            } else if filter.contains(['+', '#']) {
+                code::WILDCARDS_NOT_SUPPORTED
+            } else if subscribe.identified {
+                code::SUBSCRIPTION_IDS_NOT_SUPPORTED
+            } else if *filter != own {
+                code::NOT_AUTHORIZED
+            } else {
+                // At QoS 2 nothing would be gained: an outcome that comes twice says the same.
+                let granted = if *qos == Qos::AtMostOnce { Qos::AtMostOnce } else { Qos::AtLeastOnce };
+                session.subscribed = Some(granted);
+                changed = true;
+                codes.push(granted.value());
+                continue;
+            };
+            codes.push(if version == Version::V5 { refused } else { code::SUBACK_FAILURE });
+        }
+        let refused = codes.iter().any(|c| *c >= 0x80);
+        let reason = refused.then(|| format!("the courier is no broker: {own} is all that can be read here"));
+        let packet = Packet::Suback { id: subscribe.id, codes, reason };
+        match changed && session.lasts() {
+            true => self.store(&owner, After::Write { connection, packet }),
+            false => self.write(connection, packet),
+        }
+        Ok(())
+    }
+
+    pub(super) fn unsubscribe(&mut self, connection: u64, id: u16, filters: &[String]) -> Result<(), Fault> {
+        let Some(c) = self.connections.get(&connection) else { return Ok(()) };
+        let owner = c.owner.clone();
+        let Some(session) = self.sessions.get_mut(&owner) else { return Ok(()) };
+        let own = format!("{OUTCOMES}{}", session.client);
+        let mut codes = Vec::new();
+        for filter in filters {
+            let had = *filter == own && session.subscribed.take().is_some();
+            codes.push(if had { code::SUCCESS } else { code::NO_SUBSCRIPTION_EXISTED });
+        }
+        let gone: Vec<Outcome> = match session.subscribed {
+            // What is on its way is let go [MQTT-3.10.4-3].
+            None => session.outcomes.drain(..).collect(),
+            Some(_) => Vec::new(),
+        };
+        self.effects.extend(gone.into_iter().map(|o| Effect::Untold { message: o.message }));
+        let packet = Packet::Unsuback { id, codes };
+        match self.sessions.get(&owner).is_some_and(Session::lasts) {
+            true => self.store(&owner, After::Write { connection, packet }),
+            false => self.write(connection, packet),
+        }
+        Ok(())
+    }
+
+    /// Whether this client reads its outcomes, now or when it comes back, and has room for one more.
+    pub fn hears(&self, owner: &str) -> bool {
+        let session = self.sessions.get(owner).filter(|s| s.subscribed.is_some());
+        session.is_some_and(|s| s.outcomes.len() + s.sent.len() < self.limits.outcomes_most)
+    }
+
+    /// Tells a client how its message ended. Ask [`Server::hears`] first. [`Effect::Told`] or [`Effect::Untold`]
+    /// follows in time.
+    pub fn outcome(&mut self, owner: &str, outcome: Outcome) {
+        match self.sessions.get_mut(owner).filter(|s| s.subscribed.is_some()) {
+            Some(session) => session.outcomes.push_back(outcome),
+            None => self.effects.push_back(Effect::Untold { message: outcome.message }),
+        }
+        self.flush(owner);
+    }
+
+    pub(super) fn flush(&mut self, owner: &str) {
+        loop {
+            let Some(session) = self.sessions.get_mut(owner) else { return };
+            let Some((connection, qos)) = session.connection.zip(session.subscribed) else { return };
+            let Some(c) = self.connections.get(&connection) else { return };
+            let open = matches!(c.stage, Stage::Open);
+            if !open || session.sent.len() >= SENT_MOST.min(usize::from(c.receive_maximum)) {
+                return;
+            }
+            let Some(outcome) = session.outcomes.pop_front() else { return };
+            if qos == Qos::AtMostOnce {
+                self.publish_outcome(owner, connection, 0, &outcome, false);
+                self.effects.push_back(Effect::Told { message: outcome.message });
+            } else {
+                let id = session.id();
+                session.sent.insert(id, outcome.clone());
+                self.publish_outcome(owner, connection, id, &outcome, false);
+            }
+        }
+    }
+
+    pub(super) fn publish_outcome(
+        &mut self,
+        owner: &str,
+        connection: u64,
+        id: u16,
+        outcome: &Outcome,
+        dup: bool,
+    ) {
+        let Some(session) = self.sessions.get(owner) else { return };
+        let topic = format!("{OUTCOMES}{}", session.client);
+        let (qos, id) = if id == 0 { (Qos::AtMostOnce, None) } else { (Qos::AtLeastOnce, Some(id)) };
+        let payload = Bytes::from(outcome.line.clone());
+        let publish = Publish { dup, utf8: true, ..Publish::new(&topic, qos, id, payload) };
+        self.write(connection, Packet::Publish(Box::new(publish)));
+    }
+
+    pub(super) fn outcome_acked(&mut self, connection: u64, id: u16) -> Result<(), Fault> {
+        let Some(c) = self.connections.get(&connection) else { return Ok(()) };
+        let owner = c.owner.clone();
+        let Some(session) = self.sessions.get_mut(&owner) else { return Ok(()) };
+        // One for an id that is not in use is a repeat, and says nothing.
+        if let Some(outcome) = session.sent.remove(&id) {
+            self.effects.push_back(Effect::Told { message: outcome.message });
+            self.flush(&owner);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mqtt/src/server/records.rs
@@ -0,0 +1,128 @@
+//! What of a session lasts: its record, what waits for that, and when it ends.
+
+use super::{After, Due, Effect, Server, Timer, wait_property};
+use crate::Time;
+use crate::packet::{Ack, Packet, Properties, code};
+use crate::session::Session;
+use std::time::Duration;
+
+impl Server {
+    /// Takes in the record of a session of an earlier life. Its connection ended with that at the latest.
+    /// False if the record cannot be read: there is no such session then.
+    pub fn restore(&mut self, owner: &str, record: &str, now: Time) -> bool {
+        let Some(mut session) = Session::restore(record) else { return false };
+        session.gone.get_or_insert(self.origin + now);
+        self.sessions.insert(owner.to_owned(), session);
+        self.part(owner, now);
+        true
+    }
+
+    /// Nothing of a session stays. `replaced` if its client begins a new one: then a will that waits is due, too.
+    pub(super) fn end_session(&mut self, owner: &str, replaced: bool) {
+        if replaced {
+            self.send_will(owner);
+        }
+        self.unschedule(owner);
+        let Some(session) = self.sessions.remove(owner) else { return };
+        for token in session.pending.values() {
+            self.pending.remove(token);
+            self.effects.push_back(Effect::Desert { token: *token });
+        }
+        for outcome in session.outcomes.iter().chain(session.sent.values()) {
+            self.effects.push_back(Effect::Untold { message: outcome.message });
+        }
+        if session.recorded && !self.wills_out.contains(owner) {
+            self.erase(owner);
+        }
+    }
+
+    pub(super) fn erase(&mut self, owner: &str) {
+        let token = self.token();
+        self.storing.insert(token, (owner.to_owned(), After::Nothing));
+        self.effects.push_back(Effect::Store { token, owner: owner.to_owned(), record: None });
+    }
+
+    pub(super) fn schedule(&mut self, owner: &str, at: Time, timer: Timer) {
+        let number = self.token();
+        self.agenda.insert((at, Due::Session(number)));
+        self.timers.insert(number, (owner.to_owned(), at, timer));
+        self.session_timers.entry(owner.to_owned()).or_default().insert(timer, number);
+    }
+
+    pub(super) fn unschedule(&mut self, owner: &str) {
+        for number in self.session_timers.remove(owner).unwrap_or_default().into_values() {
+            if let Some((_, at, _)) = self.timers.remove(&number) {
+                self.agenda.remove(&(at, Due::Session(number)));
+            }
+        }
+    }
+
+    pub(super) fn store(&mut self, owner: &str, after: After) {
+        let Some(session) = self.sessions.get_mut(owner) else { return };
+        let record = session.lasts().then(|| session.record());
+        if record.is_none() && !session.recorded {
+            return;
+        }
+        session.recorded = record.is_some();
+        let token = self.token();
+        self.storing.insert(token, (owner.to_owned(), after));
+        self.effects.push_back(Effect::Store { token, owner: owner.to_owned(), record });
+    }
+
+    /// What became of a record; if it cannot be kept, why.
+    pub fn stored(&mut self, token: u64, kept: Result<(), String>, now: Time) {
+        let Some((owner, after)) = self.storing.remove(&token) else { return };
+        match kept {
+            Ok(()) => self.after(after, now),
+            Err(why) => self.not_stored(&owner, after, &why, now),
+        }
+    }
+
+    pub(super) fn after(&mut self, after: After, now: Time) {
+        match after {
+            After::Open { connection, connack } => self.opened(connection, connack, now),
+            After::Write { connection, packet } => self.write(connection, packet),
+            After::Release { connection, id } => {
+                self.write(connection, Packet::Pubcomp(Ack::new(id, code::SUCCESS)));
+            }
+            After::Nothing => {}
+        }
+    }
+
+    pub(super) fn not_stored(&mut self, owner: &str, after: After, why: &str, now: Time) {
+        self.effects.push_back(Effect::Log(format!("{owner}: its session cannot be put on record: {why}")));
+        match after {
+            After::Open { connection, connack } => {
+                if !connack.session_present
+                    && let Some(session) = self.sessions.get_mut(owner)
+                {
+                    // It never began.
+                    (session.expiry, session.will) = (0, None);
+                }
+                let wait = wait_property(Some(Duration::from_secs(1)));
+                self.end(
+                    connection,
+                    code::SERVER_UNAVAILABLE,
+                    "the session cannot be put on record",
+                    wait,
+                    now,
+                );
+            }
+            // The message itself is on record, so a repeat of it is known by its identity.
+            After::Write { connection, packet } => self.write(connection, packet),
+            After::Release { connection, id } => {
+                if let Some(session) = self.sessions.get_mut(owner) {
+                    session.releases.insert(id);
+                }
+                self.end(
+                    connection,
+                    code::SERVER_BUSY,
+                    "the release cannot be put on record",
+                    Properties::new(),
+                    now,
+                );
+            }
+            After::Nothing => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/mqtt/src/server/taking.rs
@@ -0,0 +1,209 @@
+//! What clients hand in: PUBLISH, the offer made of it, and its acknowledgements.
+
+use super::{After, Answer, Effect, Offer, Pending, RELEASES_MOST, Server, wait_property};
+use crate::Time;
+use crate::fault::Fault;
+use crate::packet::{Ack, Packet, Properties, Publish, Qos, Version, code};
+use stairshed_config::topic;
+
+impl Server {
+    pub(super) fn publish(&mut self, connection: u64, mut publish: Publish, now: Time) -> Result<(), Fault> {
+        let (limits, Some(c)) = (&self.limits, self.connections.get_mut(&connection)) else { return Ok(()) };
+        if let Some(alias) = publish.alias {
+            if alias > limits.aliases {
+                return Err(Fault {
+                    code: code::TOPIC_ALIAS_INVALID,
+                    why: "a topic alias above the maximum",
+                });
+            }
+            if publish.topic.is_empty() {
+                let known =
+                    c.aliases.get(&alias).ok_or(Fault::protocol("a topic alias that stands for nothing"))?;
+                publish.topic.clone_from(known);
+            } else {
+                c.aliases.insert(alias, publish.topic.clone());
+            }
+        } else if publish.topic.is_empty() {
+            return Err(Fault::protocol("neither a topic nor an alias"));
+        }
+        if !topic::is_name(&publish.topic) {
+            return Err(Fault { code: code::TOPIC_NAME_INVALID, why: "a topic with wildcards, or too long" });
+        }
+        if publish.retain && c.version == Version::V5 {
+            return Err(Fault { code: code::RETAIN_NOT_SUPPORTED, why: "nothing is retained here" });
+        }
+        let owner = c.owner.clone();
+        let most = usize::from(limits.receive_maximum);
+        let v5 = c.version == Version::V5;
+        let Some(session) = self.sessions.get_mut(&owner) else { return Ok(()) };
+        if let Some(id) = publish.id {
+            if session.pending.contains_key(&id) {
+                // It came on an earlier connection and is being judged: this one hears the answer.
+                return Ok(());
+            }
+            if session.releases.contains(&id) {
+                if publish.qos != Qos::ExactlyOnce {
+                    return Err(Fault::protocol("a packet id that is in use"));
+                }
+                // Known already: it is not taken on once more [MQTT-4.3.3-10].
+                self.write(connection, Packet::Pubrec(Ack::new(id, code::SUCCESS)));
+                return Ok(());
+            }
+            if v5 && session.pending.len() + session.releases.len() >= most {
+                return Err(Fault {
+                    code: code::RECEIVE_MAXIMUM_EXCEEDED,
+                    why: "more PUBLISHes than the Receive Maximum",
+                });
+            }
+            if session.releases.len() >= RELEASES_MOST {
+                return Err(Fault {
+                    code: code::QUOTA_EXCEEDED,
+                    why: "too many packet ids wait for their PUBREL",
+                });
+            }
+        }
+        let unfit = if publish.payload.len() > self.limits.payload_most {
+            Some((code::QUOTA_EXCEEDED, "the payload is longer than is taken"))
+        } else if publish.topic.starts_with('$') {
+            Some((code::TOPIC_NAME_INVALID, "topics that begin with $ are the courier's own"))
+        } else if publish.utf8 && std::str::from_utf8(&publish.payload).is_err() {
+            Some((code::PAYLOAD_FORMAT_INVALID, "the payload says that it is UTF-8 and is not"))
+        } else {
+            None
+        };
+        let (id, qos) = (publish.id, publish.qos);
+        let Some((code, why)) = unfit else {
+            self.offer(&owner, connection, publish, id, false);
+            return Ok(());
+        };
+        let Some(id) = id else {
+            self.effects.push_back(Effect::Log(format!("{owner}: a message at QoS 0 is not taken: {why}")));
+            return Ok(());
+        };
+        let answer = Answer::Refused { code, why: why.to_owned(), wait: None };
+        self.answer(&owner, Some(connection), id, qos, answer, now);
+        Ok(())
+    }
+
+    pub(super) fn offer(
+        &mut self,
+        owner: &str,
+        connection: u64,
+        publish: Publish,
+        id: Option<u16>,
+        will: bool,
+    ) {
+        let token = self.token();
+        let qos = publish.qos;
+        let mut bounce = false;
+        if let Some(session) = self.sessions.get_mut(owner) {
+            bounce = session.version == Version::V311 && session.subscribed.is_some() && id.is_some();
+            if let Some(id) = id {
+                session.pending.insert(id, token);
+            }
+        }
+        if id.is_none()
+            && let Some(c) = self.connections.get_mut(&connection)
+        {
+            c.loose += 1;
+        }
+        self.pending.insert(token, Pending { owner: owner.to_owned(), connection, id, qos, will });
+        let answered = id.is_some();
+        let offer = Offer { token, owner: owner.to_owned(), publish, will, bounce, answered };
+        self.effects.push_back(Effect::Offer(Box::new(offer)));
+    }
+
+    /// What became of an offer.
+    pub fn replied(&mut self, token: u64, answer: Answer, now: Time) {
+        let Some(Pending { owner, connection, id, qos, will }) = self.pending.remove(&token) else { return };
+        if will {
+            self.wills_out.remove(&owner);
+            match self.sessions.contains_key(&owner) {
+                true => self.store(&owner, After::Nothing),
+                false => self.erase(&owner),
+            }
+        }
+        let Some(id) = id else {
+            if let Answer::Refused { why, .. } = &answer {
+                self.effects.push_back(Effect::Log(format!(
+                    "{owner}: a message without acknowledgement is not taken: {why}"
+                )));
+            }
+            if let Some(c) = self.connections.get_mut(&connection) {
+                c.loose -= 1;
+                self.go_on(connection, now);
+            }
+            return;
+        };
+        let Some(session) = self.sessions.get_mut(&owner) else { return };
+        session.pending.remove(&id);
+        // The client may have connected again meanwhile.
+        let connection = session.connection;
+        self.answer(&owner, connection, id, qos, answer, now);
+        if let Some(connection) = connection {
+            self.go_on(connection, now);
+        }
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        owner: &str,
+        connection: Option<u64>,
+        id: u16,
+        qos: Qos,
+        answer: Answer,
+        now: Time,
+    ) {
+        let Some(session) = self.sessions.get_mut(owner) else { return };
+        let made = |ack| if qos == Qos::ExactlyOnce { Packet::Pubrec(ack) } else { Packet::Puback(ack) };
+        match answer {
+            Answer::Taken if qos == Qos::ExactlyOnce => {
+                session.releases.insert(id);
+                let lasts = session.expiry > 0;
+                let packet = made(Ack::new(id, code::SUCCESS));
+                let after =
+                    connection.map_or(After::Nothing, |connection| After::Write { connection, packet });
+                match lasts {
+                    true => self.store(owner, after),
+                    false => self.after(after, now),
+                }
+            }
+            Answer::Taken => {
+                if let Some(connection) = connection {
+                    self.write(connection, made(Ack::new(id, code::SUCCESS)));
+                }
+            }
+            Answer::Refused { code, why, wait } => {
+                let Some(connection) = connection else { return };
+                if session.version == Version::V5 {
+                    let ack =
+                        Ack { reason: Some(why), properties: wait_property(wait), ..Ack::new(id, code) };
+                    self.write(connection, made(ack));
+                } else {
+                    // No acknowledgement, so the client knows that it is not taken on; and a close, since else it
+                    // would wait for one. See docs/mqtt.md.
+                    self.effects.push_back(Effect::Log(format!(
+                        "{owner}: closed, since 3.1.1 has no refusal: {why}"
+                    )));
+                    self.end(connection, code, &why, Properties::new(), now);
+                }
+            }
+        }
+    }
+
+    pub(super) fn pubrel(&mut self, connection: u64, id: u16) -> Result<(), Fault> {
+        let Some(c) = self.connections.get(&connection) else { return Ok(()) };
+        let owner = c.owner.clone();
+        let Some(session) = self.sessions.get_mut(&owner) else { return Ok(()) };
+        if !session.releases.remove(&id) {
+            let code = if session.version == Version::V5 { code::PACKET_ID_NOT_FOUND } else { code::SUCCESS };
+            self.write(connection, Packet::Pubcomp(Ack::new(id, code)));
+            return Ok(());
+        }
+        match session.recorded && session.expiry > 0 {
+            true => self.store(&owner, After::Release { connection, id }),
+            false => self.write(connection, Packet::Pubcomp(Ack::new(id, code::SUCCESS))),
+        }
+        Ok(())
+    }
+}
--- a/crates/mqtt/src/server_test.rs
+++ b/crates/mqtt/src/server_test.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::packet::{Ack, Disconnect, Subscribe};
 
 const MS: Time = Duration::from_millis(1);
 const BOTH: [Version; 2] = [Version::V311, Version::V5];
