--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,10 +1,11 @@
 //! The operator's file as it is written: every key with its type, unit, default and meaning. These comments
 //! are the schema's descriptions. What stands here is not checked yet: see [`crate::installation`].
 
-use crate::units::{Rate, Size, Span};
+use crate::units::{Portion, Rate, Size, Span};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use stairshed_journal::{Durability, OnDamage, Options};
+use stairshed_memory::{ByPurpose, Purpose};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 
@@ -26,6 +27,7 @@
     /// Which MQTT topics are taken, and where to, by name. Their order in the file means nothing.
     pub topics: BTreeMap<String, Topic>,
     pub limits: Limits,
+    pub memory: Memory,
     pub outcomes: Outcomes,
     pub journal: Journal,
     /// Takes configuration in versions from a control service.
@@ -37,7 +39,7 @@
 }
 
 /// Sections that a version may hold; the others stand in the file and need a restart.
-pub const VERSIONED: [&str; 6] = ["listen", "classes", "pools", "routes", "topics", "limits"];
+pub const VERSIONED: [&str; 7] = ["listen", "classes", "pools", "routes", "topics", "limits", "memory"];
 
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -397,6 +399,80 @@
     }
 }
 
+/// `[memory]`: what the courier may hold, all in all and for each purpose. Caps that are stated must go with the total
+/// and with each other; what is not stated has its usual share of the total, or no cap without one.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Memory {
+    /// What the process may hold. Without it: the limit that the process was started with (RLIMIT_AS), if there is
+    /// one, less what the program's own mappings take; else there is no bound.
+    pub total: Option<Size>,
+    /// What one client (an address, or an MQTT client) may have of a purpose while that is tight. Alone it may have
+    /// what nobody else asks for, up to there.
+    pub client_share: f64,
+    /// Bodies that are being read or judged. Without it `limits.bodies`, and no more than 12.5 % of the total.
+    pub bodies_read: Option<Portion>,
+    /// Bodies of accepted messages, until they have ended. 30 % unless it is set.
+    pub bodies_held: Option<Portion>,
+    /// Heads, ids and rows of accepted messages. 15 % unless it is set.
+    pub messages: Option<Portion>,
+    /// Connections of clients. 10 % unless it is set.
+    pub clients: Option<Portion>,
+    /// Connections to endpoints. 6 % unless it is set.
+    pub endpoints: Option<Portion>,
+    /// MQTT sessions, and outcomes that their clients have not read. 8 % unless it is set.
+    pub sessions: Option<Portion>,
+    /// Ids of messages that have ended. 4.5 % unless it is set.
+    pub remembered: Option<Portion>,
+    /// The journal's buffers. 4 % unless it is set.
+    pub journal: Option<Portion>,
+    /// The decision module's records of endpoints and destinations. 3.5 % unless it is set.
+    pub module: Option<Portion>,
+    /// Names and configuration. 4 % unless it is set.
+    pub configuration: Option<Portion>,
+    /// Notices of outcomes that wait for their receiver. 2.5 % unless it is set.
+    pub notices: Option<Portion>,
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Memory {
+            total: None,
+            client_share: 0.5,
+            bodies_read: None,
+            bodies_held: None,
+            messages: None,
+            clients: None,
+            endpoints: None,
+            sessions: None,
+            remembered: None,
+            journal: None,
+            module: None,
+            configuration: None,
+            notices: None,
+        }
+    }
+}
+
+impl Memory {
+    /// What is stated for each purpose.
+    pub fn stated(&self) -> ByPurpose<Option<Portion>> {
+        ByPurpose::new(|purpose| match purpose {
+            Purpose::BodiesRead => self.bodies_read,
+            Purpose::BodiesHeld => self.bodies_held,
+            Purpose::Messages => self.messages,
+            Purpose::Clients => self.clients,
+            Purpose::Endpoints => self.endpoints,
+            Purpose::Sessions => self.sessions,
+            Purpose::Remembered => self.remembered,
+            Purpose::Journal => self.journal,
+            Purpose::Module => self.module,
+            Purpose::Configuration => self.configuration,
+            Purpose::Notices => self.notices,
+        })
+    }
+}
+
 /// Where the outcomes of messages go that were taken on and not delivered. Without any key they are appended
 /// to `outcomes.ndjson` in the state folder.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema)]
--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -10,6 +10,7 @@
 use crate::tree::{self, Entry, Node, Value, place_of};
 use crate::units::{Rate, Span};
 use stairshed_decide::interface as decide;
+use stairshed_memory::{ByPurpose, CapFault, Caps, Portion, Purpose};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,6 +45,14 @@
 /// Longest time for which ids are remembered, and the usual one for what must not be repeated.
 const REMEMBER_MOST: Duration = Duration::from_secs(30 * 24 * 3600);
 const REMEMBER_USUAL: Duration = Duration::from_secs(3600);
+/// Bytes that an entry takes as it was read and as it was checked, with strings of usual length. Measured: see
+/// `tests/weigh.rs`. And what there is without any.
+const POOL: u64 = 1950;
+const MEMBER: u64 = 860;
+const ROUTE: u64 = 3050;
+const TOPIC: u64 = 3050;
+const CLASS: u64 = 1500;
+const EMPTY: u64 = 4000;
 /// No message lives longer.
 const DEADLINE_MOST: Duration = Duration::from_secs(24 * 3600);
 
@@ -146,6 +155,21 @@
     pub path: String,
 }
 
+impl Installation {
+    /// Bytes that it takes with the document that it is of, estimated from what is in it.
+    pub fn weigh(&self) -> u64 {
+        let members: usize = self.pools.iter().map(|p| p.members.len()).sum();
+        let all = [
+            (self.pools.len(), POOL),
+            (members, MEMBER),
+            (self.routes.len(), ROUTE),
+            (self.file.topics.len(), TOPIC),
+            (self.classes.len(), CLASS),
+        ];
+        EMPTY + all.into_iter().map(|(n, bytes)| n as u64 * bytes).sum::<u64>()
+    }
+}
+
 impl Route {
     /// The path towards the endpoint for a client's path.
     pub fn path(&self, path: &str) -> String {
@@ -231,6 +255,23 @@
     }
 }
 
+/// The caps of a file. `otherwise` is the total where the file tells none.
+///
+/// # Errors
+/// All that is wrong with them.
+pub fn caps(file: &File, otherwise: Option<u64>) -> Result<Caps, Vec<CapFault>> {
+    let total = file.memory.total.map(|size| size.0).or(otherwise);
+    let stated = file.memory.stated();
+    let bodies = file.limits.bodies.0;
+    let usual = |purpose| {
+        (purpose == Purpose::BodiesRead).then(|| {
+            let share = Caps::new(total, &ByPurpose::default()).map(|caps| caps.of[Purpose::BodiesRead]);
+            Portion::Size(share.map_or(bodies, |share| share.min(bodies)))
+        })
+    };
+    Caps::new(total, &ByPurpose::new(|purpose| stated[purpose].map(|p| p.0).or_else(|| usual(purpose))))
+}
+
 /// Puts a version's sections in the place of the file's.
 fn overlay(tree: &mut Node, version: Node, problems: &mut Vec<Problem>) {
     let Value::Table(sections) = version.value else {
@@ -333,6 +374,7 @@
         let topics: Vec<Option<Topic>> = file.topics.iter().map(|(n, t)| self.topic(n, t, &file)).collect();
         let topics = self.topics(&file, topics);
         self.limits(&file.limits);
+        self.memory(&file);
         let outcomes = file.outcomes.url.as_ref().and_then(|u| self.url(path(&["outcomes", "url"]), u));
         let control = file.control.as_ref().map(|c| self.control(c));
         let discovery = file.discovery.as_ref().and_then(|d| match &d.address {
@@ -756,6 +798,16 @@
         }
     }
 
+    fn memory(&mut self, file: &File) {
+        let at = path(&["memory"]);
+        let share = file.memory.client_share;
+        self.must(share > 0.0 && share <= 1.0, at.key("client_share"), "above 0 and 1 at most");
+        for fault in caps(file, None).err().into_iter().flatten() {
+            let key = fault.purpose().map_or("total", Purpose::name);
+            self.wrong(at.key(key), fault.to_string());
+        }
+    }
+
     fn control(&mut self, c: &file::Control) -> Option<Url> {
         let at = path(&["control"]);
         self.must(c.version_most.0 >= 1024, at.key("version_most"), "1KiB at least");
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -2,6 +2,7 @@
 
 use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use stairshed_memory as memory;
 use std::borrow::Cow;
 use std::fmt;
 use std::time::Duration;
@@ -48,6 +49,23 @@
     if bare { Err(why()) } else { Ok(Size(size.as_u64())) }
 }
 
+/// A part of the memory: a share, `"30%"`, or a size, `"16MB"`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Portion(pub memory::Portion);
+
+fn portion(text: &str) -> Result<Portion, String> {
+    let why = |_| {
+        format!("{text:?} is no part of the memory: write a share or a size, such as \"30%\" or \"16MB\"")
+    };
+    match text.trim().strip_suffix('%') {
+        None => size(text).map(|size| Portion(memory::Portion::Size(size.0))).map_err(why),
+        Some(number) => {
+            let share = number.trim().parse::<f64>().map_err(|e| why(e.to_string()))?;
+            Ok(Portion(memory::Portion::Share(share / 100.0)))
+        }
+    }
+}
+
 fn rate(text: &str) -> Result<Rate, String> {
     let why = || format!("{text:?} is no rate: write a number a span, such as \"50/s\" or \"600/min\"");
     let (number, unit) = text.split_once('/').ok_or_else(why)?;
@@ -74,6 +92,15 @@
     }
 }
 
+impl fmt::Display for Portion {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.0 {
+            memory::Portion::Share(share) => write!(f, "{}%", share * 100.0),
+            memory::Portion::Size(bytes) => write!(f, "{}", Size(bytes)),
+        }
+    }
+}
+
 impl fmt::Display for Rate {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "{}/s", self.0)
@@ -118,6 +145,12 @@
 
 as_text!(Span, span, r"^\s*([0-9]+\s*[a-z]+\s*)+$", "a time span in text, such as \"250ms\"");
 as_text!(Size, size, r"^[0-9.]+\s*[kKMGTP]?i?B$", "a size in text, such as \"64KiB\"");
+as_text!(
+    Portion,
+    portion,
+    r"^[0-9.]+\s*([kKMGTP]?i?B|%)$",
+    "a part of the memory in text, such as \"30%\" or \"16MB\""
+);
 as_text!(Rate, rate, r"^[0-9.]+\s*/\s*(s|min|h)$", "a rate in text, such as \"50/s\"");
 
 #[cfg(test)]
@@ -136,6 +169,10 @@
             assert_eq!(read, Size(bytes));
             assert_eq!(size(&read.to_string()), Ok(read));
         }
+        for text in ["12.5%", "30%", "16MB"] {
+            let read = portion(text).expect(text);
+            assert_eq!(portion(&read.to_string()), Ok(read));
+        }
         for (text, calls) in [("50/s", 50.0), ("600/min", 10.0), ("36/h", 0.01)] {
             let read = rate(text).expect(text);
             assert_eq!(read, Rate(calls));
@@ -150,6 +187,7 @@
         }
         for bad in ["", "64", "64 apples", "-1KB"] {
             assert!(size(bad).is_err(), "{bad}");
+            assert!(portion(bad).is_err() && portion(&format!("{bad} apples %")).is_err(), "{bad}");
         }
         for bad in ["", "50", "50/day", "0/s", "-1/s", "NaN/s", "inf/s", "/s"] {
             assert!(rate(bad).is_err(), "{bad}");
--- /dev/null
+++ b/crates/config/tests/weigh.rs
@@ -0,0 +1,48 @@
+//! The estimate of what a configuration holds, beside what the allocator gave out for it. Alone in its file: nothing
+//! else may allocate meanwhile.
+
+use stairshed_config::installation::Document;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// What the estimate may be off by, as a share of the truth.
+const OFF: f64 = 0.25;
+
+fn file(pools: usize, endpoints: usize, routes: usize) -> String {
+    let mut text = "[classes.payment]\n[classes.notice]\neffect = \"repeatable\"\n".to_owned();
+    for pool in 0..pools {
+        let all: Vec<String> = (0..endpoints)
+            .map(|e| format!("{{ address = \"10.{}.{}.{}:80\" }}", pool / 250, pool % 250, e))
+            .collect();
+        text += &format!("[pools.partner-{pool}]\nendpoints = [{}]\n", all.join(", "));
+        for route in 0..routes {
+            text += &format!(
+                "[routes.fuel-{pool}-{route}]\nprefix = \"/fuel/{pool}/{route}\"\npool = \"partner-{pool}\"\n\
+                 class = \"payment\"\n"
+            );
+        }
+    }
+    text
+}
+
+#[test]
+fn the_estimate_is_near_what_the_allocator_gave_out() {
+    for (pools, endpoints, routes) in [(1000, 1, 1), (10, 200, 1), (100, 5, 30), (2000, 1, 0)] {
+        let text = file(pools, endpoints, routes);
+        let region = Region::new(ALLOCATOR);
+        let document = Document::read("file", &text).expect("sound");
+        let installation = document.installation(None).expect("sound");
+        let change = region.change();
+        drop(document);
+        let truth = change.bytes_allocated as f64 - change.bytes_deallocated as f64;
+        let estimate = installation.weigh() + text.len() as u64;
+        let off = estimate as f64 / truth - 1.0;
+        let what =
+            format!("{pools} pools of {endpoints} endpoints and {routes} routes, {} B of text", text.len());
+        println!("{what}: {estimate} B estimated, {truth} B given out: {:+.1} %", 100.0 * off);
+        assert!(off.abs() < OFF, "{what}: {estimate} B estimated, {truth} B given out");
+    }
+}
--- a/crates/courier/src/front/admin.rs
+++ b/crates/courier/src/front/admin.rs
@@ -3,6 +3,7 @@
 
 use crate::front::intake::Standing;
 use crate::place::control::View;
+use crate::room::Room;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -25,19 +26,19 @@
 const CONNECTIONS: usize = 16;
 
 /// Answers until the process ends.
-pub async fn run(listener: TcpListener, view: View, standing: Rc<Standing>) {
-    let room = Arc::new(Semaphore::new(CONNECTIONS));
+pub async fn run(listener: TcpListener, view: View, standing: Rc<Standing>, room: Room) {
+    let places = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let Ok(permit) = places.clone().acquire_owned().await else { return };
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let (view, standing) = (view.clone(), standing.clone());
+        let (view, standing, room) = (view.clone(), standing.clone(), room.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
-                let (view, standing) = (view.clone(), standing.clone());
-                async move { Ok::<_, Infallible>(answer(&request, &view, &standing).await) }
+                let (view, standing, room) = (view.clone(), standing.clone(), room.clone());
+                async move { Ok::<_, Infallible>(answer(&request, &view, &standing, &room).await) }
             });
             let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             let _ = timeout(CONNECTION_TIME, conn).await;
@@ -46,15 +47,22 @@
     }
 }
 
-async fn answer(request: &Request<Incoming>, view: &View, standing: &Standing) -> Response<Full<Bytes>> {
+async fn answer(
+    request: &Request<Incoming>,
+    view: &View,
+    standing: &Standing,
+    room: &Room,
+) -> Response<Full<Bytes>> {
     let page = match (request.method(), request.uri().path()) {
         (&Method::GET, "/-/config") => Some(view.status.json()),
         (&Method::GET, "/-/config/values") => Some(values(view).await),
+        (&Method::GET, "/-/memory") => Some(room.page()),
         (&Method::GET, "/-/ready") => Some(json!({"ready": standing.ready.get()})),
         _ => None,
     };
     let found = page.is_some();
-    let page = page.unwrap_or_else(|| json!({"pages": ["/-/config", "/-/config/values", "/-/ready"]}));
+    let page =
+        page.unwrap_or_else(|| json!({"pages": ["/-/config", "/-/config/values", "/-/memory", "/-/ready"]}));
     let text = match page {
         Value::String(made) => made,
         page => serde_json::to_string_pretty(&page).unwrap_or_default(),
--- a/crates/courier/src/front/intake.rs
+++ b/crates/courier/src/front/intake.rs
@@ -4,6 +4,7 @@
 use crate::front::effective::Effective;
 use crate::front::named::{Named, Unfit};
 use crate::news::{COME_AGAIN, News, Offer, Reply, ReplyTo, reason};
+use crate::room::{NoRoom, Room};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -13,6 +14,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use stairshed_journal::Letter;
+use stairshed_memory::{Charge, Client, Guest, Purpose};
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -43,6 +45,9 @@
 /// A new connection's request is mostly there already and read by then.
 const FRESH_TIME: Duration = Duration::from_millis(10);
 const HEAD_MOST: usize = 16 * 1024;
+/// What a client's connection takes: its task, hyper's buffers of 8 KiB and what is made of a head. Measured with
+/// 1,000 connections that each had served a request.
+const LINE_BYTES: u64 = 12_000;
 /// Well under the time for which a client waits.
 const PATIENCE: Duration = Duration::from_millis(300);
 
@@ -56,8 +61,6 @@
     next: Cell<u64>,
     /// The task that takes clients in; it changes with the address.
     accepting: RefCell<Option<AbortHandle>>,
-    /// Bytes of bodies that are being read or have no answer yet.
-    bodies: Cell<usize>,
 }
 
 /// Where a client's connection stands.
@@ -82,16 +85,19 @@
     close: Notify,
     /// Closes it whatever has come on it.
     drop: Notify,
+    /// The memory of the connection, free for the next as soon as this one is to be closed.
+    room: RefCell<Option<Charge>>,
 }
 
 impl Line {
-    fn new() -> Self {
+    fn new(room: Charge) -> Self {
         Line {
             stage: Cell::new(Stage::Silent),
             since: Cell::new(Instant::now()),
             framing: RefCell::default(),
             close: Notify::new(),
             drop: Notify::new(),
+            room: RefCell::new(Some(room)),
         }
     }
 
@@ -246,26 +252,11 @@
         }
         let least = open.iter().filter_map(|(id, line)| Some((line.use_of()?, line.since.get(), *id))).min();
         let line = least.and_then(|(_, _, id)| open.remove(&id));
-        line.inspect(|line| line.drop.notify_one()).is_some()
-    }
-}
-
-/// Room for one body, given back when dropped.
-struct Room<'a>(&'a Standing, usize);
-
-impl<'a> Room<'a> {
-    fn take(standing: &'a Standing, bytes: usize, most: usize) -> Option<Self> {
-        let after = standing.bodies.get() + bytes;
-        (after <= most).then(|| {
-            standing.bodies.set(after);
-            Room(standing, bytes)
-        })
-    }
-}
-
-impl Drop for Room<'_> {
-    fn drop(&mut self) {
-        self.0.bodies.set(self.0.bodies.get() - self.1);
+        let gone = line.inspect(|line| {
+            line.drop.notify_one();
+            line.room.take();
+        });
+        gone.is_some()
     }
 }
 
@@ -283,8 +274,9 @@
     pub news: Sender<News>,
     /// Clients' connections at most.
     pub sockets: usize,
-    /// Bytes of bodies in flight at most.
-    pub bodies: usize,
+    pub room: Room,
+    /// Clients are told apart by their address, and each has its share of the memory.
+    pub apart: bool,
 }
 
 impl Intake {
@@ -292,15 +284,23 @@
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let this = self;
         loop {
-            // Out of sockets is backpressure: the one of least use makes room, else the newcomer waits
-            // outside. Each closed one lets one in at once, so that hundreds that say nothing starve nobody.
-            if this.standing.open.borrow().len() >= this.sockets && !this.standing.shed() {
+            // Out of sockets or of memory for them is backpressure: the one of least use makes room, else the
+            // newcomer waits outside. Each closed one lets one in at once, so that hundreds that say nothing
+            // starve nobody.
+            let full = this.standing.open.borrow().len() >= this.sockets
+                || this.room.ledger.room(Purpose::Clients) < LINE_BYTES;
+            if full && !this.standing.shed() {
                 sleep(Duration::from_millis(5)).await;
                 continue;
             }
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(this.clone().serve(stream));
+                Ok((stream, from)) => {
+                    let guest = this.apart.then(|| this.room.ledger.guest(Client::at(from.ip())));
+                    // One client with its share of the connections is turned away, and others get in.
+                    let Ok(room) = this.room.ledger.take(Purpose::Clients, LINE_BYTES, guest.as_ref()) else {
+                        continue;
+                    };
+                    tokio::task::spawn_local(this.clone().serve(stream, guest, room));
                     // A newcomer's request is read before the next may push it out.
                     tokio::task::yield_now().await;
                 }
@@ -312,18 +312,18 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, guest: Option<Guest>, room: Charge) {
         let _ = stream.set_nodelay(true);
-        let line = Rc::new(Line::new());
+        let line = Rc::new(Line::new(room));
         let id = self.standing.next.get();
         self.standing.next.set(id + 1);
         self.standing.open.borrow_mut().insert(id, line.clone());
         let (this, of) = (self.clone(), line.clone());
         let service = service_fn(move |request| {
-            let (this, line) = (this.clone(), of.clone());
+            let (this, line, guest) = (this.clone(), of.clone(), guest.clone());
             async move {
                 line.enter(Stage::Busy);
-                let answer = this.handle(request, &line).await;
+                let answer = this.handle(request, &line, guest).await;
                 *line.framing.borrow_mut() = Framing::default();
                 line.enter(Stage::Idle { well: !answer.status().is_client_error() });
                 Ok::<_, Infallible>(answer)
@@ -350,15 +350,20 @@
         self.standing.open.borrow_mut().remove(&id);
     }
 
-    async fn handle(&self, request: Request<Incoming>, line: &Line) -> Response<Full<Bytes>> {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        line: &Line,
+        guest: Option<Guest>,
+    ) -> Response<Full<Bytes>> {
         let mut answer = match (request.method(), request.uri().path()) {
             (&Method::GET, "/-/ready") => match self.standing.ready.get() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             },
-            (&Method::POST, _) => self.take(request, line).await,
+            (&Method::POST, _) => self.take(request, line, guest).await,
             (&Method::GET | &Method::HEAD, _) => plain(StatusCode::NOT_FOUND, "no such page\n"),
-            _ if matches!(self.front, Front::Routes(_)) => self.take(request, line).await,
+            _ if matches!(self.front, Front::Routes(_)) => self.take(request, line, guest).await,
             _ => plain(StatusCode::NOT_FOUND, "no such page\n"),
         };
         if self.standing.stopping.get() {
@@ -367,7 +372,12 @@
         answer
     }
 
-    async fn take(&self, request: Request<Incoming>, line: &Line) -> Response<Full<Bytes>> {
+    async fn take(
+        &self,
+        request: Request<Incoming>,
+        line: &Line,
+        guest: Option<Guest>,
+    ) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
         let length = body.size_hint().exact();
         if let Some((status, why)) = line.framing.borrow().fault(length) {
@@ -379,11 +389,19 @@
         }
         // Many large bodies at once must not take the memory: together they have a fixed room.
         let kept = if length > BODY_MOST as u64 { 0 } else { length as usize };
-        let Some(_room) = Room::take(&self.standing, kept, self.bodies) else {
-            return respond(Reply::Unavailable);
+        let room = match self.room.ledger.take(Purpose::BodiesRead, kept as u64, guest.as_ref()) {
+            Ok(room) => room,
+            Err(_) if self.knows(&parts.headers).await => {
+                // Of a repeat nothing is kept: it is answered, whatever memory there is.
+                return match timeout(BODY_TIME, read(body, 0)).await {
+                    Ok(Err(Unread::Large) | Ok(_)) => respond(Reply::Taken),
+                    _ => closing(StatusCode::BAD_REQUEST, "the body broke off\n"),
+                };
+            }
+            Err(refused) => return respond(Reply::NoRoom(self.room.no(refused))),
         };
         // Read even if the head is at fault, so that the connection can go on.
-        let body = match timeout(BODY_TIME, read(body)).await {
+        let body = match timeout(BODY_TIME, read(body, kept)).await {
             Ok(Ok(body)) => body,
             Ok(Err(Unread::Large)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB\n"),
             Ok(Err(Unread::Broken)) => return closing(StatusCode::BAD_REQUEST, "the body broke off\n"),
@@ -405,7 +423,7 @@
         let (reply, answered) = oneshot::channel();
         let id = letter.routed.is_some().then(|| letter.id.clone());
         let reply = ReplyTo::One(reply);
-        let offer = Offer { letter: Rc::new(letter), time_left, at, reply, bounce: false };
+        let offer = Offer { letter: Rc::new(letter), time_left, at, reply, bounce: false, room, guest };
         let reply = match timeout(PATIENCE, self.news.send(News::Offered(offer))).await {
             Ok(Ok(())) => answered.await.unwrap_or(Reply::Unavailable),
             _ => Reply::Unavailable,
@@ -419,6 +437,16 @@
     }
 }
 
+impl Intake {
+    /// Whether a request repeats a message that is taken on.
+    async fn knows(&self, headers: &HeaderMap) -> bool {
+        let Some(id) = Named::read(headers).ok().and_then(|named| named.id) else { return false };
+        let (reply, known) = oneshot::channel();
+        let asked = self.news.send(News::Known { id: id.to_owned(), reply });
+        matches!(timeout(PATIENCE, asked).await, Ok(Ok(()))) && known.await.unwrap_or(false)
+    }
+}
+
 /// Reads a message of the platform's from its head. An error is told to the client.
 fn letter(
     classes: &[String],
@@ -450,15 +478,17 @@
     Broken,
 }
 
-async fn read(mut body: Incoming) -> Result<Bytes, Unread> {
-    let (mut kept, mut seen) = (Vec::new(), 0);
+/// Reads a body. `room` is what there is memory for: its length, unless that is too long to be kept.
+async fn read(mut body: Incoming, room: usize) -> Result<Bytes, Unread> {
+    // At once: one that grows piece by piece would take up to twice the memory that was asked for.
+    let (mut kept, mut seen) = (Vec::with_capacity(room), 0);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
         seen += data.len();
         if seen > BODY_DRAINED {
             break;
         }
-        if seen <= BODY_MOST {
+        if seen <= BODY_MOST && seen <= room {
             kept.extend_from_slice(&data);
         } else {
             kept = Vec::new();
@@ -514,6 +544,17 @@
             let why = format!("not taken on: {}\n", reason(why));
             again(StatusCode::SERVICE_UNAVAILABLE, why.into(), None)
         }
+        Reply::NoRoom(NoRoom { refused, wait }) => {
+            let mut answer = again(
+                StatusCode::SERVICE_UNAVAILABLE,
+                format!("not taken on: {refused}\n").into(),
+                Some(wait),
+            );
+            if let Ok(reason) = HeaderValue::from_str(&refused.reason()) {
+                answer.headers_mut().insert("X-Reason", reason);
+            }
+            answer
+        }
         Reply::Crowded => again(
             StatusCode::SERVICE_UNAVAILABLE,
             "not taken on: as many messages that have ended are remembered as may be\n".into(),
--- a/crates/courier/src/front/mqtt.rs
+++ b/crates/courier/src/front/mqtt.rs
@@ -6,8 +6,10 @@
 use crate::front::users::Users;
 use crate::news::{COME_AGAIN, Front, News, Offer, Reply, ReplyTo, Store, reason};
 use crate::out::outcomes;
+use crate::room::{NoRoom, Room};
 use bytes::BytesMut;
 use stairshed_journal::{Refusal, Verdict};
+use stairshed_memory::{Charge, Client, Purpose};
 use stairshed_mqtt::packet::code;
 use stairshed_mqtt::server::{self, Answer, Effect, Limits, Outcome, Server};
 use std::cell::{Cell, RefCell};
@@ -19,7 +21,7 @@
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Notes of sessions in the journal: `session/USER/CLIENT`.
@@ -32,6 +34,8 @@
 const LINGER: Duration = Duration::from_secs(2);
 /// Passwords that are checked at once.
 const CHECKS: usize = 2;
+/// What a connection takes beside its part of the state machine: its task and its line.
+const LINE_BYTES: u64 = 1_500;
 /// A newcomer's CONNECT is mostly there already and read by then.
 const FRESH: Duration = Duration::from_millis(10);
 
@@ -44,21 +48,15 @@
     wake: Notify,
 }
 
-/// An offer that is being judged: whether its client has left, and the bytes of its payload.
-struct Judged {
-    left: Rc<Cell<bool>>,
-    size: usize,
-}
-
 pub struct Hub {
     machine: RefCell<Server>,
     origin: Instant,
     lines: RefCell<HashMap<u64, Rc<Line>>>,
-    /// By token.
-    judged: RefCell<HashMap<u64, Judged>>,
-    /// Bytes of payloads that are being judged, and the most of them.
-    bodies: Cell<usize>,
-    bodies_most: usize,
+    /// By token, offers that are being judged: whether their client has left.
+    judged: RefCell<HashMap<u64, Rc<Cell<bool>>>>,
+    room: Room,
+    /// What sessions take, as last measured.
+    sessions: RefCell<Charge>,
     buffer: RefCell<Vec<u8>>,
     wake: Notify,
     effective: Effective,
@@ -79,6 +77,9 @@
                 refused(code::QUOTA_EXCEEDED, "refused: come again later", wait.or(later))
             }
             Reply::Unavailable => refused(code::QUOTA_EXCEEDED, "not now", later),
+            Reply::NoRoom(NoRoom { refused: no, wait }) => {
+                refused(code::QUOTA_EXCEEDED, &no.to_string(), Some(wait))
+            }
             Reply::Crowded => refused(
                 code::QUOTA_EXCEEDED,
                 "as many messages that have ended are remembered as may be",
@@ -105,6 +106,11 @@
         self.machine.borrow().hears(owner)
     }
 
+    fn weigh(&self) {
+        let bytes = self.machine.borrow().weigh();
+        self.sessions.borrow_mut().set(bytes);
+    }
+
     fn outcome(&self, owner: &str, message: u64, id: &str, verdict: Option<Verdict>) {
         let line = outcomes::line(id, verdict);
         self.with(|machine, _| machine.outcome(owner, Outcome { message, line }));
@@ -115,7 +121,7 @@
     /// `records` are the sessions of an earlier life.
     pub fn new(
         limits: Limits,
-        (connections, bodies_most): (usize, usize),
+        (connections, room): (usize, Room),
         (effective, users): (Effective, Option<Users>),
         news: Sender<News>,
         records: Vec<(String, bytes::Bytes)>,
@@ -132,8 +138,8 @@
             origin: Instant::now(),
             lines: RefCell::default(),
             judged: RefCell::default(),
-            bodies: Cell::new(0),
-            bodies_most,
+            sessions: RefCell::new(room.ledger.force(Purpose::Sessions, 0)),
+            room,
             buffer: RefCell::new(vec![0; READ]),
             wake: Notify::new(),
             effective,
@@ -151,9 +157,7 @@
     }
 
     fn judged_no_more(&self, token: u64) -> Option<Rc<Cell<bool>>> {
-        let Judged { left, size } = self.judged.borrow_mut().remove(&token)?;
-        self.bodies.set(self.bodies.get() - size);
-        Some(left)
+        self.judged.borrow_mut().remove(&token)
     }
 
     /// Tells all clients that the courier stops; wills of theirs are handed in.
@@ -205,9 +209,10 @@
                     let publish = server::will_message(will);
                     self.effective.publish(&publish, &owner).map(|_| ())
                 });
-                if let Err(unfit) = fit {
-                    let verdict = Err((unfit.code, format!("its will: {}", unfit.why)));
-                    return self.with(|machine, now| machine.admitted(connection, verdict, now));
+                let fit = fit.map_err(|unfit| (unfit.code, format!("its will: {}", unfit.why)));
+                let fit = fit.and_then(|()| self.has_room(&owner));
+                if fit.is_err() {
+                    return self.with(|machine, now| machine.admitted(connection, fit, now));
                 }
                 self.check(connection, user, password);
             }
@@ -229,6 +234,15 @@
         }
     }
 
+    /// Whether there is memory for a client's session. One that has its session already is let in.
+    fn has_room(&self, owner: &str) -> Result<(), (u8, String)> {
+        if self.machine.borrow().has_session(owner) {
+            return Ok(());
+        }
+        let fits = self.room.ledger.fits(Purpose::Sessions, server::SESSION, None);
+        fits.map_err(|refused| (code::QUOTA_EXCEEDED, refused.to_string()))
+    }
+
     /// Checks a password off the serving thread.
     fn check(self: Rc<Self>, connection: u64, user: Option<String>, password: Option<bytes::Bytes>) {
         let Some(users) = self.users.clone() else {
@@ -257,31 +271,48 @@
                 return self.with(|machine, now| machine.replied(token, answer, now));
             }
         };
+        let guest = Some(self.room.ledger.guest(Client::Name(owner.as_str().into())));
         // Many large payloads at once must not take the memory: together they have a fixed room.
-        let size = publish.payload.len();
-        if self.bodies.get() + size > self.bodies_most {
-            return self.replied(token, Reply::Unavailable);
-        }
-        self.bodies.set(self.bodies.get() + size);
+        let size = publish.payload.len() as u64;
+        let room = match self.room.ledger.take(Purpose::BodiesRead, size, guest.as_ref()) {
+            Ok(room) => room,
+            // What repeats a message that is taken on is acknowledged, whatever memory there is.
+            Err(_) if self.knows(&letter.id).await => return self.replied(token, Reply::Taken),
+            Err(refused) => return self.replied(token, Reply::NoRoom(self.room.no(refused))),
+        };
         let left = Rc::new(Cell::new(false));
-        self.judged.borrow_mut().insert(token, Judged { left: left.clone(), size });
+        self.judged.borrow_mut().insert(token, left.clone());
         let reply = ReplyTo::Front { front: self.clone(), token, left };
-        let offer = Offer { letter: Rc::new(letter), time_left, at: Instant::now(), reply, bounce };
+        let offer =
+            Offer { letter: Rc::new(letter), time_left, at: Instant::now(), reply, bounce, room, guest };
         let _ = self.news.send(News::Offered(offer)).await;
     }
 
+    /// Whether a message of this id is taken on.
+    async fn knows(&self, id: &str) -> bool {
+        let (reply, known) = oneshot::channel();
+        let asked = self.news.send(News::Known { id: id.to_owned(), reply }).await;
+        asked.is_ok() && known.await.unwrap_or(false)
+    }
+
     /// Accepts clients until the task is dropped.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut next = 0;
         loop {
-            if self.lines.borrow().len() >= self.connections && !self.shed() {
+            let full = self.lines.borrow().len() >= self.connections
+                || self.room.ledger.room(Purpose::Clients) < LINE_BYTES;
+            if full && !self.shed() {
                 sleep(Duration::from_millis(5)).await;
                 continue;
             }
             match listener.accept().await {
-                Ok((socket, _)) => {
+                Ok((socket, from)) => {
+                    let guest = self.room.ledger.guest(Client::at(from.ip()));
+                    let room = self.room.ledger.take(Purpose::Clients, LINE_BYTES, Some(&guest));
+                    // One address with its share of the connections is turned away, and others get in.
+                    let Ok(room) = room else { continue };
                     next += 1;
-                    tokio::task::spawn_local(self.clone().serve(next, socket));
+                    tokio::task::spawn_local(self.clone().serve(next, socket, room));
                     tokio::task::yield_now().await;
                 }
                 Err(e) => {
@@ -307,7 +338,7 @@
         old.is_some()
     }
 
-    async fn serve(self: Rc<Self>, connection: u64, socket: TcpStream) {
+    async fn serve(self: Rc<Self>, connection: u64, socket: TcpStream, room: Charge) {
         let _ = socket.set_nodelay(true);
         let line = Rc::new(Line {
             out: RefCell::default(),
@@ -322,6 +353,7 @@
             self.lines.borrow_mut().remove(&connection);
             self.with(|machine, now| machine.lost(connection, now));
         }
+        drop(room);
         // What was to be said last is said, if the client takes it in time.
         let _ = timeout(LINGER, async {
             while !line.out.borrow().is_empty() {
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -17,7 +17,9 @@
 mod out;
 mod owner;
 mod place;
+mod room;
 mod start;
+mod system;
 
 pub use fault::Fault;
 pub use front::effective::host_name;
--- a/crates/courier/src/main.rs
+++ b/crates/courier/src/main.rs
@@ -5,9 +5,11 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 mod config_tool;
 mod journal_tool;
+mod memory_tool;
 
 /// A courier: takes messages, delivers each to an endpoint of its destination, or says truthfully that it
 /// did not.
@@ -51,6 +53,17 @@
     /// What a configuration says.
     #[command(subcommand)]
     Config(Config),
+    /// What a running courier holds in memory, by purpose.
+    Memory {
+        /// Its listen.admin.
+        #[arg(long, value_name = "ADDRESS")]
+        admin: SocketAddr,
+        /// Prints it again every so many seconds.
+        #[arg(long, value_name = "SECONDS", num_args = 0..=1, default_missing_value = "2")]
+        watch: Option<f64>,
+        #[arg(long)]
+        json: bool,
+    },
     /// Looks at the journal of a courier that does not run.
     #[command(subcommand)]
     Journal(Journal),
@@ -114,6 +127,11 @@
             Config::Schema => config_tool::schema(out),
         }
         .map_err(|e| text(&e)),
+        Some(Command::Memory { admin, watch, json }) => {
+            // Anything else would never come again, or never stop.
+            let span = watch.map(|s| Duration::from_secs_f64(s.clamp(0.1, 3600.0)));
+            memory_tool::memory(admin, span, json, out).map_err(|e| text(&e))
+        }
         Some(Command::MqttPassword { user }) => {
             let mut password = String::new();
             let read = std::io::stdin().read_line(&mut password).map_err(|e| text(&e));
--- /dev/null
+++ b/crates/courier/src/memory_tool.rs
@@ -0,0 +1,103 @@
+//! `stairshed memory`: what a running courier holds, by purpose.
+
+use serde_json::Value;
+use stairshed_courier::client;
+use stairshed_memory::caps::Bytes;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+/// Prints a courier's memory, again and again if `watch` says so.
+///
+/// # Errors
+/// The courier does not answer, or with something else.
+pub fn memory(
+    admin: SocketAddr,
+    watch: Option<Duration>,
+    json: bool,
+    out: &mut impl Write,
+) -> io::Result<()> {
+    loop {
+        let text = client::get(admin, "/-/memory")?;
+        if json {
+            out.write_all(text.as_bytes())?;
+        } else {
+            let page: Value = serde_json::from_str(&text).map_err(io::Error::other)?;
+            out.write_all(table(&page).as_bytes())?;
+        }
+        let Some(span) = watch else { return Ok(()) };
+        out.flush()?;
+        thread::sleep(span);
+    }
+}
+
+fn bytes(of: &Value) -> String {
+    match (of.as_u64(), of.as_i64()) {
+        (Some(n), _) => Bytes(n).to_string(),
+        (None, Some(n)) => format!("-{}", Bytes(n.unsigned_abs())),
+        (None, None) => "-".to_owned(),
+    }
+}
+
+/// The page as a table: a line for the process, and one for each purpose.
+fn table(page: &Value) -> String {
+    let mut text = format!(
+        "{}: resident {} of {}, allocated {}, free in the allocator {}, accounted {}, unaccounted {}; {} clients\n",
+        page["level"].as_str().unwrap_or("?"),
+        bytes(&page["resident"]),
+        bytes(&page["total"]),
+        bytes(&page["allocated"]),
+        bytes(&page["free"]),
+        bytes(&page["accounted"]),
+        bytes(&page["unaccounted"]),
+        page["clients"],
+    );
+    let head =
+        ["purpose", "in use", "reserved", "cap", "most", "empties/s", "level", "refused", "of it by share"];
+    let mut rows = vec![head.map(str::to_owned)];
+    for of in page["purposes"].as_array().into_iter().flatten() {
+        let count = |key: &str| of[key].as_u64().unwrap_or_default();
+        rows.push([
+            of["purpose"].as_str().unwrap_or("?").to_owned(),
+            bytes(&of["in_use"]),
+            bytes(&of["reserved"]),
+            bytes(&of["cap"]),
+            bytes(&of["most"]),
+            bytes(&of["empties"]),
+            of["level"].as_str().unwrap_or("?").to_owned(),
+            (count("refused_cap") + count("refused_share") + count("refused_total")).to_string(),
+            count("refused_share").to_string(),
+        ]);
+    }
+    for row in rows {
+        let [purpose, rest @ ..] = row;
+        let cells: String = rest.iter().map(|cell| format!(" {cell:>10}")).collect();
+        text += &format!("{purpose:<15}{cells}\n");
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn every_purpose_has_a_line_with_its_figures() {
+        let page = json!({"level": "tight", "resident": 31_000_000, "total": 32_000_000, "allocated": 20_000_000,
+            "free": 1_500, "accounted": 20_500_000, "unaccounted": -500_000, "clients": 3, "purposes": [
+            {"purpose": "bodies_held", "in_use": 6_000_000, "reserved": 0, "cap": 7_200_000, "most": 7_100_000,
+             "empties": 1200, "level": "tight", "refused_cap": 2, "refused_share": 3, "refused_total": 0},
+            {"purpose": "notices", "in_use": 0, "reserved": 0, "cap": null, "most": 0, "empties": 0,
+             "level": "ample", "refused_cap": 0, "refused_share": 0, "refused_total": 0}]});
+        let text = table(&page);
+        let lines: Vec<&str> = text.lines().collect();
+        assert!(lines[0].starts_with("tight: resident 31 MB of 32 MB"), "{text}");
+        assert!(lines[0].contains("unaccounted -500 kB; 3 clients"), "{text}");
+        let cells: Vec<&str> = lines[2].split_whitespace().collect();
+        assert_eq!(cells[..3], ["bodies_held", "6.0", "MB"]);
+        assert!(lines[2].ends_with("5          3") && lines[3].contains(" - "), "{text}");
+        assert_eq!(lines.len(), 4);
+    }
+}
--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -1,10 +1,12 @@
 //! What crosses between the courier's parts: the news that its owner of the decision module hears, and
 //! what they carry. It stands below all of them, so that no part imports the owner.
 
+use crate::room::NoRoom;
 use serde::Deserialize;
 use stairshed_config::Installation;
 use stairshed_decide::interface::{EndpointId, Outcome, Report};
 use stairshed_journal::{Letter, Refusal, Synced, Verdict};
+use stairshed_memory::{Caps, Charge, Guest};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -39,6 +41,11 @@
     Resolved(List),
     /// Discovery is to be watched from now on.
     Watch,
+    /// Whether a message of this id is taken on already.
+    Known {
+        id: String,
+        reply: oneshot::Sender<bool>,
+    },
     /// What became of the journal's sync.
     Synced(Synced),
     /// A front's state is to be put on record.
@@ -82,6 +89,8 @@
     fn stored(&self, token: u64, kept: Result<(), Refusal>);
     /// Whether this client reads how its messages end, and has room for one more.
     fn hears(&self, owner: &str) -> bool;
+    /// Measures what it holds, for the ledger.
+    fn weigh(&self);
     /// Tells a client how its message ended: None if it was delivered. [`News::OwnerTold`] follows.
     fn outcome(&self, owner: &str, message: u64, id: &str, verdict: Option<Verdict>);
 }
@@ -128,6 +137,9 @@
     pub reply: ReplyTo,
     /// If it is refused it is taken on and bounced at once, on record: its front has no refusal.
     pub bounce: bool,
+    /// The memory that its body has, as long as it is judged, and whose it is.
+    pub room: Charge,
+    pub guest: Option<Guest>,
 }
 
 /// What a configuration changes.
@@ -145,6 +157,8 @@
     /// 0 for the operator's file.
     pub version: u64,
     pub installation: Arc<Installation>,
+    /// What memory there is from then on.
+    pub caps: Caps,
     pub changes: Changes,
     /// Told once it is in effect.
     pub done: oneshot::Sender<()>,
@@ -161,6 +175,8 @@
     Unavailable,
     /// It cannot be put on record.
     NoRecord(Refusal),
+    /// There is no memory for it.
+    NoRoom(NoRoom),
     /// As many that have ended are remembered as may be.
     Crowded,
     NoDestination,
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -3,12 +3,14 @@
 
 use crate::news::{CallEnd, News};
 use crate::out::link::{Answer, Link, Lost};
+use crate::room::Room;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HOST};
 use hyper::{HeaderMap, Request, StatusCode};
 use stairshed_decide::interface::{EndpointId, Outcome, Report};
 use stairshed_journal::Letter;
+use stairshed_memory::{Charge, Purpose};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -19,6 +21,9 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::{Instant, sleep};
 
+/// What a connection to an endpoint takes, with the call on it: hyper's buffers, the driver, the task. Measured with 500
+/// that were kept.
+const LINK_BYTES: u64 = 12_000;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
 /// Share of the endpoints' limit for which a connection may stand idle here.
@@ -120,11 +125,12 @@
     /// to that one.
     idle: Rc<RefCell<HashMap<EndpointId, Vec<Kept>>>>,
     fates: Rc<RefCell<Fates>>,
+    room: Room,
 }
 
 impl Calls {
     /// `keepalive` is when endpoints close an idle connection; none is kept for as long here.
-    pub fn new(connect: Duration, keepalive: Duration, sockets: usize) -> Self {
+    pub fn new(connect: Duration, keepalive: Duration, sockets: usize, room: Room) -> Self {
         let keep = Rc::new(Cell::new(keepalive.mul_f64(KEEP_SHARE)));
         let sweep = keep.clone();
         let idle = Rc::new(RefCell::new(HashMap::<EndpointId, Vec<Kept>>::new()));
@@ -140,7 +146,7 @@
             }
         });
         let (connect, sockets) = (Rc::new(Cell::new(connect)), Arc::new(Semaphore::new(sockets)));
-        Calls { connect, keep, parted: Rc::default(), sockets, idle, fates: Rc::default() }
+        Calls { connect, keep, parted: Rc::default(), sockets, idle, fates: Rc::default(), room }
     }
 
     /// How long connections are kept here: the module reckons with that.
@@ -203,18 +209,41 @@
         self.idle.borrow_mut().entry(endpoint).or_default().push(Kept { link, since: Instant::now() });
     }
 
+    /// Memory for one more connection. Kept ones give way to it; a call on behalf of an accepted message is made all the
+    /// same where none can, since what is accepted is not failed for memory. Calls are few: slots bound them.
+    fn room_for_link(&self) -> Charge {
+        let ledger = &self.room.ledger;
+        while ledger.room(Purpose::Endpoints) < LINK_BYTES && self.close_oldest() {}
+        ledger.force(Purpose::Endpoints, LINK_BYTES)
+    }
+
+    /// Closes the connection that has been idle for longest. False if there is none.
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(a, k)| Some((k.first()?.since, *a))).min();
+        let Some((_, endpoint)) = oldest else { return false };
+        let Some(kept) = idle.get_mut(&endpoint) else { return false };
+        kept.remove(0);
+        if kept.is_empty() {
+            idle.remove(&endpoint);
+        }
+        true
+    }
+
+    /// Closes every second idle connection, the older ones of each endpoint: memory is tight.
+    pub fn close_half(&self) {
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.drain(..kept.len().div_ceil(2));
+            !kept.is_empty()
+        });
+    }
+
     /// Room for one more socket; an idle connection elsewhere gives way to it.
     async fn permit(&self) -> Option<OwnedSemaphorePermit> {
         if let Ok(permit) = self.sockets.clone().try_acquire_owned() {
             return Some(permit);
         }
-        {
-            let mut idle = self.idle.borrow_mut();
-            let oldest = idle.iter().filter_map(|(a, k)| Some((k.first()?.since, *a))).min();
-            if let Some(kept) = oldest.and_then(|(_, a)| idle.get_mut(&a)) {
-                kept.remove(0);
-            }
-        }
+        self.close_oldest();
         tokio::time::timeout(self.connect.get(), self.sockets.clone().acquire_owned()).await.ok()?.ok()
     }
 
@@ -228,7 +257,8 @@
             return Some((link, Some(idle)));
         }
         let permit = self.permit().await?;
-        Link::open(address, self.connect.get(), Some(permit)).await.map(|link| (link, None))
+        let room = self.room_for_link();
+        Link::open(address, self.connect.get(), Some((permit, room))).await.map(|link| (link, None))
     }
 
     async fn ask(
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use stairshed_memory::Charge;
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::io;
@@ -171,7 +172,7 @@
     wire: Rc<Wire>,
     sender: SendRequest<Full<Bytes>>,
     driver: Option<Driver>,
-    _permit: Option<OwnedSemaphorePermit>,
+    _room: Option<(OwnedSemaphorePermit, Charge)>,
 }
 
 /// Why there is no answer.
@@ -235,18 +236,18 @@
 }
 
 impl Link {
-    /// Connects within the time given. No permit means that the socket is counted elsewhere.
+    /// Connects within the time given. `room` is its socket and its memory; None where they are counted elsewhere.
     pub async fn open(
         to: SocketAddr,
         within: Duration,
-        permit: Option<OwnedSemaphorePermit>,
+        room: Option<(OwnedSemaphorePermit, Charge)>,
     ) -> Option<Self> {
         let stream = timeout(within, TcpStream::connect(to)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let wire = Rc::new(Wire { stream, written: Cell::new(0), first: RefCell::default() });
         let io = TokioIo::new(Tap(wire.clone()));
         let (sender, driver) = http1::Builder::new().max_buf_size(BODY_MOST).handshake(io).await.ok()?;
-        Some(Link { wire, sender, driver: Some(Box::pin(driver)), _permit: permit })
+        Some(Link { wire, sender, driver: Some(Box::pin(driver)), _room: room })
     }
 
     /// Whether the peer has left it open and said nothing out of turn. Asks the kernel: the runtime may not
--- a/crates/courier/src/owner.rs
+++ b/crates/courier/src/owner.rs
@@ -6,12 +6,14 @@
 //!   taking    offers, ids, replies          members   endpoints, zones, changes, drains
 //!   out       messages held, their calls    records   what waits on the journal, a failing disk
 //!   notices   verdicts to be acknowledged   stopping  the end after SIGTERM
+//!   memory    what each message holds, measuring, giving back
 //!   ended     what stays of ended messages  brokers   attempts at MQTT brokers      notes  state by key
 //! ```
 
 mod brokers;
 mod ended;
 mod members;
+mod memory;
 mod notes;
 mod notices;
 mod out;
@@ -27,6 +29,7 @@
 use crate::out::outcomes::Outcomes;
 use crate::place::hosts::hosts;
 use members::Members;
+use memory::Memory;
 use notices::Notices;
 use out::{Out, aged};
 use records::{COMPACT_PAUSE, DISK_RETRY, Records};
@@ -59,6 +62,7 @@
     records: Records,
     notices: Notices,
     stopping: Stopping,
+    memory: Memory,
     /// Whose clients are told how their messages end.
     front: Option<Rc<dyn Front>>,
     ended: ended::Ended,
@@ -78,6 +82,7 @@
         news: Sender<News>,
     ) -> Self {
         let taking = Taking::after(journal.last());
+        let memory = Memory::new(setup.room.clone());
         let mut courier = Courier {
             setup,
             brain,
@@ -93,6 +98,7 @@
             records: Records::default(),
             notices: Notices::new(outcomes),
             stopping: Stopping::default(),
+            memory,
             front: None,
             ended: ended::Ended::default(),
             brokers: brokers::Brokers::default(),
@@ -103,6 +109,7 @@
         let known = courier.setup.known.clone().unwrap_or_default();
         courier.list(List { whole: true, ..known });
         if let Some(installation) = courier.setup.installation.clone() {
+            courier.memory.configured(installation.weigh());
             courier.members.listed = true;
             courier.members.destinations.extend(installation.pools.iter().map(|p| p.destination));
             let (hosts, limits) = hosts(&changes(None, &installation));
@@ -152,13 +159,15 @@
             let removed = self.members.removed.values().copied().filter(|at| *at > Instant::now()).min();
             let forget = self.ended.next().map(|at| Instant::now() + at.saturating_sub(unix()));
             let open = self.next_open();
-            let at = [due, retry, stop, compact, removed, forget, open].into_iter().flatten().min();
+            let memory = self.memory.due();
+            let at = [due, retry, stop, compact, removed, forget, open, memory].into_iter().flatten().min();
             let nap = async {
                 match at {
                     Some(at) => sleep_until(at).await,
                     None => std::future::pending().await,
                 }
             };
+            let mut traffic = false;
             tokio::select! {
                 biased;
                 news = inbox.recv() => {
@@ -176,7 +185,7 @@
                         self.settle();
                     }
                     if due.is_some_and(|at| at <= now) {
-                        last = Some(now);
+                        (last, traffic) = (Some(now), true);
                         self.turn(now);
                         self.post();
                     }
@@ -186,6 +195,7 @@
             self.end_open();
             self.forget_due();
             self.compact();
+            self.look_at_memory(traffic);
             if self.stopped() {
                 return;
             }
@@ -219,6 +229,10 @@
             News::Configured(configured) => self.configured(*configured),
             News::Resolved(list) => self.list(list),
             News::Watch => self.watch(),
+            News::Known { id, reply } => {
+                // Who asked may be gone.
+                let _ = reply.send(self.knows(&id));
+            }
             News::Synced(done) => self.synced(done),
             News::Store(store) => self.store(store),
             News::OwnerTold { message } => self.owner_told(message),
--- a/crates/courier/src/owner/ended.rs
+++ b/crates/courier/src/owner/ended.rs
@@ -2,6 +2,7 @@
 //! end is told, whatever crashes in between. The journal holds it; here stands what is looked up.
 
 use super::Courier;
+use super::memory::Loose;
 use super::records::Waiting;
 use crate::clock::unix;
 use crate::news::{Offer, Reply, ReplyTo};
@@ -40,6 +41,19 @@
         }
     }
 
+    /// Whether a message of this id is remembered.
+    pub(super) fn knows(&self, id: &str) -> bool {
+        self.by_id.contains_key(id)
+    }
+
+    /// Its tables after a burst.
+    pub(super) fn tighten(&mut self) {
+        self.by_id.tighten();
+        self.kept.tighten();
+        self.telling.tighten();
+        self.told.tighten();
+    }
+
     /// When the next is forgotten, Unix time.
     pub fn next(&self) -> Option<Duration> {
         self.due.first().map(|(at, _)| *at)
@@ -57,6 +71,7 @@
         let all: Vec<(u64, Kept)> = self.journal.kept().map(|(n, k)| (n, Kept::clone(k))).collect();
         for (message, kept) in all {
             self.ended.insert(message, &kept);
+            self.memory.keep(message, &kept);
             match &kept.owner {
                 Some(owner) if self.front.is_some() => {
                     self.tell_owner(owner, message, &kept.id, kept.verdict)
@@ -117,6 +132,7 @@
         self.taking.ids.remove(&letter.id);
         let told = self.ended.told.remove(&message);
         let Some(routed) = letter.routed.as_ref().filter(|_| stays(&letter)) else {
+            self.memory.ended(message);
             return self.journal.end(message);
         };
         let telling = self.ended.telling.contains(&message);
@@ -127,8 +143,10 @@
         let until = if bounced || until <= unix() { Duration::ZERO } else { until };
         let kept = Kept { id: letter.id.clone(), owner: owner.clone(), verdict, until };
         if owner.is_none() && until.is_zero() {
+            self.memory.ended(message);
             return self.journal.end(message);
         }
+        self.memory.keep(message, &kept);
         self.ended.insert(message, &kept);
         self.journal.keep(message, kept);
         if let Some(owner) = owner {
@@ -150,6 +168,7 @@
 
     fn forget(&mut self, message: u64, kept: &Kept) {
         self.ended.remove(message, kept);
+        self.memory.ended(message);
         self.journal.end(message);
     }
 
@@ -184,7 +203,11 @@
             let _ = to.send(reply);
             return;
         };
-        let wait = if let Reply::Refused { wait } = reply { wait } else { None };
+        let wait = match reply {
+            Reply::Refused { wait } => wait,
+            Reply::NoRoom(no) => Some(no.wait),
+            _ => None,
+        };
         let verdict = Some(Verdict::Bounced { wait });
         let id = letter.id.clone();
         let room = self.journal.fits_note((id.len() + owner.len()) as u64);
@@ -198,6 +221,7 @@
         let message = self.taking.next;
         self.taking.next += 1;
         let kept = Kept { id, owner: Some(owner), verdict, until: Duration::ZERO };
+        self.memory.keep(message, &kept);
         self.ended.insert(message, &kept);
         self.journal.keep_new(message, kept);
         if !self.settle() {
--- a/crates/courier/src/owner/members.rs
+++ b/crates/courier/src/owner/members.rs
@@ -57,11 +57,10 @@
 impl Courier {
     /// Puts a configuration into effect: whole, between two turns.
     pub(super) fn configured(&mut self, configured: Configured) {
-        let Configured { version, installation, changes, done } = configured;
+        let Configured { version, installation, caps, changes, done } = configured;
         let Changes { hosts, limits, gone, there } = changes;
         let held = self.out.held.values().map(|m| m.class);
-        let in_use: BTreeSet<usize> =
-            held.chain(self.taking.offers.values().map(|(class, _)| *class)).collect();
+        let in_use: BTreeSet<usize> = held.chain(self.taking.offers.values().map(|o| o.class)).collect();
         let classes = installation.classes.iter().map(|c| c.name.clone());
         let classes = classes.zip(installation.settings.classes.iter().cloned());
         self.setup.classes.change(classes, &in_use);
@@ -83,6 +82,8 @@
         if let Some(effective) = &self.setup.effective {
             effective.set(version, installation.clone());
         }
+        self.memory.configured(installation.weigh());
+        self.memory.room.configure(&caps, installation.file.memory.client_share);
         self.setup.installation = Some(installation);
         self.change_members(hosts, limits);
         self.tell_discovered();
--- a/crates/courier/src/owner/notices.rs
+++ b/crates/courier/src/owner/notices.rs
@@ -35,6 +35,7 @@
             self.out.held.remove(&message);
         }
         self.journal.judge(message, verdict);
+        self.memory.notice(message);
         self.tell_verdict(message, verdict);
         self.notices.queue.push_back((self.journal.last_seq(), Notice { message, id, verdict }));
     }
--- a/crates/courier/src/owner/records.rs
+++ b/crates/courier/src/owner/records.rs
@@ -67,6 +67,7 @@
         for (message, m) in live {
             let letter = m.letter.clone();
             self.taking.ids.insert(letter.id.clone(), message);
+            self.memory.resume(message, &letter);
             let class = self.class(&letter);
             // A message with its end decided only waits to have it acknowledged: sending it again would
             // deliver what a client was told to hand in again.
@@ -76,6 +77,7 @@
                     self.journal.judge(message, verdict);
                 }
                 let seq = self.journal.last_seq();
+                self.memory.notice(message);
                 self.notices.queue.push_back((seq, Notice { message, id: letter.id.clone(), verdict }));
                 continue;
             }
@@ -225,6 +227,7 @@
         if let Some(m) = self.journal.get(message) {
             let id = m.letter.id.clone();
             self.taking.ids.remove(&id);
+            self.memory.ended(message);
             self.journal.end(message);
         }
     }
--- a/crates/courier/src/owner/setup.rs
+++ b/crates/courier/src/owner/setup.rs
@@ -2,6 +2,7 @@
 
 use crate::front::effective::Effective;
 use crate::news::List;
+use crate::room::Room;
 use stairshed_config::Installation;
 use stairshed_config::classes::ClassTable;
 use stairshed_decide::interface::Settings;
@@ -28,6 +29,7 @@
     pub pool_wait: Duration,
     /// Messages that have ended of which something may stay.
     pub remembered: usize,
+    pub room: Room,
     /// Where files stand that an installation names.
     pub folder: PathBuf,
 }
--- a/crates/courier/src/owner/taking.rs
+++ b/crates/courier/src/owner/taking.rs
@@ -1,6 +1,7 @@
 //! Taking on: what clients offer, until the module has judged it and they have heard. Owns the offers, the ids of
 //! all that is held, and the next message's number; `turn` calls it with the module's refusals.
 
+use super::memory::Holding;
 use super::out::Held;
 use super::records::Waiting;
 use super::{Courier, Verdict};
@@ -9,10 +10,18 @@
 use stairshed_journal::{Letter, Refusal};
 use std::collections::{BTreeMap, HashMap};
 
+/// An offer that waits for the module's word.
+pub(super) struct Offered {
+    pub(super) class: usize,
+    offer: Offer,
+    /// The memory that it has if it is taken on.
+    holding: Holding,
+}
+
 #[derive(Default)]
 pub(super) struct Taking {
-    /// Those that wait for the module's word, with their class.
-    pub(super) offers: BTreeMap<u64, (usize, Offer)>,
+    /// Those that wait for the module's word.
+    pub(super) offers: BTreeMap<u64, Offered>,
     /// Messages by the id that their clients gave them, until they have ended.
     pub(super) ids: HashMap<String, u64>,
     /// Of the next message.
@@ -27,7 +36,7 @@
 }
 
 impl Courier {
-    pub(super) fn offered(&mut self, offer: Offer) {
+    pub(super) fn offered(&mut self, mut offer: Offer) {
         let answer = |offer: Offer, reply| {
             // A client that is gone hears nothing, and nothing was taken.
             let _ = offer.reply.send(reply);
@@ -44,6 +53,10 @@
             return self.turn_away(offer, reply);
         }
         let Some(class) = self.class(&offer.letter) else { return self.turn_away(offer, Reply::Failed) };
+        let holding = match self.room_for(&mut offer) {
+            Ok(holding) => holding,
+            Err(reply) => return self.turn_away(offer, reply),
+        };
         self.reclassify();
         let message = self.taking.next;
         self.taking.next += 1;
@@ -58,7 +71,13 @@
             work: None,
             past: Past::default(),
         }));
-        self.taking.offers.insert(message, (class, offer));
+        self.taking.offers.insert(message, Offered { class, offer, holding });
+    }
+
+    /// Whether a message of this id is taken on.
+    pub(super) fn knows(&self, id: &str) -> bool {
+        let held = self.taking.ids.get(id).is_some_and(|message| !self.taking.offers.contains_key(message));
+        held || self.ended.knows(id)
     }
 
     /// Why a message cannot be taken on before the module is asked.
@@ -85,9 +104,9 @@
     /// again elsewhere: it must not be sent from here.
     pub(super) fn drop_deserted(&mut self) {
         let deserted: Vec<u64> =
-            self.taking.offers.iter().filter(|(_, (_, o))| o.reply.is_closed()).map(|(n, _)| *n).collect();
+            self.taking.offers.iter().filter(|(_, o)| o.offer.reply.is_closed()).map(|(n, _)| *n).collect();
         for message in deserted {
-            if let Some((_, offer)) = self.taking.offers.remove(&message) {
+            if let Some(Offered { offer, .. }) = self.taking.offers.remove(&message) {
                 self.taking.ids.remove(&offer.letter.id);
             }
             let of = |e: &Event| matches!(e, Event::Taken(t) if t.message.0 == message);
@@ -98,7 +117,7 @@
     /// Records the new messages that the module keeps, then tells the clients.
     pub(super) fn take_on(&mut self, refused: &mut HashMap<u64, Verdict>) {
         let mut taken = Vec::new();
-        for (message, (class, offer)) in std::mem::take(&mut self.taking.offers) {
+        for (message, Offered { class, offer, holding }) in std::mem::take(&mut self.taking.offers) {
             if let Some(verdict) = refused.remove(&message) {
                 self.taking.ids.remove(&offer.letter.id);
                 let told = match verdict {
@@ -117,6 +136,7 @@
             }
             let Offer { letter, reply, .. } = offer;
             self.journal.accept(message, letter.clone());
+            self.memory.accepted(message, holding);
             self.out.held.insert(message, Held { letter, class, attempts: 0, out: None });
             taken.push((message, reply));
         }
--- a/crates/courier/src/place/control.rs
+++ b/crates/courier/src/place/control.rs
@@ -10,6 +10,7 @@
 use crate::place::dns::Lookups;
 use crate::place::file;
 use crate::place::hosts::hosts;
+use crate::room::{self, Room};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
@@ -19,6 +20,7 @@
 use stairshed_config::installation::{Document, Url};
 use stairshed_config::lines::Lines;
 use stairshed_config::version::{Refusal, Step, Version, Versions};
+use stairshed_memory::Purpose;
 use std::cell::RefCell;
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -40,6 +42,8 @@
 const LINE_TIME: Duration = Duration::from_secs(30);
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
 const BACKOFF_MOST: Duration = Duration::from_secs(5);
+/// What is made of a version takes this many times the memory that its text takes.
+const MADE_OF_TEXT: u64 = 40;
 /// Lines that may wait. A full queue stops the reading of the stream.
 const QUEUE: usize = 64;
 /// Answers that may wait for a service that does not take them.
@@ -205,7 +209,8 @@
                 url: url.clone(),
                 node: node.clone(),
                 held: Rc::new(RefCell::new(held.as_ref().map(|v| v.version))),
-                most: control.version_most.0 as usize,
+                most: control.version_most.0,
+                room: intake.room.clone(),
                 silence: control.heartbeat.0 * 2,
             };
             status.inner.borrow_mut().connected = Some(false);
@@ -508,6 +513,7 @@
         installation: Arc<Installation>,
         changes: Changes,
     ) -> Result<Prepared, Vec<String>> {
+        let caps = room::caps(&installation)?;
         let listener = match installation.http == self.before.http {
             true => None,
             false => {
@@ -524,7 +530,8 @@
             })?;
         }
         let (done, in_effect) = oneshot::channel();
-        let configured = Configured { version: number, installation: installation.clone(), changes, done };
+        let configured =
+            Configured { version: number, installation: installation.clone(), caps, changes, done };
         let stopping = || vec!["the courier is stopping".to_owned()];
         self.news.send(News::Configured(Box::new(configured))).await.map_err(|_| stopping())?;
         in_effect.await.map_err(|_| stopping())?;
@@ -537,7 +544,8 @@
     url: Url,
     node: String,
     held: Rc<RefCell<Option<u64>>>,
-    most: usize,
+    most: u64,
+    room: Room,
     silence: Duration,
 }
 
@@ -572,11 +580,13 @@
             return None;
         }
         hear.send(Heard::Opened).await.ok()?;
-        let (mut body, mut lines) = (answer.into_body(), Lines::new(self.most));
+        let fits = self.room.ledger.cap(Purpose::Configuration) / MADE_OF_TEXT;
+        let (most, key) = (self.most, "control.version_most").min((fits, "as memory.configuration allows"));
+        let (mut body, mut lines) = (answer.into_body(), Lines::new(most as usize));
         let mut begun: Option<Instant> = None;
         while let Some(piece) = link.piece(&mut body, self.silence).await {
             if lines.push(&piece).is_err() {
-                let why = format!("longer than {} bytes (control.version_most)", self.most);
+                let why = format!("longer than {most} bytes ({key})");
                 return Some(Refusal::Unreadable(why));
             }
             for line in lines.by_ref() {
--- /dev/null
+++ b/crates/courier/src/room.rs
@@ -0,0 +1,103 @@
+//! The ledger of memory with the courier's clock: where all parts ask for room, and learn when to come back.
+
+use crate::system;
+use serde::Serialize;
+use serde_json::{Value, json};
+use stairshed_config::Installation;
+use stairshed_config::installation;
+use stairshed_memory::caps::Bytes;
+use stairshed_memory::{Caps, Ledger, Level, Purpose, Refused, State};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Shared by all parts of one courier.
+#[derive(Clone)]
+pub struct Room {
+    pub ledger: Ledger,
+    origin: Instant,
+}
+
+/// There is no room for something new, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoRoom {
+    pub refused: Refused,
+    pub wait: Duration,
+}
+
+/// `/-/memory`: see `docs/operating-memory.md`.
+#[derive(Debug, Serialize)]
+struct Page {
+    level: Level,
+    total: Option<u64>,
+    /// Bytes in use for all purposes.
+    accounted: u64,
+    clients: usize,
+    #[serde(flatten)]
+    process: Option<Process>,
+    purposes: Vec<State>,
+}
+
+#[derive(Debug, Serialize)]
+struct Process {
+    resident: u64,
+    /// What the allocator has given out and no purpose has on its books; below zero where estimates are too high.
+    unaccounted: i64,
+    #[serde(flatten)]
+    allocator: system::Allocator,
+}
+
+/// The caps of a configuration, with what the process was started with where it states no total.
+///
+/// # Errors
+/// All that is wrong with them, or the configuration itself takes more than it may.
+pub fn caps(installation: &Installation) -> Result<Caps, Vec<String>> {
+    let caps = installation::caps(&installation.file, system::limit());
+    let caps = caps.map_err(|faults| faults.iter().map(|f| format!("memory: {f}")).collect::<Vec<_>>())?;
+    let (takes, may) = (installation.weigh(), caps.of[Purpose::Configuration]);
+    match takes <= may {
+        true => Ok(caps),
+        false => Err(vec![format!(
+            "memory.configuration: this configuration takes {}, and may take {}",
+            Bytes(takes),
+            Bytes(may)
+        )]),
+    }
+}
+
+impl Room {
+    pub fn new(caps: &Caps, share: f64) -> Room {
+        Room { ledger: Ledger::new(caps, share), origin: Instant::now() }
+    }
+
+    /// Other caps from now on.
+    pub fn configure(&self, caps: &Caps, share: f64) {
+        self.ledger.set_caps(caps, share);
+    }
+
+    /// The ledger's time.
+    pub fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// What somebody who was refused is told.
+    pub fn no(&self, refused: Refused) -> NoRoom {
+        NoRoom { refused, wait: self.ledger.wait(&refused, self.now()) }
+    }
+
+    pub fn page(&self) -> Value {
+        let accounted = self.ledger.in_use();
+        let process = system::resident().zip(system::allocator()).map(|(resident, allocator)| Process {
+            resident,
+            unaccounted: allocator.allocated as i64 - accounted as i64,
+            allocator,
+        });
+        json!(Page {
+            level: self.ledger.worst(),
+            total: self.ledger.total(),
+            accounted,
+            clients: self.ledger.clients(),
+            process,
+            purposes: self.ledger.states(),
+        })
+    }
+}
--- a/crates/courier/src/start/config.rs
+++ b/crates/courier/src/start/config.rs
@@ -4,6 +4,7 @@
 use crate::fault::Fault;
 use crate::news::List;
 use crate::owner::setup::Setup;
+use crate::room::Room;
 use serde::Deserialize;
 use stairshed_config::classes::ClassTable;
 use stairshed_decide::interface::Settings;
@@ -56,7 +57,7 @@
 
 impl Config {
     /// What the owner of the decision module needs of it.
-    pub fn setup(self) -> Setup {
+    pub fn setup(self, room: Room) -> Setup {
         let classes = self.classes.into_iter().zip(self.settings.classes.iter().cloned());
         Setup {
             classes: ClassTable::new(classes),
@@ -68,6 +69,7 @@
             discovery: Some(self.discovery),
             installation: None,
             effective: None,
+            room,
             pool_wait: Duration::ZERO,
             remembered: 0,
             folder: PathBuf::new(),
--- a/crates/courier/src/start/platform.rs
+++ b/crates/courier/src/start/platform.rs
@@ -10,8 +10,10 @@
 use crate::out::calls::Calls;
 use crate::out::outcomes::Outcomes;
 use crate::owner::Courier;
+use crate::room::Room;
 use stairshed_decide::brain::Brain;
 use stairshed_journal::Journal;
+use stairshed_memory::{ByPurpose, Caps, Purpose};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,9 +21,6 @@
 use tokio::signal::unix::{Signal, SignalKind};
 use tokio::sync::mpsc;
 
-/// Share of the memory that bodies of clients may take while they are read.
-const BODIES_SHARE: f64 = 0.125;
-
 /// Reads the configuration again at each SIGHUP. A file that cannot be read changes nothing.
 async fn reload(mut hangup: Signal, file: PathBuf, news: mpsc::Sender<News>) {
     while hangup.recv().await.is_some() {
@@ -36,6 +35,18 @@
     }
 }
 
+/// The platform's `memory_mb` is the total. With one that no courier could live by only bodies that are read are
+/// bounded, by an eighth of it. All clients come by one address there, so none has a share.
+fn room(config: &Config) -> Room {
+    let total = (config.limits.memory_mb * 1e6) as u64;
+    let caps = Caps::new(Some(total), &ByPurpose::default()).unwrap_or_else(|_| {
+        let mut caps = Caps::none();
+        caps.of[Purpose::BodiesRead] = total / 8;
+        caps
+    });
+    Room::new(&caps, 1.0)
+}
+
 /// Serves until it is told to stop.
 ///
 /// # Errors
@@ -51,7 +62,9 @@
     tell(&report);
     let for_calls = (config.limits.sockets / 3).max(16);
     let for_clients = config.limits.sockets.saturating_sub(for_calls + SPARE_SOCKETS).max(8);
-    let calls = Calls::new(config.settings.connect_timeout, config.settings.keepalive, for_calls);
+    let room = room(&config);
+    let calls =
+        Calls::new(config.settings.connect_timeout, config.settings.keepalive, for_calls, room.clone());
     // The module reckons with the connections that are kept here.
     config.settings.keepalive = calls.keep_time();
     let brain = Brain::new(config.settings.clone(), config.seed);
@@ -66,11 +79,12 @@
         standing: standing.clone(),
         news: news.clone(),
         sockets: for_clients,
-        bodies: (config.limits.memory_mb * 1e6 * BODIES_SHARE) as usize,
+        room: room.clone(),
+        apart: false,
     });
     tokio::task::spawn_local(reload(hangup, config.file.clone(), news.clone()));
     let outcomes = Outcomes::platform(config.discovery);
-    let setup = config.setup();
+    let setup = config.setup(room);
     let courier = Courier::new(setup, brain, journal, calls, outcomes, standing.clone(), news.clone());
     standing.ready.set(true);
     let accepting = tokio::task::spawn_local(intake.run(listener));
--- a/crates/courier/src/start/serve.rs
+++ b/crates/courier/src/start/serve.rs
@@ -17,6 +17,7 @@
 use crate::place::dns;
 use crate::place::file;
 use crate::place::hosts::kinds;
+use crate::room::{self, Room};
 use stairshed_config::Installation;
 use stairshed_config::classes::ClassTable;
 use stairshed_config::file::Wills;
@@ -51,7 +52,7 @@
     folder: &Path,
     effective: &Effective,
     news: &mpsc::Sender<News>,
-    courier: &Courier,
+    (courier, room): (&Courier, &Room),
 ) -> Result<Rc<Hub>, Fault> {
     let m = &installation.file.mqtt;
     // Checked when the file was read.
@@ -71,7 +72,7 @@
     let users = m.users.as_ref().map(|f| Users::read(&folder.join(f))).transpose();
     let users = users.map_err(|e| bad("mqtt.users", e))?;
     let records = courier.on_record(mqtt::PREFIX);
-    let bounds = (m.connections, installation.file.limits.bodies.0 as usize);
+    let bounds = (m.connections, room.clone());
     Ok(Hub::new(limits, bounds, (effective.clone(), users), news.clone(), records))
 }
 
@@ -80,7 +81,7 @@
 }
 
 /// What the owner of the decision module is told at the start.
-fn setup(installation: &Arc<Installation>, effective: &Effective, folder: &Path) -> Setup {
+fn setup(installation: &Arc<Installation>, effective: &Effective, room: &Room, folder: &Path) -> Setup {
     let names = installation.classes.iter().map(|c| c.name.clone());
     let classes = match installation.classes.is_empty() {
         // The module has to have a class, also while no version has come.
@@ -97,6 +98,7 @@
         discovery: installation.discovery,
         installation: Some(installation.clone()),
         effective: Some(effective.clone()),
+        room: room.clone(),
         pool_wait: installation.file.limits.pool_wait.0,
         remembered: installation.file.limits.remembered,
         folder: folder.to_owned(),
@@ -167,8 +169,10 @@
     let for_clients = limits.connections.saturating_sub(for_calls + SPARE_SOCKETS).max(4);
     let beside = file.parent().unwrap_or(Path::new(".")).to_owned();
     let effective = Effective::new(version.as_ref().map_or(0, |v| v.version), installation.clone());
-    let mut setup = setup(&installation, &effective, &beside);
-    let calls = Calls::new(setup.settings.connect_timeout, setup.settings.keepalive, for_calls);
+    let caps = room::caps(&installation).map_err(Fault::Lines)?;
+    let room = Room::new(&caps, installation.file.memory.client_share);
+    let mut setup = setup(&installation, &effective, &room, &beside);
+    let calls = Calls::new(setup.settings.connect_timeout, setup.settings.keepalive, for_calls, room.clone());
     setup.settings.keepalive = calls.keep_time();
     let brain = Brain::new(setup.settings.clone(), setup.seed).map_err(|e| bad("configuration", e))?;
     let (news, inbox) = mpsc::channel(INBOX);
@@ -178,7 +182,8 @@
         standing: standing.clone(),
         news: news.clone(),
         sockets: for_clients,
-        bodies: limits.bodies.0 as usize,
+        room: room.clone(),
+        apart: true,
     });
     let outcomes = &installation.file.outcomes;
     let unread = state.join("outcomes.ndjson");
@@ -195,7 +200,7 @@
     let discovery = installation.discovery.is_some();
     let mut courier = Courier::new(setup, brain, journal, calls, outcomes, standing.clone(), news.clone());
     let hub = match installation.mqtt {
-        Some(_) => Some(hub(&installation, &beside, &effective, &news, &courier)?),
+        Some(_) => Some(hub(&installation, &beside, &effective, &news, (&courier, &room))?),
         None => None,
     };
     if let Some(hub) = &hub {
@@ -224,7 +229,7 @@
         let listener = listen(admin).map_err(|e| bad("listen.admin", format!("{admin}: {e}")))?;
         let at = listener.local_addr().map_err(|e| bad("listen.admin", e))?;
         eprintln!("the operator's pages are at {at}");
-        tokio::task::spawn_local(admin::run(listener, configurator.view(), standing.clone()));
+        tokio::task::spawn_local(admin::run(listener, configurator.view(), standing.clone(), room.clone()));
     }
     if installation_mqtt.is_none() && topics {
         eprintln!("configuration: there are [topics], and listen.mqtt is not set: none is taken");
--- a/crates/courier/src/start/settings.rs
+++ b/crates/courier/src/start/settings.rs
@@ -46,7 +46,7 @@
         let read = stairshed_config::load("example", &example(true)).expect("sound").file;
         let json = |file: &File| serde_json::to_value(file).expect("JSON");
         let (read, usual) = (json(&read), json(&File::default()));
-        for section in ["limits", "journal", "dns", "mqtt"] {
+        for section in ["limits", "memory", "journal", "dns", "mqtt"] {
             for (key, value) in usual[section].as_object().expect("a section") {
                 // What has no default is shown all the same.
                 let right = if value.is_null() {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod interface;
 pub mod settings;
 mod state;
+pub mod weigh;
 
 #[cfg(test)]
 mod chart_test;
--- /dev/null
+++ b/crates/decide/src/weigh.rs
@@ -0,0 +1,74 @@
+//! What the decision module holds in memory, estimated from what its tables have in them. Beside it, so that whoever
+//! changes a table finds this; `tests/weigh.rs` holds it against what the allocator gave out.
+
+use crate::interface::{DestinationId, EndpointId, MessageId};
+use crate::state::{Brain, Destination, Endpoint, Message, Ns, Pool, PoolId};
+use std::collections::VecDeque;
+
+/// Bytes of what the module holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Weight {
+    /// Of messages: their records, and where they stand on charts and agendas.
+    pub messages: u64,
+    /// Of endpoints and destinations: their records, paces and limits.
+    pub endpoints: u64,
+}
+
+/// What a message takes without its order.
+pub const MESSAGE: u64 = entry::<(MessageId, Message)>() + entry::<MessageId>() + entry::<(Ns, MessageId)>();
+
+impl Weight {
+    pub fn sum(self) -> u64 {
+        self.messages + self.endpoints
+    }
+}
+
+/// What an entry of a B-tree takes. A node has room for 11; where keys only rise, as numbers do, each is left behind
+/// with 6, and it has its links.
+const fn entry<T>() -> u64 {
+    (size_of::<T>() as u64 + 2) * 11 / 6
+}
+
+/// What a small allocation takes beside its bytes.
+const ALLOCATION: u64 = 16;
+
+fn ring<T>(of: &VecDeque<T>) -> u64 {
+    of.capacity() as u64 * size_of::<T>() as u64
+}
+
+impl Brain {
+    /// What is held now. Walks all tables: some 20 ns a message and 50 ns an endpoint.
+    pub fn weigh(&self) -> Weight {
+        let key = |key: &String| key.len() as u64 + ALLOCATION;
+        let mut messages = self.messages.len() as u64 * MESSAGE;
+        messages += self.messages.values().filter_map(|m| m.key.as_ref()).map(key).sum::<u64>();
+        for (order, waiting) in &self.turns {
+            messages += entry::<(String, VecDeque<MessageId>)>() + key(order) + ring(waiting);
+        }
+        for order in self.rests.keys() {
+            messages += entry::<(String, (MessageId, Ns))>() + key(order);
+        }
+        let mut endpoints = 0;
+        for e in self.endpoints.values() {
+            endpoints += entry::<(EndpointId, Endpoint)>() + entry::<EndpointId>();
+            endpoints += e.idle.capacity() as u64 * size_of::<Ns>() as u64;
+            endpoints += e.calls.len() as u64 * entry::<(u64, (Ns, usize))>();
+            // A first entry takes a whole node.
+            endpoints += if e.calls.is_empty() { 0 } else { 11 * size_of::<(u64, (Ns, usize))>() as u64 };
+        }
+        for d in self.dests.values() {
+            endpoints += entry::<(DestinationId, Destination)>() + ring(&d.recent);
+            endpoints += d.chart.segments.capacity() as u64 * size_of::<(Ns, Ns)>() as u64;
+            // The first endpoint, and the first message on chart and among the members, take a node each.
+            endpoints += 11 * size_of::<EndpointId>() as u64;
+            if !d.members.is_empty() {
+                endpoints += 11 * (size_of::<MessageId>() + size_of::<(Ns, MessageId)>()) as u64;
+            }
+        }
+        for pool in self.pools.values() {
+            endpoints += entry::<(PoolId, Pool)>() + ring(&pool.oks);
+        }
+        endpoints += self.agenda.len() as u64 * entry::<(Ns, DestinationId)>();
+        Weight { messages, endpoints }
+    }
+}
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -24,6 +24,8 @@
 const DAMAGED: &str = ".damaged";
 /// With less room than this such a segment is not kept for the operator: it would take the messages' room.
 const KEEP_DAMAGED_FROM: u64 = 64 * 1024 * 1024;
+/// What an open segment takes in memory, bytes.
+const FILE: u64 = 300;
 /// The head, seal and padding of a new segment, bytes.
 const ROLL: u64 = 1024;
 /// Shows after a failed sync whether the device works again; a segment each time would fill the room.
@@ -300,6 +302,11 @@
         self.state.latest()
     }
 
+    /// Bytes of memory that the journal takes beside its messages: buffers, notes and its own tables.
+    pub fn memory(&self) -> u64 {
+        self.log.memory() + self.state.notes() + self.files.len() as u64 * FILE
+    }
+
     pub fn usage(&self) -> Usage {
         Usage {
             room: self.options.room,
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -32,5 +32,6 @@
 pub use options::{Durability, OnDamage, Options};
 pub use record::{Attempt, Kept, Letter, Live, Note, Record, Routed, Verdict};
 pub use recover::{Found, read};
+pub use state::ROW;
 pub use storage::files::Files;
 pub use sync::{SyncJob, Synced};
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -106,6 +106,17 @@
         self.size
     }
 
+    /// Bytes of memory: what waits to be written, and the tables.
+    pub fn memory(&self) -> u64 {
+        let queued = |op: &Op| match op {
+            Op::Write { bytes, .. } => bytes.capacity(),
+            Op::Create { .. } | Op::Sync | Op::Remove { .. } => 0,
+        };
+        let queue: usize =
+            self.queue.iter().map(queued).sum::<usize>() + self.queue.capacity() * size_of::<Op>();
+        (queue + self.buffer.capacity() + self.segments.len() * 2 * size_of::<Segment>()) as u64
+    }
+
     pub fn count(&self) -> usize {
         self.segments.len()
     }
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -52,6 +52,8 @@
     /// Sums over all slots.
     weight: u64,
     bytes: u64,
+    /// Bytes of notes' keys and values, with their rows.
+    notes: u64,
     /// The highest number that any record names.
     last: u64,
     /// The latest time that any record tells, Unix time.
@@ -65,6 +67,17 @@
     bytes + FRAME_BYTES + ENDED_BYTES
 }
 
+/// What a row takes in memory: its slot and its place in the order, in B-trees whose nodes are half full, since
+/// numbers rise.
+pub const ROW: u64 = ((size_of::<(u64, Slot)>() + size_of::<(u64, u64)>() + 4) * 11 / 6) as u64;
+
+fn note_bytes(item: &Item) -> u64 {
+    match item {
+        Item::Note(note) => ROW + (size_of::<Note>() + note.key.len() + note.value.len()) as u64 + 48,
+        Item::Live(_) | Item::Kept(_) => 0,
+    }
+}
+
 impl State {
     /// Applies a record that takes `bytes` in the log.
     pub fn apply(&mut self, record: Record, seq: u64, bytes: u64, options: &Options) {
@@ -143,6 +156,7 @@
     fn insert(&mut self, message: u64, slot: Slot) {
         self.weight += slot.weight;
         self.bytes += slot.bytes;
+        self.notes += note_bytes(&slot.item);
         self.order.insert(slot.seq, message);
         self.slots.insert(message, slot);
     }
@@ -152,6 +166,7 @@
         self.order.remove(&slot.seq);
         self.weight -= slot.weight;
         self.bytes -= slot.bytes;
+        self.notes -= note_bytes(&slot.item);
         Some(slot)
     }
 
@@ -172,6 +187,11 @@
         self.order.first_key_value().map(|(seq, message)| (*seq, *message))
     }
 
+    /// Bytes of memory that notes take.
+    pub fn notes(&self) -> u64 {
+        self.notes
+    }
+
     pub fn weight(&self) -> u64 {
         self.weight
     }
--- /dev/null
+++ b/crates/memory/src/caps.rs
@@ -0,0 +1,219 @@
+//! What each purpose may hold at most: an operator's shares and sizes, checked as a whole.
+
+use crate::purpose::{ByPurpose, Purpose};
+use std::fmt;
+
+/// What the program itself takes beside all purposes: its text and tables as far as they are mapped, stacks, the
+/// runtime, what the allocator holds in reserve. Measured: an idle courier has 5 to 7 MB resident.
+pub const PROGRAM: u64 = 8_000_000;
+
+/// A cap, as an operator states it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Portion {
+    /// Of what the total leaves beside the program, above 0 and 1 at most.
+    Share(f64),
+    /// Bytes.
+    Size(u64),
+}
+
+/// What is wrong with one cap, or with all together.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum CapFault {
+    #[error("{least} at least, for {needs}", least = Bytes(*least))]
+    TooSmall { purpose: Purpose, least: u64, needs: &'static str },
+    #[error("a share is above 0 and 1 at most")]
+    NoShare { purpose: Purpose },
+    #[error("a share needs memory.total to be a share of; state a size, or the total")]
+    ShareOfNothing { purpose: Purpose },
+    #[error(
+        "the caps come to {sum}, and {room} are left beside the {program} for the program itself: raise the \
+         total by {more}, or lower caps; the largest are {largest}",
+        sum = Bytes(*sum), room = Bytes(*room), program = Bytes(PROGRAM), more = Bytes(sum - room)
+    )]
+    Sum { sum: u64, room: u64, largest: String },
+    #[error("{least} at least: what the program and the least caps take", least = Bytes(*least))]
+    Total { least: u64 },
+}
+
+impl CapFault {
+    /// Whose cap is wrong; None for the total.
+    pub fn purpose(&self) -> Option<Purpose> {
+        match self {
+            CapFault::TooSmall { purpose, .. }
+            | CapFault::NoShare { purpose }
+            | CapFault::ShareOfNothing { purpose } => Some(*purpose),
+            CapFault::Sum { .. } | CapFault::Total { .. } => None,
+        }
+    }
+}
+
+/// Bytes, for people: in units of 1,000.
+#[derive(Clone, Copy, Debug)]
+pub struct Bytes(pub u64);
+
+impl fmt::Display for Bytes {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.0 {
+            u64::MAX => f.pad("-"),
+            n if n >= 10_000_000 => f.pad(&format!("{:.0} MB", n as f64 / 1e6)),
+            n if n >= 1_000_000 => f.pad(&format!("{:.1} MB", n as f64 / 1e6)),
+            n if n >= 1_000 => f.pad(&format!("{:.0} kB", n as f64 / 1e3)),
+            n => f.pad(&format!("{n} B")),
+        }
+    }
+}
+
+/// What each purpose may hold at most, bytes; u64::MAX is no cap.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caps {
+    /// What the process may hold; None for no bound.
+    pub total: Option<u64>,
+    pub of: ByPurpose<u64>,
+}
+
+impl Caps {
+    /// No cap on anything.
+    pub fn none() -> Caps {
+        Caps { total: None, of: ByPurpose::new(|_| u64::MAX) }
+    }
+
+    /// The share that a purpose has where none is stated, in thousandths: they come to 1,000. Bodies and messages are
+    /// what a busy morning is made of; the rest is bounded by counts of its own, and its caps stand behind those.
+    pub const fn usual(purpose: Purpose) -> u64 {
+        match purpose {
+            Purpose::BodiesRead => 125,
+            Purpose::BodiesHeld => 300,
+            Purpose::Messages => 150,
+            Purpose::Clients => 100,
+            Purpose::Endpoints => 60,
+            Purpose::Sessions => 80,
+            Purpose::Remembered => 45,
+            Purpose::Journal => 40,
+            Purpose::Module => 35,
+            Purpose::Configuration => 40,
+            Purpose::Notices => 25,
+        }
+    }
+
+    /// With less a courier could not go on, and what that is for.
+    pub const fn least(purpose: Purpose) -> (u64, &'static str) {
+        match purpose {
+            Purpose::BodiesRead | Purpose::BodiesHeld => (64 * 1024, "one body of 64 KiB"),
+            Purpose::Messages => (64_000, "some 20 messages"),
+            Purpose::Clients => (128_000, "a few connections"),
+            Purpose::Endpoints => (128_000, "a few connections"),
+            Purpose::Sessions => (16_000, "a few sessions"),
+            Purpose::Remembered => (16_000, "some 50 messages"),
+            Purpose::Journal => (256_000, "the records of one turn"),
+            Purpose::Module => (16_000, "a few endpoints"),
+            Purpose::Configuration => (64_000, "a small file"),
+            Purpose::Notices => (8_000, "some 50 notices"),
+        }
+    }
+
+    /// Least total that the usual shares can be made of.
+    pub fn total_least() -> u64 {
+        // A share is rounded down.
+        let of = |p: Purpose| (Caps::least(p).0 + 1) * 1000 / Caps::usual(p) + 1;
+        PROGRAM + Purpose::ALL.into_iter().map(of).max().unwrap_or_default()
+    }
+
+    /// Caps as an operator asks for them; what is not stated has its usual share of the total, or none without one.
+    ///
+    /// # Errors
+    /// All that is wrong with them.
+    pub fn new(total: Option<u64>, asked: &ByPurpose<Option<Portion>>) -> Result<Caps, Vec<CapFault>> {
+        let mut faults = Vec::new();
+        if let Some(total) = total
+            && total < Caps::total_least()
+        {
+            return Err(vec![CapFault::Total { least: Caps::total_least() }]);
+        }
+        let room = total.map(|total| total - PROGRAM);
+        let of = ByPurpose::new(|purpose| {
+            let share = |share: f64| room.map(|room| (room as f64 * share) as u64);
+            let cap = match asked[purpose] {
+                None => share(Caps::usual(purpose) as f64 / 1000.0).unwrap_or(u64::MAX),
+                Some(Portion::Size(bytes)) => bytes,
+                Some(Portion::Share(s)) if !(s > 0.0 && s <= 1.0) => {
+                    faults.push(CapFault::NoShare { purpose });
+                    return u64::MAX;
+                }
+                Some(Portion::Share(s)) => share(s).unwrap_or_else(|| {
+                    faults.push(CapFault::ShareOfNothing { purpose });
+                    u64::MAX
+                }),
+            };
+            let (least, needs) = Caps::least(purpose);
+            if cap < least {
+                faults.push(CapFault::TooSmall { purpose, least, needs });
+            }
+            cap
+        });
+        if let Some(room) = room
+            && faults.is_empty()
+        {
+            let sum = of.iter().fold(0u64, |sum, (_, cap)| sum.saturating_add(*cap));
+            if sum > room {
+                let mut all: Vec<(u64, Purpose)> = of.iter().map(|(p, cap)| (*cap, p)).collect();
+                all.sort_unstable_by(|a, b| b.cmp(a));
+                let largest: Vec<String> =
+                    all.iter().take(3).map(|(cap, p)| format!("{p} with {}", Bytes(*cap))).collect();
+                faults.push(CapFault::Sum { sum, room, largest: largest.join(", ") });
+            }
+        }
+        if faults.is_empty() { Ok(Caps { total, of }) } else { Err(faults) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn asked(of: &[(Purpose, Portion)]) -> ByPurpose<Option<Portion>> {
+        ByPurpose::new(|p| of.iter().find(|(q, _)| *q == p).map(|(_, portion)| *portion))
+    }
+
+    #[test]
+    fn the_usual_shares_come_to_the_whole_and_no_more() {
+        assert_eq!(Purpose::ALL.into_iter().map(Caps::usual).sum::<u64>(), 1000);
+        for total in [Caps::total_least(), 32_000_000, 192_000_000, 8_000_000_000] {
+            let caps = Caps::new(Some(total), &asked(&[])).expect("sound");
+            let sum: u64 = caps.of.iter().map(|(_, cap)| cap).sum();
+            assert!(sum <= total - PROGRAM && sum + 100 > total - PROGRAM, "{total}: {sum}");
+        }
+    }
+
+    #[test]
+    fn each_fault_of_the_caps_is_told_with_its_purpose_and_what_to_do() {
+        use Portion::{Share, Size};
+        let faults = |total, of: &[(Purpose, Portion)]| Caps::new(total, &asked(of)).expect_err("a fault");
+        let all = faults(
+            Some(64_000_000),
+            &[
+                (Purpose::BodiesHeld, Size(1000)),
+                (Purpose::Notices, Share(0.0)),
+                (Purpose::Clients, Share(f64::NAN)),
+            ],
+        );
+        let whose: Vec<_> = all.iter().map(CapFault::purpose).collect();
+        assert_eq!(whose, [Some(Purpose::BodiesHeld), Some(Purpose::Clients), Some(Purpose::Notices)]);
+        assert!(all[0].to_string().contains("one body of 64 KiB"), "{}", all[0]);
+        let sum = faults(Some(64_000_000), &[(Purpose::BodiesHeld, Share(0.5))]);
+        let text = sum[0].to_string();
+        assert!(
+            sum.len() == 1 && text.contains("raise the total by") && text.contains("bodies_held"),
+            "{text}"
+        );
+        let of_nothing = faults(None, &[(Purpose::Module, Share(0.5))]);
+        assert_eq!(of_nothing, [CapFault::ShareOfNothing { purpose: Purpose::Module }]);
+        assert!(matches!(faults(Some(1_000_000), &[])[..], [CapFault::Total { .. }]));
+    }
+
+    #[test]
+    fn without_a_total_only_what_is_stated_is_capped() {
+        let caps = Caps::new(None, &asked(&[(Purpose::Sessions, Portion::Size(20_000))])).expect("sound");
+        assert_eq!(caps.of[Purpose::Sessions], 20_000);
+        assert!(caps.of.iter().all(|(p, cap)| p == Purpose::Sessions || *cap == u64::MAX));
+    }
+}
--- /dev/null
+++ b/crates/memory/src/pace.rs
@@ -0,0 +1,108 @@
+//! How fast a purpose empties, and with it when somebody who was turned away finds room.
+
+use crate::Time;
+use std::time::Duration;
+
+/// The rate is smoothed: what emptied this long ago weighs half.
+const HALF_LIFE: f64 = 3.0;
+/// Shorter spans between two looks are not worth a figure.
+pub const LOOK: Duration = Duration::from_millis(100);
+/// Nobody is told to come back sooner: a turn and a round trip take as long. Nor later: by then all may be other.
+const LEAST: Duration = Duration::from_millis(50);
+const MOST: Duration = Duration::from_secs(60);
+
+/// The pace of one purpose.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    /// Bytes a second.
+    rate: f64,
+    looked: Time,
+    /// Bytes that had been given back, all in all, at that time.
+    seen: u64,
+    /// When it was last seen to empty.
+    last: Time,
+    /// Until when the room that comes free is spoken for by those who were told to come back.
+    spoken: Time,
+}
+
+impl Pace {
+    /// Looks at the bytes that have been given back since the beginning.
+    pub fn look(&mut self, emptied: u64, now: Time) {
+        let span = now.saturating_sub(self.looked);
+        if span < LOOK {
+            return;
+        }
+        let new = emptied.saturating_sub(self.seen);
+        let old = 0.5f64.powf(span.as_secs_f64() / HALF_LIFE);
+        self.rate = self.rate * old + (1.0 - old) * new as f64 / span.as_secs_f64();
+        if new > 0 {
+            self.last = now;
+        }
+        (self.looked, self.seen) = (now, emptied);
+    }
+
+    /// Bytes a second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// When somebody may come back who needs `bytes` while `over` more than the room are asked for. Each who is told
+    /// is told of the room behind that of those told before: else all come back at once, and all but the first in
+    /// vain.
+    pub fn wait(&mut self, over: u64, bytes: u64, now: Time) -> Duration {
+        let idle = now.saturating_sub(self.last);
+        // A rate that has all but died away says less than how long nothing has come free: as long again, at least.
+        let span = |bytes: u64| match self.rate > 1.0 {
+            true => Duration::try_from_secs_f64(bytes as f64 / self.rate).unwrap_or(MOST).min(MOST),
+            false => idle.min(MOST),
+        };
+        let from = self.spoken.max(now + span(over.saturating_sub(bytes)));
+        // Long promises would hold room back from those who come later, when it empties faster than thought.
+        self.spoken = (from + span(bytes)).min(now + MOST);
+        self.spoken.saturating_sub(now).clamp(LEAST, MOST)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Duration = Duration::from_secs(1);
+
+    fn steady(rate: u64) -> Pace {
+        let mut pace = Pace::default();
+        (1..=100).for_each(|n| pace.look(n * rate / 5, S * n as u32 / 5));
+        pace
+    }
+
+    #[test]
+    fn the_wait_follows_how_fast_it_empties() {
+        let now = S * 20;
+        let slow = steady(10_000).wait(10_000, 10_000, now).as_secs_f64();
+        let fast = steady(100_000).wait(10_000, 10_000, now).as_secs_f64();
+        assert!((0.9..1.1).contains(&slow) && (0.09..0.11).contains(&fast), "{slow} {fast}");
+    }
+
+    #[test]
+    fn those_who_are_turned_away_together_are_told_to_come_one_after_the_other() {
+        let (mut pace, now) = (steady(10_000), S * 20);
+        let waits: Vec<Duration> = (0..10).map(|_| pace.wait(5_000, 5_000, now)).collect();
+        assert!(waits.windows(2).all(|w| w[1] > w[0]), "{waits:?}");
+        assert!((4.5..5.5).contains(&waits[9].as_secs_f64()), "{waits:?}");
+        // Once that time has passed it is forgotten.
+        assert!(pace.wait(5_000, 5_000, now + S * 30) < S);
+    }
+
+    #[test]
+    fn what_does_not_empty_is_asked_for_ever_more_seldom_and_at_least_each_minute() {
+        let pace = steady(10_000);
+        let waits: Vec<f64> = [60, 100, 160, 4000]
+            .map(|s| {
+                let mut pace = pace;
+                pace.look(pace.seen, S * s);
+                pace.wait(1, 1, S * s).as_secs_f64()
+            })
+            .to_vec();
+        assert!(waits.windows(2).all(|w| w[1] >= w[0]) && waits[0] > 20.0 && waits[3] == 60.0, "{waits:?}");
+    }
+}
--- a/crates/mqtt/src/server.rs
+++ b/crates/mqtt/src/server.rs
@@ -32,6 +32,12 @@
 /// Packet ids of a session that wait for their PUBREL: a client that never sends one must not fill the record.
 const RELEASES_MOST: usize = 4096;
 
+/// What a session takes: its tables' entries and its strings of usual length.
+pub const SESSION: u64 = 700;
+/// What a connection takes here, and an offer that is being judged.
+const CONNECTION: u64 = 600;
+const PENDING: u64 = 150;
+
 /// What an operator allows.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -281,6 +287,18 @@
         self.agenda.first().map(|(at, _)| *at)
     }
 
+    /// Whether this client has a session.
+    pub fn has_session(&self, owner: &str) -> bool {
+        self.sessions.contains_key(owner)
+    }
+
+    /// Bytes that sessions, connections and what waits for clients take, estimated from what is in them.
+    pub fn weigh(&self) -> u64 {
+        let sessions: u64 = self.sessions.iter().map(|(owner, s)| owner.len() as u64 + s.weigh()).sum();
+        let connections: u64 = self.connections.values().map(|c| CONNECTION + c.reader.kept() as u64).sum();
+        sessions + connections + self.pending.len() as u64 * PENDING
+    }
+
     /// Sessions, and connections.
     pub fn counts(&self) -> (usize, usize) {
         (self.sessions.len(), self.connections.len())
--- /dev/null
+++ b/crates/rig/src/bin/stairshed-soak.rs
@@ -0,0 +1,339 @@
+//! Replays dispatch mornings on one courier and looks whether any figure of its memory creeps:
+//!
+//!     stairshed-soak [--minutes N] [--mornings N] [--rate N] [--seed N] [--total SIZE] [--out FOLDER] [PROGRAM]
+//!
+//! A morning is quiet, rises to `rate` messages a second, has a wave on each quarter hour, a partner that is slow, one
+//! that is away for a while, clients that reconnect, and MQTT vans that sleep. `mornings` of them are pressed into
+//! `minutes`. Writes `soak.csv` and `soak.svg`; exit status 1
+//! if a figure creeps.
+
+use plotters::prelude::*;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde_json::Value;
+use stairshed_mqtt::packet::Version;
+use stairshed_rig::publisher::{Publisher, lasting};
+use stairshed_rig::soak::Series;
+use stairshed_rig::*;
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const BUSY: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+const PARTNERS: usize = 6;
+const CLIENTS: u64 = 24;
+const VANS: u64 = 40;
+const SAMPLE: Duration = Duration::from_millis(500);
+/// A figure that rises by less in an hour is of no concern: a page or two, the grain of the allocator.
+const GRAIN: f64 = 64.0 * 1024.0;
+
+struct Soak {
+    minutes: f64,
+    mornings: f64,
+    rate: f64,
+    seed: u64,
+    total: String,
+    out: PathBuf,
+    program: PathBuf,
+}
+
+fn read() -> Option<Soak> {
+    let mut soak = Soak {
+        minutes: 8.0,
+        mornings: 8.0,
+        rate: 400.0,
+        seed: 20_261_201,
+        total: "64MB".to_owned(),
+        out: ".".into(),
+        program: PathBuf::new(),
+    };
+    let mut words = std::env::args().skip(1);
+    while let Some(word) = words.next() {
+        match word.as_str() {
+            "--minutes" => soak.minutes = words.next()?.parse().ok()?,
+            "--mornings" => soak.mornings = words.next()?.parse().ok()?,
+            "--rate" => soak.rate = words.next()?.parse().ok()?,
+            "--seed" => soak.seed = words.next()?.parse().ok()?,
+            "--total" => soak.total = words.next()?,
+            "--out" => soak.out = words.next()?.into(),
+            _ if word.starts_with('-') => return None,
+            _ => soak.program = word.into(),
+        }
+    }
+    if soak.program.as_os_str().is_empty() {
+        soak.program = program();
+    }
+    (soak.minutes > 0.0 && soak.minutes <= 600.0 && soak.mornings >= 1.0 && soak.rate > 0.0).then_some(soak)
+}
+
+/// Where a morning stands.
+#[derive(Clone)]
+struct Clock {
+    begun: Instant,
+    morning: Duration,
+}
+
+impl Clock {
+    /// From 0 to 1.
+    fn phase(&self) -> f64 {
+        (self.begun.elapsed().as_secs_f64() / self.morning.as_secs_f64()).fract()
+    }
+
+    /// Messages a second, as a share of the peak: quiet, a ramp, waves on the quarter hours, quiet again.
+    fn load(&self) -> f64 {
+        let at = self.phase();
+        let wave = if (0.3..0.9).contains(&at) && (at * 16.0).fract() < 0.3 { 1.0 } else { 0.5 };
+        match at {
+            _ if at < 0.1 => 0.03,
+            _ if at < 0.3 => 0.03 + (at - 0.1) / 0.2 * 0.47,
+            _ if at < 0.9 => wave,
+            _ => 0.02,
+        }
+    }
+}
+
+/// Partners of which one is slow for a while, and one away.
+fn partner(n: usize, clock: Clock, seed: u64) -> Endpoint {
+    let rng = Mutex::new(SmallRng::seed_from_u64(seed + n as u64));
+    Endpoint::new(move |_| {
+        let (roll, wait) = {
+            let mut rng = rng.lock().expect("the dice");
+            (rng.random_range(0..200), Duration::from_millis(rng.random_range(1..8)))
+        };
+        match (n, clock.phase()) {
+            (1, at) if (0.45..0.6).contains(&at) => Act::Late(wait * 40, OK),
+            (2, at) if (0.55..0.7).contains(&at) => Act::AnswerAndClose(BUSY),
+            _ if roll == 0 => Act::Break,
+            _ if roll < 40 => Act::Late(wait, OK),
+            _ => Act::Answer(OK),
+        }
+    })
+}
+
+fn file(soak: &Soak, partners: &[Endpoint]) -> String {
+    let mut text = format!(
+        "name = \"soak\"\n[listen]\nhttp = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\nmqtt = \"127.0.0.1:0\"\n\
+         [limits]\nheld = 5000\n[memory]\ntotal = \"{}\"\nclient_share = 1.0\n\
+         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\nremember = \"5s\"\n\
+         [classes.notice]\neffect = \"repeatable\"\ndeadline = \"10s\"\n",
+        soak.total
+    );
+    for (n, partner) in partners.iter().enumerate() {
+        text += &format!(
+            "[pools.p{n}]\nendpoints = [{{ address = \"{}\" }}]\n\
+             [routes.n{n}]\nprefix = \"/notice/{n}\"\npool = \"p{n}\"\nclass = \"notice\"\n\
+             [routes.p{n}]\nprefix = \"/pay/{n}\"\npool = \"p{n}\"\nclass = \"payment\"\n\
+             [topics.t{n}]\nfilter = \"pay/{n}\"\npool = \"p{n}\"\nclass = \"payment\"\nidentity_scope = \"all\"\n\
+             identity = {{ pointer = \"/id\" }}\n",
+            partner.address
+        );
+    }
+    text
+}
+
+/// What the clients saw.
+#[derive(Default)]
+struct Tally {
+    taken: AtomicU64,
+    refused: AtomicU64,
+    unanswered: AtomicU64,
+}
+
+/// A client that keeps its connection, and opens another now and then.
+fn client(n: u64, to: SocketAddr, soak: (f64, u64), clock: &Clock, tally: &Tally, stop: &AtomicBool) {
+    let (rate, seed) = soak;
+    let mut rng = SmallRng::seed_from_u64(seed ^ (n << 32));
+    let mut link: Option<(TcpStream, BufReader<TcpStream>)> = None;
+    let mut number = 0u64;
+    while !stop.load(Ordering::SeqCst) {
+        let pause = CLIENTS as f64 / (rate * clock.load()).max(0.5) * rng.random_range(0.5..1.5);
+        thread::sleep(Duration::from_secs_f64(pause.min(1.0)));
+        if rng.random_range(0..300) == 0 {
+            link = None;
+        }
+        let (to, from) = match &mut link {
+            Some(link) => link,
+            None => {
+                let Ok(stream) = TcpStream::connect(to) else { continue };
+                let set = stream.set_nodelay(true).and_then(|()| stream.set_read_timeout(Some(LIMIT)));
+                let (Ok(()), Ok(other)) = (set, stream.try_clone()) else { continue };
+                link.insert((stream, BufReader::new(other)))
+            }
+        };
+        number += 1;
+        let place = rng.random_range(0..PARTNERS);
+        let path = if rng.random_bool(0.3) { "pay" } else { "notice" };
+        // Mostly small, now and then one near the longest.
+        let size = if rng.random_range(0..50) == 0 { 40_000 } else { rng.random_range(100..1500) };
+        let request = format!(
+            "POST /{path}/{place} HTTP/1.1\r\nHost: x\r\nX-Request-ID: c{n}-{number}\r\nContent-Length: {size}\r\n\r\n{}",
+            "x".repeat(size)
+        );
+        let answer = to.write_all(request.as_bytes()).ok().and_then(|()| Page::read(from));
+        let count = match answer.as_ref().map(Page::status) {
+            Some(202) => &tally.taken,
+            Some(_) => &tally.refused,
+            None => {
+                link = None;
+                &tally.unanswered
+            }
+        };
+        count.fetch_add(1, Ordering::SeqCst);
+        if answer.is_some_and(|a| a.head("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))) {
+            link = None;
+        }
+    }
+}
+
+/// A van that wakes up, hands in a payment or two, and sleeps.
+fn van(n: u64, to: SocketAddr, seed: u64, clock: &Clock, stop: &AtomicBool) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ (n << 40));
+    let mut number = 0u64;
+    while !stop.load(Ordering::SeqCst) {
+        let nap = rng.random_range(0.1..0.6) / clock.load().max(0.1);
+        thread::sleep(Duration::from_secs_f64(nap.min(3.0)));
+        let client = format!("van-{n}");
+        let (mut van, connack) = Publisher::connect(to, lasting(Version::V5, &client));
+        if connack.code != 0 {
+            continue;
+        }
+        van.read_outcomes(&client);
+        for _ in 0..rng.random_range(1..3) {
+            number += 1;
+            let place = rng.random_range(0..PARTNERS);
+            let text = format!("{{\"id\": \"v{n}-{number}\", \"amount\": 42}}");
+            let _ = van.hand_in(&format!("pay/{place}"), number as u16 | 1, &text, &[]);
+        }
+    }
+}
+
+fn sample(courier: &Courier, all: &mut BTreeMap<String, Series>, at: f64) {
+    let page = courier.page("/-/memory");
+    let mut note = |name: &str, value: Option<f64>| {
+        let series = all.entry(name.to_owned()).or_default();
+        series.name = name.to_owned();
+        series.points.extend(value.map(|v| (at, v)));
+    };
+    for key in ["resident", "allocated", "unaccounted"] {
+        note(key, page[key].as_f64());
+    }
+    let files = fs::read_dir(format!("/proc/{}/fd", courier.id())).map(Iterator::count);
+    note("descriptors", files.ok().map(|n| n as f64));
+    for purpose in page["purposes"].as_array().into_iter().flatten() {
+        let held = |key: &str| purpose[key].as_f64().unwrap_or_default();
+        note(purpose["purpose"].as_str().unwrap_or("?"), Some(held("in_use") + held("reserved")));
+    }
+}
+
+fn csv(all: &BTreeMap<String, Series>, to: &Path) -> std::io::Result<()> {
+    let names: Vec<&str> = all.keys().map(String::as_str).collect();
+    let mut text = format!("hours,{}\n", names.join(","));
+    let rows = all.values().map(|s| s.points.len()).min().unwrap_or_default();
+    for row in 0..rows {
+        let at = all.values().next().map_or(0.0, |s| s.points[row].0);
+        let cells: Vec<String> = all.values().map(|s| format!("{:.0}", s.points[row].1)).collect();
+        text += &format!("{at:.5},{}\n", cells.join(","));
+    }
+    fs::write(to, text)
+}
+
+/// Each figure in a strip of its own, since they differ by orders of magnitude.
+fn plot(all: &BTreeMap<String, Series>, hours: f64, to: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let shown: Vec<&Series> = all.values().filter(|s| s.points.iter().any(|p| p.1 != 0.0)).collect();
+    let root = SVGBackend::new(to, (1000, 110 * shown.len() as u32)).into_drawing_area();
+    root.fill(&WHITE)?;
+    for (area, series) in root.split_evenly((shown.len(), 1)).iter().zip(shown) {
+        let most = series.points.iter().map(|p| p.1).fold(1.0, f64::max) * 1.1;
+        let (scale, unit) = match most {
+            m if series.name == "descriptors" => (1.0, format!("{:.0} at most", m / 1.1)),
+            m if m > 2e6 => (1e6, "MB".to_owned()),
+            _ => (1e3, "kB".to_owned()),
+        };
+        let mut chart = ChartBuilder::on(area)
+            .caption(format!("{} ({unit})", series.name), ("sans-serif", 13))
+            .set_label_area_size(LabelAreaPosition::Left, 50)
+            .set_label_area_size(LabelAreaPosition::Bottom, 18)
+            .margin_right(12)
+            .build_cartesian_2d(0.0..hours * 60.0, 0.0..most / scale)?;
+        chart.configure_mesh().disable_x_mesh().y_labels(4).x_labels(12).draw()?;
+        let step = (series.points.len() / 900).max(1);
+        let line = series.points.iter().step_by(step).map(|(at, v)| (at * 60.0, v / scale));
+        chart.draw_series(LineSeries::new(line, &BLUE))?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+fn main() {
+    let Some(soak) = read() else {
+        eprintln!(
+            "usage: stairshed-soak [--minutes N] [--mornings N] [--rate N] [--seed N] [--total SIZE] [--out FOLDER] [PROGRAM]"
+        );
+        std::process::exit(2);
+    };
+    println!(
+        "seed {}, {} mornings in {} minutes, {} messages/s at the peak",
+        soak.seed, soak.mornings, soak.minutes, soak.rate
+    );
+    let morning = Duration::from_secs_f64(soak.minutes * 60.0 / soak.mornings);
+    let clock = Clock { begun: Instant::now(), morning };
+    let partners: Vec<Endpoint> = (0..PARTNERS).map(|n| partner(n, clock.clone(), soak.seed)).collect();
+    let folder = Folder::new();
+    let mut command = serve_command_of(&soak.program, &folder, &file(&soak, &partners));
+    let courier = Courier::spawn(&mut command);
+    let (stop, tally) = (Arc::new(AtomicBool::new(false)), Arc::new(Tally::default()));
+    let mut threads = Vec::new();
+    for n in 0..CLIENTS {
+        let (to, of, clock, tally, stop) =
+            (courier.address, (soak.rate, soak.seed), clock.clone(), tally.clone(), stop.clone());
+        threads.push(thread::spawn(move || client(n, to, of, &clock, &tally, &stop)));
+    }
+    for n in 0..VANS {
+        let (to, seed, clock, stop) = (courier.mqtt(), soak.seed, clock.clone(), stop.clone());
+        threads.push(thread::spawn(move || van(n, to, seed, &clock, &stop)));
+    }
+    let (mut all, end) = (BTreeMap::new(), clock.begun + morning.mul_f64(soak.mornings));
+    while Instant::now() < end {
+        sample(&courier, &mut all, clock.begun.elapsed().as_secs_f64() / 3600.0);
+        // Else the stand-ins' own books would be what grows.
+        partners.iter().for_each(|p| p.seen.lock().expect("calls").clear());
+        thread::sleep(SAMPLE);
+    }
+    stop.store(true, Ordering::SeqCst);
+    threads.into_iter().for_each(|t| t.join().expect("a thread"));
+    let (period, hours) = (morning.as_secs_f64() / 3600.0, clock.begun.elapsed().as_secs_f64() / 3600.0);
+    let mut well = true;
+    println!("{:<14} {:>12} {:>14} {:>14}  verdict", "figure", "mean", "an hour", "noise");
+    for series in all.values() {
+        let Some(slope) = series.slope(period) else {
+            println!("{:<14} too few mornings to tell", series.name);
+            continue;
+        };
+        let flat = slope.is_flat(if series.name == "descriptors" { 1.0 } else { GRAIN });
+        // What is held back by the allocator shows in `allocated` and `resident`, which are judged as the others.
+        well &= flat;
+        let verdict = if flat { "flat" } else { "CREEPS" };
+        println!(
+            "{:<14} {:>12.0} {:>+14.0} {:>14.0}  {verdict}",
+            series.name, slope.mean, slope.an_hour, slope.noise
+        );
+    }
+    let n = |of: &AtomicU64| of.load(Ordering::SeqCst);
+    let page: Value = courier.page("/-/memory");
+    println!(
+        "{} taken, {} refused, {} without an answer; level {}",
+        n(&tally.taken),
+        n(&tally.refused),
+        n(&tally.unanswered),
+        page["level"]
+    );
+    fs::create_dir_all(&soak.out).expect("a folder for what is written");
+    csv(&all, &soak.out.join("soak.csv")).expect("soak.csv");
+    plot(&all, hours, &soak.out.join("soak.svg")).expect("soak.svg");
+    std::process::exit(i32::from(!well));
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod figures;
 pub mod names;
 pub mod publisher;
+pub mod soak;
 
 use serde_json::{Value, json};
 use std::fs;
--- /dev/null
+++ b/crates/rig/src/soak.rs
@@ -0,0 +1,100 @@
+//! What a soak's samples say: whether a figure stays flat while its load comes and goes in the same pattern.
+
+/// One figure over time.
+#[derive(Clone, Debug, Default)]
+pub struct Series {
+    pub name: String,
+    /// Hours since the start, and the figure.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// What became of a figure once it was warm.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Slope {
+    pub mean: f64,
+    /// Per hour, and what of it is noise: two standard errors.
+    pub an_hour: f64,
+    pub noise: f64,
+}
+
+impl Slope {
+    /// Under 1 % of its mean an hour, or not to be told from its noise, or under `grain` an hour.
+    pub fn is_flat(&self, grain: f64) -> bool {
+        self.an_hour <= (0.01 * self.mean).max(self.noise).max(grain)
+    }
+}
+
+impl Series {
+    /// The slope over whole mornings of `period` hours, the first left out as warm-up. Each point is held against the
+    /// mean of its own place in the morning, so that the pattern itself is no slope. None with fewer than two mornings
+    /// to compare.
+    pub fn slope(&self, period: f64) -> Option<Slope> {
+        const PARTS: usize = 16;
+        let last = self.points.last()?.0;
+        let mornings = ((last + period * 0.02) / period).floor() as usize;
+        if mornings < 3 {
+            return None;
+        }
+        // Means of each part of each morning: neighbours in time are no independent samples.
+        let mut parts = vec![vec![(0.0, 0.0, 0u32); mornings]; PARTS];
+        for (at, value) in &self.points {
+            let morning = (at / period) as usize;
+            let part = ((at / period).fract() * PARTS as f64) as usize;
+            if (1..mornings).contains(&morning) {
+                let of = &mut parts[part.min(PARTS - 1)][morning];
+                *of = (of.0 + at, of.1 + value, of.2 + 1);
+            }
+        }
+        let (mut all, mut sum) = (Vec::new(), 0.0);
+        for part in &parts {
+            let of: Vec<(f64, f64)> = part[1..]
+                .iter()
+                .filter(|(_, _, n)| *n > 0)
+                .map(|(at, value, n)| (at / f64::from(*n), value / f64::from(*n)))
+                .collect();
+            let n = of.len() as f64;
+            if of.len() < 2 {
+                continue;
+            }
+            let (at, value) = of.iter().fold((0.0, 0.0), |(a, v), p| (a + p.0 / n, v + p.1 / n));
+            sum += value;
+            all.extend(of.into_iter().map(|p| (p.0 - at, p.1 - value)));
+        }
+        let groups = all.len() as f64 / (mornings - 1) as f64;
+        let (xx, xy) = all.iter().fold((0.0, 0.0), |(xx, xy), (x, y)| (xx + x * x, xy + x * y));
+        let an_hour = if xx > 0.0 { xy / xx } else { 0.0 };
+        let left: f64 = all.iter().map(|(x, y)| (y - an_hour * x).powi(2)).sum();
+        let freedom = (all.len() as f64 - groups - 1.0).max(1.0);
+        let noise = if xx > 0.0 { 2.0 * (left / freedom / xx).sqrt() } else { 0.0 };
+        Some(Slope { mean: sum / groups.max(1.0), an_hour, noise })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+    /// Eight mornings of a wave with noise and a slope.
+    fn waves(slope: f64, noise: f64) -> Series {
+        let mut rng = SmallRng::seed_from_u64(7);
+        let points = (0..4000).map(|n| {
+            let at = f64::from(n) / 500.0 * 0.1;
+            let wave = 1000.0 + 500.0 * (at / 0.1 * std::f64::consts::TAU).sin();
+            (at, wave + slope * at + noise * rng.random_range(-1.0..1.0))
+        });
+        Series { name: "waves".to_owned(), points: points.collect() }
+    }
+
+    #[test]
+    fn a_pattern_is_no_slope_and_what_creeps_is_seen_through_it() {
+        let flat = waves(0.0, 30.0).slope(0.1).expect("eight mornings");
+        assert!(flat.is_flat(0.0) && (900.0..1100.0).contains(&flat.mean), "{flat:?}");
+        let creeps = waves(60.0, 30.0).slope(0.1).expect("eight mornings");
+        assert!(!creeps.is_flat(0.0) && (40.0..80.0).contains(&creeps.an_hour), "{creeps:?}");
+        assert!(creeps.is_flat(100.0), "under the grain");
+        let falls = waves(-60.0, 30.0).slope(0.1).expect("eight mornings");
+        assert!(falls.is_flat(0.0), "what falls does not creep: {falls:?}");
+        assert_eq!(Series { points: vec![(0.0, 1.0), (0.15, 1.0)], ..Series::default() }.slope(0.1), None);
+    }
+}
