--- a/crates/rig/src/bin/stairshed-soak.rs
+++ b/crates/rig/src/bin/stairshed-soak.rs
@@ -335,5 +335,7 @@
     fs::create_dir_all(&soak.out).expect("a folder for what is written");
     csv(&all, &soak.out.join("soak.csv")).expect("soak.csv");
     plot(&all, hours, &soak.out.join("soak.svg")).expect("soak.svg");
+    // An exit drops nothing, and the courier would go on.
+    drop(courier);
     std::process::exit(i32::from(!well));
 }
