Fleet: a connection that an endpoint cannot hold from each courier is not kept idle

Ruled out: the limit (no refusal there), an outage (those that held a connection were served all the time), slots. At fault: free_connection closed only where this courier had itself been turned away (the holders never are), only where nothing was held (a paced backlog kept the connection idle), and by the flow of the pool, not of the endpoint. At 2 to 4 couriers nothing changes.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -81,6 +81,10 @@
 /// Calls a keep-alive that make a connection worth keeping where few can be had, and memory of that.
 const REUSE_LEAST: f64 = 5.0;
 const TIGHT_SPANS: f64 = 6.0;
+/// Connections that an endpoint of a destination with one limit holds, as a multiple of the calls that it
+/// serves at once when its limit is used up, and at the least: the low ends of what the brief tells (3.5).
+const HOLDS_A_CALL: f64 = 2.8;
+const HOLDS_LEAST: f64 = 6.0;
 
 impl Brain {
     /// Starts a courier's module without any state; `seed` feeds its jitter.
@@ -110,6 +114,9 @@
             self.check_health(*dest);
         }
         self.release(&touched, out);
+        for endpoint in std::mem::take(&mut self.spare) {
+            self.free_connection(endpoint, out);
+        }
         for dest in &touched {
             self.plan(*dest);
         }
@@ -257,7 +264,7 @@
         }
         let late = self.now > m.aim;
         self.touched.insert(m.dest);
-        self.call_ended(flight, ended, out);
+        self.call_ended(flight, ended);
         if outcome != Outcome::Moot {
             self.back_off(id, matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed));
         }
@@ -286,7 +293,7 @@
     }
 
     /// Books the end of a call: slots, latency, pace and health. A bundle is booked once.
-    fn call_ended(&mut self, flight: Flight, ended: &Ended, out: &mut Vec<Action>) {
+    fn call_ended(&mut self, flight: Flight, ended: &Ended) {
         let (id, now, outcome, took) = (ended.endpoint, self.now, ended.outcome, ended.took.as_secs_f64());
         let Flight { call, sent, opens, .. } = flight;
         let e = self.endpoints.get_mut(&id).expect("a sent endpoint is known");
@@ -343,7 +350,7 @@
             Outcome::Cancelled | Outcome::Moot => {}
             _ => self.failed(id, call),
         }
-        self.free_connection(id, out);
+        self.spare.insert(id);
     }
 
     /// Where no connection was to be had, new ones are tried one at a time and ever more seldom; the kept
@@ -699,14 +706,23 @@
         }
     }
 
-    /// Frees an idle connection where they are few and this courier has no early use for it: idle ones
-    /// count, and hundreds of couriers that keep one each leave none for a call.
+    /// Whether an endpoint cannot hold an idle connection from each courier. Those that hold one never learn
+    /// so: only the others are turned away, for as long as it is kept.
+    fn crowded(&self, id: EndpointId) -> bool {
+        let e = &self.endpoints[&id];
+        let couriers = self.set.couriers as f64;
+        let busy = couriers * self.part(id) * e.latency.max(self.dests[&e.dest].latency);
+        !self.set.kinds[e.kind].separate_routes && couriers > (HOLDS_A_CALL * busy).max(HOLDS_LEAST)
+    }
+
+    /// Frees an idle connection where they are few and nothing has left on it at once: idle ones count, and
+    /// hundreds of couriers that keep one each, for what they hold and may not send yet, leave none.
     fn free_connection(&mut self, id: EndpointId, out: &mut Vec<Action>) {
         let e = &self.endpoints[&id];
         let span = self.set.keepalive.as_secs_f64();
         let tight = secs(self.now) < self.tight[e.kind] + TIGHT_SPANS * span;
         let rare = self.pools[&self.pool_id(id)].flow * span < REUSE_LEAST;
-        if tight && rare && e.calls.is_empty() && self.dests[&e.dest].chart.held.is_empty() {
+        if (self.crowded(id) || (tight && rare)) && e.calls.is_empty() && !e.idle.is_empty() {
             self.endpoints.get_mut(&id).expect("known").idle.clear();
             out.push(Action::Close { endpoint: id });
         }
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -192,6 +192,8 @@
     /// When an endpoint of each kind last had no connection left, s.
     pub(crate) tight: Vec<f64>,
     pub(crate) pressed: BTreeSet<DestinationId>,
+    /// Endpoints with a call that has ended: its connection is free, unless another call left on it.
+    pub(crate) spare: BTreeSet<EndpointId>,
     pub(crate) stuck_at: Ns,
     /// When to ask for the list again.
     pub(crate) ask_at: Option<Ns>,
@@ -221,6 +223,7 @@
             agenda: BTreeSet::new(),
             tight: vec![f64::MIN; set.kinds.len()],
             pressed: BTreeSet::new(),
+            spare: BTreeSet::new(),
             stuck_at: NEVER,
             ask_at: set.must_subscribe.then_some(0),
             ask_pause: 0.0,
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! what happens, and reads what the module asks for.
 #![allow(dead_code)]
 
+pub mod world;
+
 use stairshed_decide::brain::Brain;
 use stairshed_decide::interface::*;
 use std::time::Duration;
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Hundreds of modules, each on its own, against one destination that was away and returns cold.
 
 mod common;
+use common::world::*;
 use common::*;
 use stairshed_decide::interface::*;
 use std::time::Duration;
@@ -66,3 +67,30 @@
     }
     assert!(calls.iter().map(|c| c.0).sum::<usize>() > 60, "it is used again: {calls:?}");
 }
+
+/// Two endpoints of one destination that share its limit and hold a dozen connections each.
+fn small_shop(limit: f64) -> Vec<Server> {
+    let server = |n| Server { entry: entry(n, 1, 0, 0), limit, depth: 0.6, holds: 12, down: false };
+    vec![server(0), server(1)]
+}
+
+#[test]
+fn a_fleet_does_not_hold_the_few_connections_of_an_endpoint_idle() {
+    // Two dozen couriers that keep one each used to shut out the others for as long as they had calls.
+    let mut world = World::new(settings(), 100, small_shop(80.0), 5);
+    world.load = vec![(1, 50.0)];
+    let counts = world.pass(MS * 20_000);
+    println!("{counts:?}");
+    assert!(counts.unconnected * 50 < counts.calls, "{} of {} calls", counts.unconnected, counts.calls);
+    assert!(counts.in_aim * 100 > counts.offered * 90, "{} of {}", counts.in_aim, counts.offered);
+}
+
+#[test]
+fn a_few_couriers_keep_their_connections() {
+    let mut world = World::new(settings(), 3, small_shop(80.0), 5);
+    world.load = vec![(1, 50.0)];
+    let counts = world.pass(MS * 20_000);
+    println!("{counts:?}");
+    assert!(counts.opened * 20 < counts.calls, "{} opened for {} calls", counts.opened, counts.calls);
+    assert!(counts.unconnected * 100 < counts.calls, "{} of {} calls", counts.unconnected, counts.calls);
+}
