Fleet: calls to discovery are spread over the time in which it takes one from each

Ruled out: the network (the 503 came in 38 ms), our time-outs (2.5 s), the version asked for. At fault: Watch::run's pause (BACKOFF_MOST 2 s) and the module's first ask at once: queue always full, each admitted call out of time when its turn came. Now a start, a lost watch and a call turned away wait a random part of 8 s x (1 - 4/couriers) beside the old pause: 8 s is the time in which discovery takes one call from each at any scale (all_call_s); at 2 to 4 couriers nothing changes.

--- a/crates/courier/src/owner/members.rs
+++ b/crates/courier/src/owner/members.rs
@@ -271,7 +271,8 @@
 
     pub(super) fn watch_from(&mut self, seq: u64, fresh: bool) {
         let Some(address) = self.setup.discovery else { return };
-        let watch = Watch { address, seed: self.setup.seed, seq, fresh };
+        let spread = self.setup.settings.ask_spread();
+        let watch = Watch { address, seed: self.setup.seed, seq, fresh, spread };
         let task = tokio::task::spawn_local(watch.run(self.news.clone()));
         self.members.watch = Some(task.abort_handle());
     }
--- a/crates/courier/src/place/discovery.rs
+++ b/crates/courier/src/place/discovery.rs
@@ -24,6 +24,11 @@
 /// No line is longer; guards memory against one without an end.
 const LINE_MOST: usize = 8 * 1024 * 1024;
 
+/// How long after a watch the next is asked for.
+fn pause(backoff: f64, spread: Duration, rng: &mut SmallRng) -> Duration {
+    Duration::from_secs_f64(backoff * (0.5 + rng.random::<f64>())) + spread.mul_f64(rng.random())
+}
+
 pub struct Watch {
     pub address: SocketAddr,
     pub seed: u64,
@@ -31,6 +36,9 @@
     pub seq: u64,
     /// Ask for the whole list: the version is not known to be one of discovery's.
     pub fresh: bool,
+    /// Time over which the fleet's calls are spread once a watch has ended or was turned away: all may have lost
+    /// theirs in the same moment.
+    pub spread: Duration,
 }
 
 impl Watch {
@@ -44,7 +52,7 @@
             if heard && since.elapsed() > SILENT {
                 backoff = BACKOFF_FIRST;
             }
-            sleep(Duration::from_secs_f64(backoff * (0.5 + rng.random::<f64>()))).await;
+            sleep(pause(backoff, self.spread, &mut rng)).await;
             backoff = (backoff * 2.0).min(BACKOFF_MOST);
         }
     }
@@ -100,3 +108,24 @@
         heard
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_fleet_that_loses_its_watches_does_not_ask_again_at_once() {
+        // Asked by all within a quarter of a second, discovery gave up each call before its turn came, for good.
+        let asks = |spread| {
+            let mut seconds = [0; 20];
+            for seed in 0..100 {
+                let rng = &mut SmallRng::seed_from_u64(seed);
+                seconds[pause(BACKOFF_FIRST, spread, rng).as_secs() as usize] += 1;
+            }
+            seconds
+        };
+        let fleet = asks(Duration::from_secs(8));
+        assert!(fleet.iter().all(|asked| *asked <= 25), "{fleet:?}");
+        assert_eq!(asks(Duration::ZERO)[0], 100, "few ask at once");
+    }
+}
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -69,6 +69,10 @@
 const ROOM_SHARE: f64 = 0.9;
 /// Retry of a failed list call, s.
 const LIST_RETRY: f64 = 1.0;
+/// Discovery takes a call from every courier in this time, s, however many they are; so few at once never
+/// stand in each other's way.
+const LIST_ALL: f64 = 8.0;
+const LIST_FEW: f64 = 4.0;
 /// Endpoints are compared in points of the result, the unit of fees and handshakes: latency (per aim), doubt,
 /// and leaning, which spreads couriers that know nothing, each to its own, so that connections serve again.
 const COST_LATENCY: f64 = 0.05;
@@ -90,7 +94,10 @@
     /// Starts a courier's module without any state; `seed` feeds its jitter.
     pub fn new(set: Settings, seed: u64) -> Result<Self, String> {
         set.check()?;
-        Ok(Brain { ask_pause: LIST_RETRY, ..Brain::blank(set, seed) })
+        let mut brain = Brain { ask_pause: LIST_RETRY, ..Brain::blank(set, seed) };
+        let spread = brain.set.ask_spread().as_secs_f64() * brain.rng.random::<f64>();
+        brain.ask_at = brain.ask_at.map(|at| at + sec(spread));
+        Ok(brain)
     }
 
     /// Takes the news of one moment and appends what is to be done.
@@ -122,7 +129,7 @@
         }
         if self.ask_at.is_some_and(|t| t <= self.now) {
             // Asked again only if no answer comes; an answer clears this.
-            let pause = self.ask_pause * 4.0 * self.jitter();
+            let pause = self.list_pause(4.0);
             self.ask_at = Some(self.now + sec(pause));
             out.push(Action::Subscribe { active: true });
         }
@@ -165,6 +172,12 @@
         0.5 + self.rng.random::<f64>()
     }
 
+    /// Time, s, until the list is asked for again, after so many pauses.
+    fn list_pause(&mut self, pauses: f64) -> f64 {
+        self.ask_pause * pauses * self.jitter()
+            + self.set.ask_spread().as_secs_f64() * self.rng.random::<f64>()
+    }
+
     fn room(&self, d: &Destination) -> bool {
         self.calls_out < self.set.slots && d.calls < self.cap(d)
     }
@@ -178,7 +191,7 @@
         match event {
             Event::Listed { whole, entries } => self.listed(*whole, entries, out),
             Event::ListFailed => {
-                let pause = self.ask_pause * self.jitter();
+                let pause = self.list_pause(1.0);
                 self.ask_at = self.set.must_subscribe.then_some(self.now + sec(pause));
                 self.ask_pause = (self.ask_pause * 2.0).min(LIST_RETRY * 8.0);
             }
@@ -862,6 +875,16 @@
     }
 }
 
+impl Settings {
+    /// Time over which couriers spread a call to discovery that all may make at once: at a start, and after a
+    /// watch has ended or was turned away. A fleet that asks again at once keeps its queue so long that each
+    /// call is out of time when its turn comes, and none is ever served. Hurts where one courier restarts
+    /// alone: it learns of what has changed meanwhile that much later.
+    pub fn ask_spread(&self) -> Duration {
+        Duration::from_secs_f64(LIST_ALL * (1.0 - LIST_FEW / self.couriers.max(1) as f64).max(0.0))
+    }
+}
+
 /// Pause between new connections after so many that were not to be had, s.
 fn connect_pause(times: u32) -> f64 {
     if times == 0 { 0.0 } else { (FULL_PAUSE * 2f64.powi(times as i32 - 1)).min(FULL_LONGEST) }
--- a/crates/decide/tests/common/world.rs
+++ b/crates/decide/tests/common/world.rs
@@ -47,8 +47,6 @@
     pub opened: usize,
     /// Most connections open at one endpoint at once.
     pub most_open: usize,
-    /// List calls by the second of the world.
-    pub lists: Vec<usize>,
 }
 
 pub struct World {
@@ -79,12 +77,15 @@
             .map(|n| Drive::seeded(set.clone(), listed.clone(), seed * 1000 + n as u64))
             .collect();
         let full = |s: &Server| Bucket { level: s.depth * s.limit, report: 1.0 };
+        let nothing_new =
+            |n| (fleet[0].now + WAY, n, Event::Listed { whole: false, entries: Vec::new() }, None);
         World {
             begun: fleet[0].now,
             buckets: servers.iter().map(full).collect(),
             idle: vec![vec![Vec::new(); servers.len()]; couriers],
             busy: vec![0; servers.len()],
-            coming: Vec::new(),
+            // Who asks at once does so before the world looks.
+            coming: (0..couriers).map(nothing_new).filter(|_| couriers <= 4).collect(),
             taken_at: vec![Default::default(); couriers],
             rng: SmallRng::seed_from_u64(seed),
             next: 0,
@@ -121,6 +122,19 @@
         }
     }
 
+    /// Calls to discovery by the second, of the seconds from `first` on.
+    pub fn lists(&self, first: usize) -> Vec<usize> {
+        let asks = self.fleet.iter().flat_map(|d| &d.log);
+        let asks = asks.filter(|(_, a)| matches!(a, Action::Subscribe { .. }));
+        let mut seconds = Vec::new();
+        for (at, _) in asks {
+            let second = (*at - self.begun).as_secs() as usize;
+            seconds.resize(seconds.len().max(second + 1), 0);
+            seconds[second] += 1;
+        }
+        seconds.split_off(first.min(seconds.len()))
+    }
+
     /// Lets time pass; what was counted in it.
     pub fn pass(&mut self, span: Duration) -> Counts {
         self.counts = Counts::default();
@@ -199,10 +213,9 @@
             Action::Fail { message } => {
                 self.counts.failed += usize::from(self.taken_at[n].remove(&message.0).is_some());
             }
-            Action::Subscribe { .. } | Action::Fetch => {
-                let second = (now - self.begun).as_secs() as usize;
-                self.counts.lists.resize(self.counts.lists.len().max(second + 1), 0);
-                self.counts.lists[second] += 1;
+            Action::Subscribe { .. } => {
+                let nothing_new = Event::Listed { whole: false, entries: Vec::new() };
+                self.coming.push((now + WAY * 2, n, nothing_new, None));
             }
             _ => {}
         }
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -94,3 +94,24 @@
     assert!(counts.opened * 20 < counts.calls, "{} opened for {} calls", counts.opened, counts.calls);
     assert!(counts.unconnected * 100 < counts.calls, "{} of {} calls", counts.unconnected, counts.calls);
 }
+
+#[test]
+fn a_fleet_does_not_ask_for_the_list_in_the_same_second() {
+    for (couriers, most) in [(3, 3), (30, 12), (100, 25)] {
+        let set = Settings { must_subscribe: true, ..settings() };
+        let mut world = World::new(set, couriers, small_shop(80.0), 3);
+        world.pass(MS * 9000);
+        let start = world.lists(0);
+        assert_eq!(start.iter().sum::<usize>(), couriers, "each asks once: {start:?}");
+        assert!(start.iter().all(|asked| *asked <= most), "at a start: {start:?}");
+        // Discovery goes down, and each watch with it.
+        for drive in &mut world.fleet {
+            drive.feed(&[Event::ListFailed]);
+        }
+        world.pass(MS * 10_000);
+        let asked = world.lists(9);
+        println!("{couriers}: {start:?}, then {asked:?}");
+        assert!(asked.iter().sum::<usize>() >= couriers, "each asks again: {asked:?}");
+        assert!(asked.iter().all(|asked| *asked <= most), "when all were turned away: {asked:?}");
+    }
+}
