The one connection to be had stays while messages are held, where no fleet crowds the endpoint

The guard is back there; only where settings tell that a fleet crowds the endpoint does a connection go with messages held.

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -361,7 +361,8 @@
                 let u: f64 = self.rng.random();
                 // All that were refused would be back at once, be it after a pause or a told wait.
                 let turn = sec(self.set.crowd() * u * slow);
-                pool.wait_until = pool.wait_until.max(now) + turn;
+                let told = pool.wait_until.max(now).min(now + wait.map_or(0, ns));
+                pool.wait_until = pool.wait_until.max(told + turn);
                 if wait.is_none() {
                     let doubled = FULL_PAUSE * f64::from(1u32 << (pool.fulls - 1).min(FULL_DOUBLINGS));
                     let pause = doubled.min(slow.max(FULL_LONGEST)) * (0.5 + u);
@@ -754,14 +755,17 @@
         !self.set.kinds[e.kind].separate_routes && couriers > (HOLDS_A_CALL * busy).max(HOLDS_LEAST)
     }
 
-    /// Frees an idle connection where they are few and nothing has left on it at once: idle ones count, and
-    /// hundreds of couriers that keep one each, for what they hold and may not send yet, leave none.
+    /// Frees an idle connection where they are few and this courier has no early use for it: idle ones count.
+    /// Where a fleet is known to crowd the endpoint it goes unless a call has left on it at once, even with
+    /// something held: hundreds that keep one each for what they may not send yet leave none. Elsewhere what
+    /// is held needs it: the one connection that is to be had may be this.
     fn free_connection(&mut self, id: EndpointId, out: &mut Vec<Action>) {
         let e = &self.endpoints[&id];
         let span = self.set.keepalive.as_secs_f64();
         let tight = secs(self.now) < self.tight[e.kind] + TIGHT_SPANS * span;
         let rare = self.pools[&self.pool_id(id)].flow * span < REUSE_LEAST;
-        if (self.crowded(id) || (tight && rare)) && e.calls.is_empty() && !e.idle.is_empty() {
+        let unused = tight && rare && self.dests[&e.dest].chart.held.is_empty();
+        if (unused || self.crowded(id)) && e.calls.is_empty() && !e.idle.is_empty() {
             self.endpoints.get_mut(&id).expect("known").idle.clear();
             out.push(Action::Close { endpoint: id });
         }
