Fleet, read again: one pause after refusals, one law for list calls, pools gathered once

Need: the change had written some things twice. The pause after a refusal stood apart for told and untold waits; the pause before a list call stood in the module and in the courier's watch (now ask_after); sigma, credit and come_again each gathered the pools of ready endpoints (now ready_pools); credit reckoned sigma anew right after its callers had, also at four couriers or fewer where it is nothing; the connection to free was weighed where there was none. In the tests' world a call found its bucket and open connections by copies of pool and open_at, a server could be down and never was, and two tests set up the same load.

--- a/crates/courier/src/place/discovery.rs
+++ b/crates/courier/src/place/discovery.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use stairshed_config::lines::Lines;
+use stairshed_decide::brain::ask_after;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -24,11 +25,6 @@
 /// No line is longer; guards memory against one without an end.
 const LINE_MOST: usize = 8 * 1024 * 1024;
 
-/// How long after a watch the next is asked for.
-fn pause(backoff: f64, spread: Duration, rng: &mut SmallRng) -> Duration {
-    Duration::from_secs_f64(backoff * (0.5 + rng.random::<f64>())) + spread.mul_f64(rng.random())
-}
-
 pub struct Watch {
     pub address: SocketAddr,
     pub seed: u64,
@@ -52,7 +48,7 @@
             if heard && since.elapsed() > SILENT {
                 backoff = BACKOFF_FIRST;
             }
-            sleep(pause(backoff, self.spread, &mut rng)).await;
+            sleep(ask_after(backoff, self.spread, &mut rng)).await;
             backoff = (backoff * 2.0).min(BACKOFF_MOST);
         }
     }
@@ -120,7 +116,7 @@
             let mut seconds = [0; 20];
             for seed in 0..100 {
                 let rng = &mut SmallRng::seed_from_u64(seed);
-                seconds[pause(BACKOFF_FIRST, spread, rng).as_secs() as usize] += 1;
+                seconds[ask_after(BACKOFF_FIRST, spread, rng).as_secs() as usize] += 1;
             }
             seconds
         };
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -134,8 +134,8 @@
         }
         if self.ask_at.is_some_and(|t| t <= self.now) {
             // Asked again only if no answer comes; an answer clears this.
-            let pause = self.list_pause(4.0);
-            self.ask_at = Some(self.now + sec(pause));
+            let pause = ask_after(self.ask_pause * 4.0, self.set.ask_spread(), &mut self.rng);
+            self.ask_at = Some(self.now + ns(pause));
             out.push(Action::Subscribe { active: true });
         }
         let next =
@@ -173,16 +173,6 @@
         self.dest(dest).next = self.dests[&dest].next.min(at);
     }
 
-    fn jitter(&mut self) -> f64 {
-        0.5 + self.rng.random::<f64>()
-    }
-
-    /// Time, s, until the list is asked for again, after so many pauses.
-    fn list_pause(&mut self, pauses: f64) -> f64 {
-        self.ask_pause * pauses * self.jitter()
-            + self.set.ask_spread().as_secs_f64() * self.rng.random::<f64>()
-    }
-
     fn room(&self, d: &Destination) -> bool {
         self.calls_out < self.set.slots && d.calls < self.cap(d)
     }
@@ -196,8 +186,8 @@
         match event {
             Event::Listed { whole, entries } => self.listed(*whole, entries, out),
             Event::ListFailed => {
-                let pause = self.list_pause(1.0);
-                self.ask_at = self.set.must_subscribe.then_some(self.now + sec(pause));
+                let pause = ask_after(self.ask_pause, self.set.ask_spread(), &mut self.rng);
+                self.ask_at = self.set.must_subscribe.then_some(self.now + ns(pause));
                 self.ask_pause = (self.ask_pause * 2.0).min(LIST_RETRY * 8.0);
             }
             Event::Taken(taken) => self.taken(taken, out),
@@ -349,7 +339,7 @@
                 for (latency, first) in [(&mut e.latency, 0.0), (&mut d.latency, FIRST_LATENCY)] {
                     *latency += if *latency == first { 1.0 } else { LATENCY_GAIN } * (took - *latency);
                 }
-                let left = ended.report.map_or(0.5, |r| r.left);
+                let left = ended.report.map_or(ALLOWANCE_HALF, |r| r.left);
                 pool.accepted(now, &self.set, left);
                 self.worked(id);
                 self.space(id);
@@ -359,15 +349,12 @@
                 pool.cut(now, &self.set);
                 // Backoff with jitter where no wait was told.
                 let u: f64 = self.rng.random();
+                let doubled = FULL_PAUSE * f64::from(1u32 << (pool.fulls - 1).min(FULL_DOUBLINGS));
+                let pause = wait.map_or(sec(doubled.min(slow.max(FULL_LONGEST)) * (0.5 + u)), ns);
                 // All that were refused would be back at once, be it after a pause or a told wait.
                 let turn = sec(self.set.crowd() * u * slow);
-                let told = pool.wait_until.max(now).min(now + wait.map_or(0, ns));
-                pool.wait_until = pool.wait_until.max(told + turn);
-                if wait.is_none() {
-                    let doubled = FULL_PAUSE * f64::from(1u32 << (pool.fulls - 1).min(FULL_DOUBLINGS));
-                    let pause = doubled.min(slow.max(FULL_LONGEST)) * (0.5 + u);
-                    pool.wait_until = pool.wait_until.max(now + turn + sec(pause));
-                } else if let Some(wait) = wait.filter(|w| w.as_secs_f64() > SHUT_WAIT) {
+                pool.wait_until = pool.wait_until.max(now + pause + turn);
+                if let Some(wait) = wait.filter(|w| w.as_secs_f64() > SHUT_WAIT) {
                     // Shut until then: all that were told so come at once, and it is cold.
                     e.warm_from = Some(now + ns(wait));
                     let spread = self.set.cold_span.as_secs_f64() * u.sqrt();
@@ -409,10 +396,8 @@
     /// Sigma: the smoothed latency over the calls that may run at once, and no less than paces under a known
     /// limit allow: else a chart believes in rates it has not. Hurts where a pace is far below the limit.
     fn sigma(&self, id: DestinationId) -> Ns {
-        let d = &self.dests[&id];
-        let ready = d.endpoints.iter().filter(|e| self.endpoints[e].ready).map(|e| self.pool_id(*e));
-        let paces: BTreeSet<_> = ready.collect();
-        let pace = paces.iter().map(|p| self.pools[p].limit.and(self.pools[p].rate)).sum::<Option<f64>>();
+        let (d, pools) = (&self.dests[&id], self.ready_pools(id));
+        let pace = pools.iter().map(|p| self.pools[p].limit.and(self.pools[p].rate)).sum::<Option<f64>>();
         let paced = pace.filter(|r| *r > 0.0).map_or(0.0, |r| 1.0 / r);
         sec((d.latency / self.cap(d) as f64).max(paced)).max(1)
     }
@@ -420,10 +405,19 @@
     /// Time of the chart that a fleet's courier has in hand: what its buckets hold goes at once, however thin
     /// its share. Else one whose share is a call in many seconds refuses whatever it is given.
     fn credit(&self, id: DestinationId) -> Ns {
-        let ready = self.dests[&id].endpoints.iter().filter(|e| self.endpoints[e].ready);
-        let pools: BTreeSet<_> = ready.map(|e| self.pool_id(*e)).collect();
+        let crowd = self.set.crowd();
+        if crowd == 0.0 {
+            return 0;
+        }
+        let pools = self.ready_pools(id);
         let held = pools.iter().map(|p| self.pools[p].filled_up(self.now).max(0.0)).sum::<f64>();
-        (self.sigma(id) as f64 * self.set.crowd() * held.min(1.0)) as Ns
+        (self.dests[&id].chart.sigma as f64 * crowd * held.min(1.0)) as Ns
+    }
+
+    /// The pools that a destination's ready endpoints draw on, each once.
+    fn ready_pools(&self, id: DestinationId) -> BTreeSet<PoolId> {
+        let endpoints = self.dests[&id].endpoints.iter();
+        endpoints.filter(|e| self.endpoints[e].ready).map(|e| self.pool_id(*e)).collect()
     }
 
     /// Calls that this courier may have out at a destination.
@@ -761,11 +755,14 @@
     /// is held needs it: the one connection that is to be had may be this.
     fn free_connection(&mut self, id: EndpointId, out: &mut Vec<Action>) {
         let e = &self.endpoints[&id];
+        if !e.calls.is_empty() || e.idle.is_empty() {
+            return;
+        }
         let span = self.set.keepalive.as_secs_f64();
         let tight = secs(self.now) < self.tight[e.kind] + TIGHT_SPANS * span;
         let rare = self.pools[&self.pool_id(id)].flow * span < REUSE_LEAST;
         let unused = tight && rare && self.dests[&e.dest].chart.held.is_empty();
-        if (unused || self.crowded(id)) && e.calls.is_empty() && !e.idle.is_empty() {
+        if unused || self.crowded(id) {
             self.endpoints.get_mut(&id).expect("known").idle.clear();
             out.push(Action::Close { endpoint: id });
         }
@@ -886,10 +883,9 @@
 
     /// When a refused client may come again: what is held there has had time to go, and a wait is over.
     fn come_again(&self, dest: DestinationId) -> Duration {
-        let (d, ready) = (&self.dests[&dest], |e: &&EndpointId| self.endpoints[*e].ready);
-        let waits = d.endpoints.iter().filter(ready).map(|e| self.pools[&self.pool_id(*e)].wait_until);
-        let wait = waits.min().unwrap_or(0) - self.now;
-        span(wait.max(self.sigma(dest) * d.chart.held.len() as Ns).max(sec(FULL_PAUSE)))
+        let (held, pools) = (self.dests[&dest].chart.held.len(), self.ready_pools(dest));
+        let wait = pools.iter().map(|p| self.pools[p].wait_until).min().unwrap_or(0) - self.now;
+        span(wait.max(self.sigma(dest) * held as Ns).max(sec(FULL_PAUSE)))
     }
 
     fn close(&mut self, id: MessageId) {
@@ -925,6 +921,11 @@
     }
 }
 
+/// How long until the list is asked for again: a pause, s, with jitter, and a part of the fleet's spread.
+pub fn ask_after(pause: f64, spread: Duration, rng: &mut impl Rng) -> Duration {
+    Duration::from_secs_f64(pause * (0.5 + rng.random::<f64>())) + spread.mul_f64(rng.random())
+}
+
 /// Pause between new connections after so many that were not to be had, s.
 fn connect_pause(times: u32) -> f64 {
     if times == 0 { 0.0 } else { (FULL_PAUSE * 2f64.powi(times as i32 - 1)).min(FULL_LONGEST) }
--- a/crates/decide/tests/common/world.rs
+++ b/crates/decide/tests/common/world.rs
@@ -13,7 +13,6 @@
 const REPORT_EVERY: f64 = 0.4;
 
 /// An endpoint; each has a limit of its own where routes are separate, else the destination's first one has it.
-#[derive(Clone)]
 pub struct Server {
     pub entry: Entry,
     /// Calls a second, and how many of them it takes at once after a pause, s of its limit.
@@ -21,7 +20,6 @@
     pub depth: f64,
     /// Connections that it holds, idle ones counted.
     pub holds: usize,
-    pub down: bool,
 }
 
 /// When a courier hears what, and of a call at which endpoint and whether its connection is kept.
@@ -51,10 +49,10 @@
 
 pub struct World {
     pub fleet: Vec<Drive>,
-    pub servers: Vec<Server>,
+    servers: Vec<Server>,
     /// First tries a second for each destination, from all clients together.
     pub load: Vec<(u64, f64)>,
-    pub counts: Counts,
+    counts: Counts,
     set: Settings,
     buckets: Vec<Bucket>,
     /// By courier and endpoint: idle connections, since when.
@@ -224,24 +222,20 @@
 
     fn call(&mut self, n: usize, now: Duration, message: u64, server: usize) {
         self.counts.calls += 1;
+        let fresh = self.idle[n][server].pop().is_none();
+        let (open, pool) = (self.open_at(server), self.pool(server));
         let mut end = |took: Duration, outcome, report, kept| {
             let endpoint = EndpointId(server as u32);
             let over = outcome == Outcome::Delivered;
             let ended = Ended { message: MessageId(message), endpoint, outcome, took, over, report };
             self.coming.push((now + took, n, Event::Ended(ended), Some((server, kept))));
         };
-        let fresh = self.idle[n][server].pop().is_none();
-        let open = self.busy[server] + self.idle.iter().map(|c| c[server].len()).sum::<usize>();
-        if self.servers[server].down || (fresh && open >= self.servers[server].holds) {
+        if fresh && open >= self.servers[server].holds {
             return end(WAY * 2, Outcome::ConnectFailed, None, false);
         }
         self.busy[server] += 1;
         self.counts.opened += usize::from(fresh);
         let opening = if fresh { WAY * 2 } else { Duration::ZERO };
-        let shared = self.servers[server].entry;
-        let apart = self.set.kinds[shared.kind].separate_routes;
-        let same = |s: &Server| s.entry.destination == shared.destination;
-        let pool = if apart { server } else { self.servers.iter().position(same).unwrap_or(server) };
         let bucket = &mut self.buckets[pool];
         let report = Some(Report { left: bucket.report, limit: self.servers[pool].limit });
         let room = bucket.level >= 1.0;
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -70,27 +70,30 @@
 
 /// Two endpoints of one destination that share its limit and hold a dozen connections each.
 fn small_shop(limit: f64) -> Vec<Server> {
-    let server = |n| Server { entry: entry(n, 1, 0, 0), limit, depth: 0.6, holds: 12, down: false };
+    let server = |n| Server { entry: entry(n, 1, 0, 0), limit, depth: 0.6, holds: 12 };
     vec![server(0), server(1)]
 }
 
-#[test]
-fn a_fleet_does_not_hold_the_few_connections_of_an_endpoint_idle() {
-    // Two dozen couriers that keep one each used to shut out the others for as long as they had calls.
-    let mut world = World::new(settings(), 100, small_shop(80.0), 5);
+/// What so many couriers make of a steady load there.
+fn steady(couriers: usize) -> Counts {
+    let mut world = World::new(settings(), couriers, small_shop(80.0), 5);
     world.load = vec![(1, 50.0)];
     let counts = world.pass(MS * 20_000);
     println!("{counts:?}");
+    counts
+}
+
+#[test]
+fn a_fleet_does_not_hold_the_few_connections_of_an_endpoint_idle() {
+    // Two dozen couriers that keep one each used to shut out the others for as long as they had calls.
+    let counts = steady(100);
     assert!(counts.unconnected * 50 < counts.calls, "{} of {} calls", counts.unconnected, counts.calls);
     assert!(counts.in_aim * 100 > counts.offered * 90, "{} of {}", counts.in_aim, counts.offered);
 }
 
 #[test]
 fn a_few_couriers_keep_their_connections() {
-    let mut world = World::new(settings(), 3, small_shop(80.0), 5);
-    world.load = vec![(1, 50.0)];
-    let counts = world.pass(MS * 20_000);
-    println!("{counts:?}");
+    let counts = steady(3);
     assert!(counts.opened * 20 < counts.calls, "{} opened for {} calls", counts.opened, counts.calls);
     assert!(counts.unconnected * 100 < counts.calls, "{} of {} calls", counts.unconnected, counts.calls);
 }
@@ -118,7 +121,7 @@
 
 /// Two routes apart of one destination, each with its own limit.
 fn routes() -> Vec<Server> {
-    let server = |n, limit| Server { entry: entry(n, 1, 0, 1), limit, depth: 0.5, holds: 1000, down: false };
+    let server = |n, limit| Server { entry: entry(n, 1, 0, 1), limit, depth: 0.5, holds: 1000 };
     vec![server(0, 60.0), server(1, 30.0)]
 }
 
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -25,9 +25,9 @@
 }
 
 impl Series {
-    /// The slope over whole mornings of `period` hours, the first quarter of them left out as warm-up. Each point is held against the
-    /// mean of its own place in the morning, so that the pattern itself is no slope. None with fewer than two mornings
-    /// to compare.
+    /// The slope over whole mornings of `period` hours, the first quarter of them left out as warm-up. Each point is
+    /// held against the mean of its own place in the morning, so that the pattern itself is no slope. None with fewer
+    /// than two mornings to compare.
     pub fn slope(&self, period: f64) -> Option<Slope> {
         const PARTS: usize = 16;
         let last = self.points.last()?.0;
