Owner and MQTT server without circles: what their parts share lies below them

owner/members, out and records took types from each other in a ring (Held, Waiting, NOWHERE); they lie in owner/held.rs now. mqtt/session took its weight from server.rs, which imports it; it states it itself. No change of behaviour.

--- a/crates/courier/src/owner.rs
+++ b/crates/courier/src/owner.rs
@@ -12,6 +12,7 @@
 
 mod brokers;
 mod ended;
+mod held;
 mod members;
 mod memory;
 mod notes;
--- a/crates/courier/src/owner/brokers.rs
+++ b/crates/courier/src/owner/brokers.rs
@@ -2,8 +2,7 @@
 //! that one whose fate is open is resumed after a restart, and is never a second one.
 
 use super::Courier;
-use super::out::Held;
-use super::records::Waiting;
+use super::held::{Held, Waiting};
 use crate::clock::unix;
 use crate::news::CallEnd;
 use crate::out::broker::Broker;
--- a/crates/courier/src/owner/ended.rs
+++ b/crates/courier/src/owner/ended.rs
@@ -2,8 +2,8 @@
 //! end is told, whatever crashes in between. The journal holds it; here stands what is looked up.
 
 use super::Courier;
+use super::held::Waiting;
 use super::memory::Loose;
-use super::records::Waiting;
 use crate::clock::unix;
 use crate::news::{Offer, Reply, ReplyTo};
 use stairshed_journal::{Kept, Letter, Verdict};
--- a/crates/courier/src/owner/members.rs
+++ b/crates/courier/src/owner/members.rs
@@ -2,7 +2,7 @@
 //! look-ups change among them, and the destinations that are gone.
 
 use super::Courier;
-use super::out::Held;
+use super::held::Held;
 use crate::news::{Changes, Configured, Health, Host, List, differences};
 use crate::place::discovery::Watch;
 use stairshed_decide::interface::{self, *};
@@ -29,9 +29,6 @@
     pub(super) topic: Option<String>,
 }
 
-/// The zone of an attempt of which only damage of the journal speaks. No endpoint's: it is no text of a file.
-pub(super) const NOWHERE: &str = "\0";
-
 #[derive(Default)]
 pub(super) struct Members {
     /// Those that the module knows; it says when one is forgotten. Numbers are never used again.
--- a/crates/courier/src/owner/memory.rs
+++ b/crates/courier/src/owner/memory.rs
@@ -2,7 +2,7 @@
 //! back when a burst is over. What there is room for is decided by the ledger (`stairshed-memory`).
 
 use super::Courier;
-use super::out::Held;
+use super::held::Held;
 use crate::news::{Offer, Reply};
 use crate::room::Room;
 use crate::system;
--- a/crates/courier/src/owner/notes.rs
+++ b/crates/courier/src/owner/notes.rs
@@ -1,7 +1,7 @@
 //! State of other parts of the courier that outlasts the process: kept in the journal under a key each.
 
 use super::Courier;
-use super::records::Waiting;
+use super::held::Waiting;
 use crate::news::Store;
 use stairshed_journal::{Note, Refusal};
 
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -1,15 +1,14 @@
 //! What is out: the messages that are held, their calls, and how each call ended.
 
 use super::Courier;
-use super::records::Waiting;
+use super::held::{Held, Waiting};
 use super::stopping::STOP_SENDING;
 use crate::clock::unix;
 use crate::news::CallEnd;
 use crate::out::calls::{Call, Calls, To};
 use stairshed_decide::interface::*;
-use stairshed_journal::{Attempt, Letter, Verdict};
+use stairshed_journal::{Attempt, Verdict};
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -25,14 +24,6 @@
     }
 }
 
-pub(super) struct Held {
-    pub(super) letter: Rc<Letter>,
-    pub(super) class: usize,
-    pub(super) attempts: u32,
-    /// The call that is out: when it left, and how to call it off.
-    pub(super) out: Option<(Instant, Option<oneshot::Sender<()>>)>,
-}
-
 impl Courier {
     pub(super) fn called(&mut self, message: u64, attempt: u32, endpoint: EndpointId, end: CallEnd) {
         // What proves that it never ran; all else may have.
--- a/crates/courier/src/owner/records.rs
+++ b/crates/courier/src/owner/records.rs
@@ -2,17 +2,14 @@
 //! Owns that queue and the standing of the disk; takes over what an earlier life has left.
 
 use super::Courier;
-use super::members::NOWHERE;
-use super::out::Held;
+use super::held::{Held, NOWHERE, Waiting};
 use crate::clock::unix;
-use crate::news::{News, ReplyTo};
-use crate::out::calls::Call;
+use crate::news::News;
 use crate::out::outcomes::Notice;
 use stairshed_decide::interface::*;
 use stairshed_journal::{Live, Synced, Verdict};
 use std::collections::VecDeque;
 use std::time::Duration;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// Bytes that a step of compaction copies: some 50 us. And the pause before the next when nothing else is on.
@@ -21,36 +18,6 @@
 /// When a disk that failed is tried again.
 pub(super) const DISK_RETRY: Duration = Duration::from_millis(200);
 
-/// What must not be done before a record is kept.
-pub(super) enum Waiting {
-    Reply {
-        message: u64,
-        reply: ReplyTo,
-    },
-    Call {
-        call: Call,
-        cancelled: oneshot::Receiver<()>,
-    },
-    /// A message that was taken on and bounced at once.
-    Bounced {
-        message: u64,
-        reply: ReplyTo,
-    },
-    /// A front's state.
-    Stored {
-        token: u64,
-    },
-    /// A broker's receipt.
-    Recorded {
-        endpoint: EndpointId,
-        id: u16,
-    },
-    /// That a broker's session is being resumed.
-    Resuming {
-        endpoint: EndpointId,
-    },
-}
-
 #[derive(Default)]
 pub(super) struct Records {
     /// What waits for a sync, in the order of the records that it needs.
--- a/crates/courier/src/owner/taking.rs
+++ b/crates/courier/src/owner/taking.rs
@@ -1,9 +1,8 @@
 //! Taking on: what clients offer, until the module has judged it and they have heard. Owns the offers, the ids of
 //! all that is held, and the next message's number; `turn` calls it with the module's refusals.
 
+use super::held::{Held, Waiting};
 use super::memory::Holding;
-use super::out::Held;
-use super::records::Waiting;
 use super::{Courier, Verdict};
 use crate::news::{Offer, Reply, ReplyTo};
 use stairshed_decide::interface::*;
--- a/crates/mqtt/src/server.rs
+++ b/crates/mqtt/src/server.rs
@@ -15,8 +15,8 @@
 use crate::fault::Fault;
 use crate::frame::{Reader, encode};
 use crate::packet::{Connack, Connect, Packet, Properties, Publish, Qos, Version, Will, code};
-pub use crate::session::Outcome;
 use crate::session::Session;
+pub use crate::session::{Outcome, SESSION};
 use bytes::{Bytes, BytesMut};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -32,8 +32,6 @@
 /// Packet ids of a session that wait for their PUBREL: a client that never sends one must not fill the record.
 const RELEASES_MOST: usize = 4096;
 
-/// What a session takes: its tables' entries and its strings of usual length.
-pub const SESSION: u64 = 700;
 /// What a connection takes here, and an offer that is being judged.
 const CONNECTION: u64 = 600;
 const PENDING: u64 = 150;
--- a/crates/mqtt/src/session.rs
+++ b/crates/mqtt/src/session.rs
@@ -8,6 +8,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+/// What a session takes: its tables' entries and its strings of usual length, bytes.
+pub const SESSION: u64 = 700;
+
 /// How a message ended that the client published.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outcome {
@@ -84,7 +87,7 @@
         // Entries of sets of packet ids, and the first node of each.
         let ids = |n: usize, entry: u64| if n == 0 { 0 } else { 11 * entry + n as u64 * entry * 2 };
         let ids = ids(self.releases.len(), 2) + ids(self.pending.len(), 10);
-        crate::server::SESSION + self.client.len() as u64 + outcomes + will + ids
+        SESSION + self.client.len() as u64 + outcomes + will + ids
     }
 
     pub fn record(&self) -> String {
