Whoever there is no room for is told why and when to come back; proxies' clients have shares

Seen: at 24 MB a program with 64 connections had 15 closed without a byte, since Intake::run dropped the stream where the ledger refused. A new front/farewell.rs sees such connections off in one task: a whole 503 (MQTT: CONNACK in its version) once the first byte has come, half-close, a bounded drain. Reasons are one list (memory/reason.rs), held against the page by a test. memory/telling.rs says whose share counts: proxies by network (ipnet), clients by a header that only they may send, MQTT users. Off on the platform.

A flood of 600 connections that reads nothing: at most 128 descriptors more, others served, all back after.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -410,6 +410,13 @@
     /// What one client (an address, or an MQTT client) may have of a purpose while that is tight. Alone it may have
     /// what nobody else asks for, up to there.
     pub client_share: f64,
+    /// Networks of proxies that carry many clients each, like `["10.2.0.0/16"]`. Their connections keep to the cap, and
+    /// have no share.
+    pub proxies: Option<Vec<String>>,
+    /// The header in which a proxy names the client of a request. From elsewhere it means nothing.
+    pub client_header: Option<String>,
+    /// MQTT clients count by their user alone, not each with its client id.
+    pub by_user: bool,
     /// Bodies that are being read or judged. Without it `limits.bodies`, and no more than 12.5 % of the total.
     pub bodies_read: Option<Portion>,
     /// Bodies of accepted messages, until they have ended. 28 % unless it is set.
@@ -439,6 +446,9 @@
         Memory {
             total: None,
             client_share: 0.5,
+            proxies: None,
+            client_header: None,
+            by_user: false,
             bodies_read: None,
             bodies_held: None,
             messages: None,
--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -10,7 +10,7 @@
 use crate::tree::{self, Entry, Node, Value, place_of};
 use crate::units::{Rate, Span};
 use stairshed_decide::interface as decide;
-use stairshed_memory::{ByPurpose, CapFault, Caps, Portion, Purpose};
+use stairshed_memory::{ByPurpose, CapFault, Caps, Portion, Purpose, Telling};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -84,6 +84,8 @@
     pub control: Option<Url>,
     pub discovery: Option<SocketAddr>,
     pub resolver: Option<SocketAddr>,
+    /// How clients are told apart.
+    pub telling: Telling,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -374,7 +376,7 @@
         let topics: Vec<Option<Topic>> = file.topics.iter().map(|(n, t)| self.topic(n, t, &file)).collect();
         let topics = self.topics(&file, topics);
         self.limits(&file.limits);
-        self.memory(&file);
+        let telling = self.memory(&file);
         let outcomes = file.outcomes.url.as_ref().and_then(|u| self.url(path(&["outcomes", "url"]), u));
         let control = file.control.as_ref().map(|c| self.control(c));
         let discovery = file.discovery.as_ref().and_then(|d| match &d.address {
@@ -405,6 +407,7 @@
             control: control.flatten(),
             discovery,
             resolver,
+            telling,
             file,
         })
     }
@@ -798,7 +801,7 @@
         }
     }
 
-    fn memory(&mut self, file: &File) {
+    fn memory(&mut self, file: &File) -> Telling {
         let at = path(&["memory"]);
         let share = file.memory.client_share;
         self.must(share > 0.0 && share <= 1.0, at.key("client_share"), "above 0 and 1 at most");
@@ -806,6 +809,23 @@
             let key = fault.purpose().map_or("total", Purpose::name);
             self.wrong(at.key(key), fault.to_string());
         }
+        let m = &file.memory;
+        let mut proxies = Vec::new();
+        for (n, net) in m.proxies.iter().flatten().enumerate() {
+            match net.parse() {
+                Ok(net) => proxies.push(net),
+                Err(_) => self.wrong(at.key("proxies").item(n), "a network, like \"10.2.0.0/16\""),
+            }
+        }
+        let header = m.client_header.as_ref().map(|name| self.header(at.key("client_header"), name));
+        // Without a proxy to believe it would be a key that does nothing.
+        let of_use = header.is_none() || m.proxies.as_ref().is_some_and(|of| !of.is_empty());
+        self.must(
+            of_use,
+            at.key("client_header"),
+            "is believed from proxies only: name them in memory.proxies",
+        );
+        Telling { proxies, header, by_user: m.by_user }
     }
 
     fn control(&mut self, c: &file::Control) -> Option<Url> {
--- a/crates/courier/src/front.rs
+++ b/crates/courier/src/front.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod effective;
+pub mod farewell;
 pub mod intake;
 pub mod listener;
 pub mod mqtt;
--- a/crates/courier/src/front/intake.rs
+++ b/crates/courier/src/front/intake.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::unix;
 use crate::front::effective::Effective;
+use crate::front::farewell::{Farewells, Speaks, Why};
 use crate::front::named::{Named, Unfit};
 use crate::news::{COME_AGAIN, News, Offer, Reply, ReplyTo, reason};
 use crate::room::{NoRoom, Room};
@@ -14,12 +15,13 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use stairshed_journal::Letter;
-use stairshed_memory::{Charge, Client, Guest, Purpose};
+use stairshed_memory::{Charge, Guest, Purpose, Telling};
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
+use std::net::IpAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -275,8 +277,8 @@
     /// Clients' connections at most.
     pub sockets: usize,
     pub room: Room,
-    /// Clients are told apart by their address, and each has its share of the memory.
-    pub apart: bool,
+    /// Where clients are told apart, each with its share of the memory: who tells those that there is no room for.
+    pub farewells: Option<Rc<Farewells>>,
 }
 
 impl Intake {
@@ -295,12 +297,22 @@
             }
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    let guest = this.apart.then(|| this.room.ledger.guest(Client::at(from.ip())));
+                    let apart = this.farewells.as_ref();
+                    let from = from.ip();
+                    let client = apart.and_then(|_| this.telling(|telling| telling.connection(from)));
+                    let guest = client.map(|client| this.room.ledger.guest(client));
                     // One client with its share of the connections is turned away, and others get in.
-                    let Ok(room) = this.room.ledger.take(Purpose::Clients, LINE_BYTES, guest.as_ref()) else {
-                        continue;
-                    };
-                    tokio::task::spawn_local(this.clone().serve(stream, guest, room));
+                    match this.room.ledger.take(Purpose::Clients, LINE_BYTES, guest.as_ref()) {
+                        Ok(room) => {
+                            drop(tokio::task::spawn_local(this.clone().serve(stream, from, guest, room)))
+                        }
+                        Err(refused) => {
+                            if let Some(farewells) = apart {
+                                let why = Why::from(this.room.no(refused));
+                                farewells.turn_away(stream, Speaks::Http, why, false);
+                            }
+                        }
+                    }
                     // A newcomer's request is read before the next may push it out.
                     tokio::task::yield_now().await;
                 }
@@ -312,7 +324,7 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, guest: Option<Guest>, room: Charge) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, from: IpAddr, guest: Option<Guest>, room: Charge) {
         let _ = stream.set_nodelay(true);
         let line = Rc::new(Line::new(room));
         let id = self.standing.next.get();
@@ -323,7 +335,7 @@
             let (this, line, guest) = (this.clone(), of.clone(), guest.clone());
             async move {
                 line.enter(Stage::Busy);
-                let answer = this.handle(request, &line, guest).await;
+                let answer = this.handle(request, &line, (from, guest)).await;
                 *line.framing.borrow_mut() = Framing::default();
                 line.enter(Stage::Idle { well: !answer.status().is_client_error() });
                 Ok::<_, Infallible>(answer)
@@ -333,37 +345,43 @@
             .max_buf_size(HEAD_MOST)
             .keep_alive(!self.standing.stopping.get())
             .serve_connection(TokioIo::new(Ear { stream, line: line.clone() }), service);
-        let (mut conn, mut late) = (pin!(conn), pin!(sleep(SILENT_TIME)));
-        loop {
+        let (mut conn, mut late) = (conn, pin!(sleep(SILENT_TIME)));
+        let shed = loop {
             tokio::select! {
                 biased;
-                () = line.drop.notified() => break,
-                _ = conn.as_mut() => break,
-                () = line.close.notified() => conn.as_mut().graceful_shutdown(),
+                () = line.drop.notified() => break true,
+                _ = &mut conn => break false,
+                () = line.close.notified() => Pin::new(&mut conn).graceful_shutdown(),
                 () = late.as_mut() => match line.due() {
                     // A head without an end, or nothing at all, must not hold a socket.
-                    Some(due) if due <= Instant::now() => break,
+                    Some(due) if due <= Instant::now() => break false,
                     due => late.as_mut().reset(due.unwrap_or_else(|| Instant::now() + HEAD_TIME)),
                 },
             }
-        }
+        };
         self.standing.open.borrow_mut().remove(&id);
+        if let Some(farewells) = self.farewells.as_ref().filter(|_| shed) {
+            // Its next request may be on its way already, or half read.
+            let heard = line.stage.get() == Stage::Head;
+            let stream = conn.into_parts().io.into_inner().stream;
+            farewells.turn_away(stream, Speaks::Http, Why::connections(), heard);
+        }
     }
 
     async fn handle(
         &self,
         request: Request<Incoming>,
         line: &Line,
-        guest: Option<Guest>,
+        (from, guest): (IpAddr, Option<Guest>),
     ) -> Response<Full<Bytes>> {
         let mut answer = match (request.method(), request.uri().path()) {
             (&Method::GET, "/-/ready") => match self.standing.ready.get() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             },
-            (&Method::POST, _) => self.take(request, line, guest).await,
+            (&Method::POST, _) => self.take(request, line, (from, guest)).await,
             (&Method::GET | &Method::HEAD, _) => plain(StatusCode::NOT_FOUND, "no such page\n"),
-            _ if matches!(self.front, Front::Routes(_)) => self.take(request, line, guest).await,
+            _ if matches!(self.front, Front::Routes(_)) => self.take(request, line, (from, guest)).await,
             _ => plain(StatusCode::NOT_FOUND, "no such page\n"),
         };
         if self.standing.stopping.get() {
@@ -376,9 +394,10 @@
         &self,
         request: Request<Incoming>,
         line: &Line,
-        guest: Option<Guest>,
+        (from, guest): (IpAddr, Option<Guest>),
     ) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
+        let guest = self.guest(from, &parts.headers).or(guest);
         let length = body.size_hint().exact();
         if let Some((status, why)) = line.framing.borrow().fault(length) {
             return closing(status, why);
@@ -438,6 +457,23 @@
 }
 
 impl Intake {
+    /// Asks how clients are told apart; None where they are not.
+    fn telling<T>(&self, ask: impl FnOnce(&Telling) -> Option<T>) -> Option<T> {
+        match &self.front {
+            Front::Platform { .. } => None,
+            Front::Routes(effective) => ask(&effective.get().1.telling),
+        }
+    }
+
+    /// Who a request that a proxy carries counts for.
+    fn guest(&self, from: IpAddr, headers: &HeaderMap) -> Option<Guest> {
+        let client = self.telling(|telling| {
+            let header = telling.header.as_deref().filter(|_| telling.trusts(from))?;
+            Some(telling.request(from, headers.get_all(header).iter().map(HeaderValue::as_bytes)))
+        })?;
+        Some(self.room.ledger.guest(client))
+    }
+
     /// Whether a request repeats a message that is taken on.
     async fn knows(&self, headers: &HeaderMap) -> bool {
         let Some(id) = Named::read(headers).ok().and_then(|named| named.id) else { return false };
@@ -550,7 +586,7 @@
                 format!("not taken on: {refused}\n").into(),
                 Some(wait),
             );
-            if let Ok(reason) = HeaderValue::from_str(&refused.reason()) {
+            if let Ok(reason) = HeaderValue::from_str(&refused.reason().to_string()) {
                 answer.headers_mut().insert("X-Reason", reason);
             }
             answer
--- a/crates/courier/src/front/mqtt.rs
+++ b/crates/courier/src/front/mqtt.rs
@@ -3,13 +3,14 @@
 
 use crate::clock::unix;
 use crate::front::effective::Effective;
+use crate::front::farewell::{Farewells, Speaks, Why};
 use crate::front::users::Users;
 use crate::news::{COME_AGAIN, Front, News, Offer, Reply, ReplyTo, Store, reason};
 use crate::out::outcomes;
 use crate::room::{NoRoom, Room};
 use bytes::BytesMut;
 use stairshed_journal::{Refusal, Verdict};
-use stairshed_memory::{Charge, Client, Purpose};
+use stairshed_memory::{Charge, Purpose};
 use stairshed_mqtt::packet::code;
 use stairshed_mqtt::server::{self, Answer, Effect, Limits, Outcome, Server};
 use std::cell::{Cell, RefCell};
@@ -64,6 +65,8 @@
     checks: Arc<Semaphore>,
     news: Sender<News>,
     connections: usize,
+    /// Tells those that there is no room for.
+    farewells: Rc<Farewells>,
 }
 
 impl Front for Hub {
@@ -121,7 +124,7 @@
     /// `records` are the sessions of an earlier life.
     pub fn new(
         limits: Limits,
-        (connections, room): (usize, Room),
+        (connections, room, farewells): (usize, Room, Rc<Farewells>),
         (effective, users): (Effective, Option<Users>),
         news: Sender<News>,
         records: Vec<(String, bytes::Bytes)>,
@@ -147,6 +150,7 @@
             checks: Arc::new(Semaphore::new(CHECKS)),
             news,
             connections,
+            farewells,
         })
     }
 
@@ -272,7 +276,7 @@
                 return self.with(|machine, now| machine.replied(token, answer, now));
             }
         };
-        let guest = Some(self.room.ledger.guest(Client::Name(owner.as_str().into())));
+        let guest = Some(self.room.ledger.guest(self.effective.get().1.telling.session(&owner)));
         // Many large payloads at once must not take the memory: together they have a fixed room.
         let size = publish.payload.len() as u64;
         let room = match self.room.ledger.take(Purpose::BodiesRead, size, guest.as_ref()) {
@@ -308,12 +312,20 @@
             }
             match listener.accept().await {
                 Ok((socket, from)) => {
-                    let guest = self.room.ledger.guest(Client::at(from.ip()));
-                    let room = self.room.ledger.take(Purpose::Clients, LINE_BYTES, Some(&guest));
+                    let client = self.effective.get().1.telling.connection(from.ip());
+                    let guest = client.map(|client| self.room.ledger.guest(client));
+                    let room = self.room.ledger.take(Purpose::Clients, LINE_BYTES, guest.as_ref());
                     // One address with its share of the connections is turned away, and others get in.
-                    let Ok(room) = room else { continue };
-                    next += 1;
-                    tokio::task::spawn_local(self.clone().serve(next, socket, room));
+                    match room {
+                        Ok(room) => {
+                            next += 1;
+                            tokio::task::spawn_local(self.clone().serve(next, socket, room));
+                        }
+                        Err(refused) => {
+                            let why = Why::from(self.room.no(refused));
+                            self.farewells.turn_away(socket, Speaks::Mqtt, why, false);
+                        }
+                    }
                     tokio::task::yield_now().await;
                 }
                 Err(e) => {
--- a/crates/courier/src/room.rs
+++ b/crates/courier/src/room.rs
@@ -6,7 +6,11 @@
 use stairshed_config::Installation;
 use stairshed_config::installation;
 use stairshed_memory::caps::Bytes;
-use stairshed_memory::{Caps, Ledger, Level, Purpose, Refused, State};
+use stairshed_memory::partings::Counts;
+use stairshed_memory::{Caps, Ledger, Level, Partings, Purpose, Refused, State};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -14,6 +18,8 @@
 #[derive(Clone)]
 pub struct Room {
     pub ledger: Ledger,
+    /// Connections that are turned away.
+    pub partings: Rc<RefCell<Partings>>,
     origin: Instant,
 }
 
@@ -32,6 +38,8 @@
     /// Bytes in use for all purposes.
     accounted: u64,
     clients: usize,
+    /// Connections that were turned away since the start, by reason.
+    turned_away: BTreeMap<String, Counts>,
     #[serde(flatten)]
     process: Option<Process>,
     purposes: Vec<State>,
@@ -66,7 +74,7 @@
 
 impl Room {
     pub fn new(caps: &Caps, share: f64) -> Room {
-        Room { ledger: Ledger::new(caps, share), origin: Instant::now() }
+        Room { ledger: Ledger::new(caps, share), partings: Rc::default(), origin: Instant::now() }
     }
 
     /// Other caps from now on.
@@ -96,6 +104,7 @@
             total: self.ledger.total(),
             accounted,
             clients: self.ledger.clients(),
+            turned_away: self.partings.borrow().counts(),
             process,
             purposes: self.ledger.states(),
         })
--- a/crates/courier/src/start/platform.rs
+++ b/crates/courier/src/start/platform.rs
@@ -83,7 +83,7 @@
         news: news.clone(),
         sockets: for_clients,
         room: room.clone(),
-        apart: false,
+        farewells: None,
     });
     tokio::task::spawn_local(reload(hangup, config.file.clone(), news.clone()));
     let outcomes = Outcomes::platform(config.discovery);
--- a/crates/courier/src/start/serve.rs
+++ b/crates/courier/src/start/serve.rs
@@ -4,6 +4,7 @@
 use crate::fault::Fault;
 use crate::front::admin;
 use crate::front::effective::Effective;
+use crate::front::farewell::Farewells;
 use crate::front::intake::{BODY_MOST, Front, Intake, Standing};
 use crate::front::listener::listen;
 use crate::front::mqtt::{self, Hub};
@@ -52,7 +53,7 @@
     folder: &Path,
     effective: &Effective,
     news: &mpsc::Sender<News>,
-    (courier, room): (&Courier, &Room),
+    (courier, room, farewells): (&Courier, &Room, &Rc<Farewells>),
 ) -> Result<Rc<Hub>, Fault> {
     let m = &installation.file.mqtt;
     // Checked when the file was read.
@@ -72,7 +73,7 @@
     let users = m.users.as_ref().map(|f| Users::read(&folder.join(f))).transpose();
     let users = users.map_err(|e| bad("mqtt.users", e))?;
     let records = courier.on_record(mqtt::PREFIX);
-    let bounds = (m.connections, room.clone());
+    let bounds = (m.connections, room.clone(), farewells.clone());
     Ok(Hub::new(limits, bounds, (effective.clone(), users), news.clone(), records))
 }
 
@@ -177,13 +178,14 @@
     let brain = Brain::new(setup.settings.clone(), setup.seed).map_err(|e| bad("configuration", e))?;
     let (news, inbox) = mpsc::channel(INBOX);
     let standing = Rc::new(Standing::default());
+    let farewells = Farewells::start(&room);
     let intake = Rc::new(Intake {
         front: Front::Routes(effective.clone()),
         standing: standing.clone(),
         news: news.clone(),
         sockets: for_clients,
         room: room.clone(),
-        apart: true,
+        farewells: Some(farewells.clone()),
     });
     let outcomes = &installation.file.outcomes;
     let unread = state.join("outcomes.ndjson");
@@ -200,7 +202,7 @@
     let discovery = installation.discovery.is_some();
     let mut courier = Courier::new(setup, brain, journal, calls, outcomes, standing.clone(), news.clone());
     let hub = match installation.mqtt {
-        Some(_) => Some(hub(&installation, &beside, &effective, &news, (&courier, &room))?),
+        Some(_) => Some(hub(&installation, &beside, &effective, &news, (&courier, &room, &farewells))?),
         None => None,
     };
     if let Some(hub) = &hub {
--- /dev/null
+++ b/crates/courier/tests/farewell.rs
@@ -0,0 +1,286 @@
+//! Connections that there is no room for, on real sockets: every client learns why and when to come back, whatever it
+//! sends and however, and a flood of them takes neither the courier's sockets nor other clients' service.
+
+use serde_json::Value;
+use stairshed_mqtt::packet::{Connect, Version, code};
+use stairshed_rig::publisher::Publisher;
+use stairshed_rig::*;
+use std::fs;
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+fn file(endpoint: &Endpoint, memory: &str) -> String {
+    format!(
+        "name = \"c1\"\n[listen]\nhttp = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\nmqtt = \"127.0.0.1:0\"\n\
+         [memory]\n{memory}\n\
+         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\n\
+         [pools.p]\nendpoints = [{{ address = \"{}\" }}]\n\
+         [routes.pay]\nprefix = \"/pay\"\npool = \"p\"\nclass = \"payment\"\n",
+        endpoint.address
+    )
+}
+
+fn request(id: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST /pay HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+fn connect(to: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(to).expect("a connection");
+    stream.set_read_timeout(Some(LIMIT)).expect("a limit");
+    stream
+}
+
+/// What came: its answer, or how the connection ended without one.
+fn answer(stream: &TcpStream) -> Option<Page> {
+    Page::read(&mut BufReader::new(stream))
+}
+
+fn is_told(page: &Page, reason: &str) -> Duration {
+    let text = String::from_utf8_lossy(&page.body).into_owned();
+    assert_eq!((page.status(), page.head("X-Reason")), (503, Some(reason)), "{text}");
+    assert!(text.starts_with("not taken on: ") && text.ends_with('\n'), "{text}");
+    let wait: f64 = page.head("Retry-After").and_then(|w| w.parse().ok()).expect("when to come back");
+    assert!((0.05..=60.0).contains(&wait), "{wait}");
+    Duration::from_secs_f64(wait)
+}
+
+/// Connections of 127.0.0.1 that have their share of a small memory; and one more is turned away.
+fn crowd(courier: &Courier) -> Vec<TcpStream> {
+    let mut all = Vec::new();
+    loop {
+        let mut stream = connect(courier.address);
+        stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").expect("sent");
+        if answer(&stream).expect("an answer").status() != 200 {
+            return all;
+        }
+        all.push(stream);
+        assert!(all.len() < 500, "never turned away");
+    }
+}
+
+const SMALL: &str = "clients = \"2MB\"\nclient_share = 0.5";
+
+fn away(courier: &Courier, reason: &str, how: &str) -> u64 {
+    courier.page("/-/memory")["turned_away"][reason][how].as_u64().unwrap_or_default()
+}
+
+#[test]
+fn every_request_of_64_connections_at_24_mb_has_its_answer() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let folder = Folder::new();
+    let courier = Courier::serve(&folder, &file(&endpoint, "total = \"24MB\""));
+    let mut told = 0;
+    for round in 0..figure("STAIRSHED_ROUNDS", 100) {
+        let body = "x".repeat(if round % 2 == 0 { 1024 } else { 32 * 1024 });
+        let mut all: Vec<TcpStream> = (0..64).map(|_| connect(courier.address)).collect();
+        for (n, stream) in all.iter_mut().enumerate() {
+            stream.write_all(request(&format!("r{round}-{n}"), &body).as_bytes()).expect("sent whole");
+        }
+        for (n, stream) in all.iter().enumerate() {
+            let page = answer(stream).unwrap_or_else(|| panic!("round {round}: no answer on connection {n}"));
+            if page.status() != 202 {
+                let reason = page.head("X-Reason").expect("a reason").to_owned();
+                is_told(&page, &reason);
+                told += usize::from(reason == "share-clients");
+            }
+        }
+    }
+    assert!(told > 0, "none was turned away: the test shows nothing");
+    courier.says("clients: connections turned away: share-clients (");
+}
+
+#[test]
+fn a_payment_that_was_turned_away_is_accepted_once_when_it_comes_again_and_runs_once() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let folder = Folder::new();
+    let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
+    let crowd = crowd(&courier);
+    let mut stream = connect(courier.address);
+    stream.write_all(request("p-1", "42 EUR").as_bytes()).expect("sent");
+    let wait = is_told(&answer(&stream).expect("an answer"), "share-clients");
+    assert_eq!(stream.read(&mut [0; 8]).ok(), Some(0), "then its end, no reset");
+    drop(crowd);
+    thread::sleep(wait);
+    until("it is accepted", || post(courier.address, "/pay", "p-1", "", "42 EUR").unwrap().status() == 202);
+    assert_eq!(post(courier.address, "/pay", "p-1", "", "42 EUR").unwrap().status(), 202, "a repeat");
+    until("it has run", || !endpoint.calls().is_empty());
+    courier.signal("-TERM");
+    until("the courier has ended", || TcpStream::connect(courier.address).is_err());
+    assert_eq!(endpoint.ids(), ["p-1"], "once");
+}
+
+#[test]
+fn whoever_is_turned_away_is_told_so_however_it_sends() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let folder = Folder::new();
+    let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
+    let crowd = crowd(&courier);
+    // All of a long body before it reads.
+    let mut long = connect(courier.address);
+    long.write_all(request("long", &"x".repeat(600_000)).as_bytes()).expect("sent whole");
+    is_told(&answer(&long).expect("an answer"), "share-clients");
+    // It ends its sending first.
+    let mut half = connect(courier.address);
+    half.write_all(request("half", "x").as_bytes()).expect("sent");
+    half.shutdown(Shutdown::Write).expect("half closed");
+    is_told(&answer(&half).expect("an answer"), "share-clients");
+    // Byte by byte, and another protocol.
+    let mut slow = connect(courier.address);
+    slow.write_all(b"P").expect("sent");
+    is_told(&answer(&slow).expect("an answer"), "share-clients");
+    let mut tls = connect(courier.address);
+    tls.write_all(&[0x16, 3, 1, 2, 0, 1, 0, 1, 0xfc, 3, 3]).expect("sent");
+    is_told(&answer(&tls).expect("plain words"), "share-clients");
+    // One that says nothing hears nothing: an answer to nothing would be taken for one to its next request.
+    let before = away(&courier, "share-clients", "silent");
+    let mut silent = connect(courier.address);
+    assert_eq!(silent.read(&mut [0; 8]).ok(), Some(0), "closed in its time");
+    until("it is counted", || away(&courier, "share-clients", "silent") == before + 1);
+    assert_eq!(away(&courier, "share-clients", "untold"), 0);
+    drop(crowd);
+    until("service again", || post(courier.address, "/pay", "again", "", "x").unwrap().status() == 202);
+}
+
+#[test]
+fn an_mqtt_client_is_told_in_its_own_version() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let folder = Folder::new();
+    let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
+    let crowd = crowd(&courier);
+    // Less than one of these was left: an MQTT connection takes less than one of HTTP.
+    let mut vans = Vec::new();
+    let five = loop {
+        let client = format!("van-{}", vans.len());
+        let (van, connack) = Publisher::connect(courier.mqtt(), Connect::new(Version::V5, &client));
+        if connack.code != 0 {
+            break connack;
+        }
+        vans.push(van);
+        assert!(vans.len() < 50, "never turned away");
+    };
+    assert_eq!(five.code, code::QUOTA_EXCEEDED);
+    assert!(five.reason.as_deref().is_some_and(|r| r.contains("has its share")), "{five:?}");
+    let told = |name: &str| five.properties.iter().any(|(n, _)| n == name);
+    assert!(told("retry-after") && told("x-reason"), "{five:?}");
+    let (_, three) = Publisher::connect(courier.mqtt(), Connect::new(Version::V311, "van"));
+    assert_eq!(three.code, 3, "server unavailable");
+    let mut stray = connect(courier.mqtt());
+    stray.write_all(b"GET / HTTP/1.1\r\n\r\n").expect("sent");
+    assert_eq!(stray.read(&mut [0; 8]).unwrap_or(0), 0, "what speaks something else is closed");
+    drop(crowd);
+}
+
+#[test]
+fn a_connection_that_makes_room_is_told_so_where_its_request_was_on_its_way() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let folder = Folder::new();
+    let courier = Courier::serve(&folder, &file(&endpoint, "clients = \"250KB\"\nclient_share = 1.0"));
+    // Heads half sent are of the least use but for idle connections: one that comes pushes them out.
+    let begun = b"POST /pay HTTP/1.1\r\nHost: x\r\n";
+    let half: Vec<TcpStream> = (0..40)
+        .map(|_| {
+            let mut stream = connect(courier.address);
+            stream.write_all(begun).expect("sent");
+            stream
+        })
+        .collect();
+    let ends: Vec<Option<Page>> = half.iter().map(answer).collect();
+    let pushed: Vec<&Page> = ends.iter().flatten().collect();
+    assert!(!pushed.is_empty(), "none was pushed out: the test shows nothing");
+    for page in pushed {
+        is_told(page, "connections");
+    }
+    assert!(away(&courier, "connections", "told") > 0);
+    assert_eq!(post(courier.address, "/pay", "p", "", "x").expect("an answer").status(), 202);
+}
+
+fn descriptors(courier: &Courier) -> usize {
+    fs::read_dir(format!("/proc/{}/fd", courier.id())).expect("its descriptors").count()
+}
+
+#[test]
+fn a_flood_that_reads_nothing_is_bounded_and_others_are_served_meanwhile() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let folder = Folder::new();
+    let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
+    let crowd = crowd(&courier);
+    let before = descriptors(&courier);
+    let flood: Vec<TcpStream> = (0..600)
+        .map(|n| {
+            let mut stream = connect(courier.address);
+            let _ = stream.write_all(request(&format!("f{n}"), "x").as_bytes());
+            stream
+        })
+        .collect();
+    let most = descriptors(&courier);
+    // The bound on those that are told, the listener's and the pages' own.
+    assert!(most <= before + stairshed_memory::partings::MOST + 10, "{before} descriptors, then {most}");
+    let mut other = from([127, 0, 0, 9], courier.address);
+    other.write_all(request("other", "x").as_bytes()).expect("sent");
+    assert_eq!(answer(&other).expect("an answer").status(), 202, "another client is served");
+    drop(flood);
+    drop(crowd);
+    until("descriptors are back", || descriptors(&courier) <= before);
+    let page = courier.page("/-/memory");
+    let counts = &page["turned_away"]["share-clients"];
+    let sum: u64 = ["told", "silent", "untold"].iter().filter_map(|how| counts[*how].as_u64()).sum();
+    assert!(sum >= 600, "each is counted: {counts}");
+    assert!(page["turned_away"].as_object().is_some_and(|all| all.values().all(Value::is_object)));
+}
+
+/// A connection from another address of the loopback.
+fn from(source: [u8; 4], to: SocketAddr) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from((source, 0)).into()).expect("an address of the loopback");
+    socket.connect(&to.into()).expect("a connection");
+    socket.set_read_timeout(Some(LIMIT)).expect("a limit");
+    socket.into()
+}
+
+#[test]
+fn the_operators_page_has_each_reason() {
+    let page = include_str!("../../../docs/operating-memory.md");
+    for reason in stairshed_memory::Reason::all() {
+        assert!(page.contains(&format!("`{reason}`")), "docs/operating-memory.md says nothing of {reason}");
+    }
+}
+
+#[test]
+fn a_proxy_has_no_share_and_its_clients_have_theirs_by_the_header_that_only_it_may_send() {
+    let endpoint = Endpoint::new(|_| {
+        Act::Answer("HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 5000\r\nContent-Length: 0\r\n\r\n")
+    });
+    let folder = Folder::new();
+    let text = "bodies_held = \"1MB\"\nclient_share = 0.4\nproxies = [\"127.0.0.0/30\"]\nclient_header = \"X-Client\"";
+    let courier = Courier::serve(&folder, &file(&endpoint, text));
+    let body = "x".repeat(50_000);
+    let mut n = 0;
+    let mut send = |source: [u8; 4], heads: &str| {
+        n += 1;
+        let mut stream = from(source, courier.address);
+        let text = request(&format!("m{n}"), &body).replacen("\r\n", &format!("\r\n{heads}"), 1);
+        stream.write_all(text.as_bytes()).expect("sent");
+        let page = answer(&stream).expect("an answer");
+        (page.status(), page.head("X-Reason").unwrap_or_default().to_owned())
+    };
+    let (proxy, van) = ([127, 0, 0, 1], "X-Client: van-1\r\n");
+    let taken = (0..100).take_while(|_| send(proxy, van).0 == 202).count();
+    assert_eq!(taken, 13, "up to where it gets tight");
+    let share = (503, "share-bodies_held".to_owned());
+    assert_eq!(send(proxy, van), share);
+    // Another client, one without a name, one with two, and one that is no proxy: none is van-1.
+    for (source, heads) in [
+        (proxy, "X-Client: van-2\r\n"),
+        (proxy, ""),
+        (proxy, "X-Client: van-1\r\nX-Client: van-1\r\n"),
+        ([127, 0, 0, 9], van),
+    ] {
+        assert_eq!(send(source, heads).0, 202, "{heads:?} from {source:?}");
+    }
+    assert_eq!(send([127, 0, 0, 2], van), share, "the client is the same behind another proxy");
+    let long = format!("X-Client: {}\r\n", "x".repeat(64 * 1024));
+    assert_eq!(send(proxy, &long).0, 431, "a head that is too long");
+}
--- a/crates/memory/src/ledger.rs
+++ b/crates/memory/src/ledger.rs
@@ -5,6 +5,7 @@
 use crate::level::{Change, FULL, Level, TIGHT};
 use crate::pace::{LOOK, Pace};
 use crate::purpose::{ByPurpose, Purpose};
+use crate::reason::Reason;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -66,11 +67,11 @@
 
 impl Refused {
     /// The reason as one word, for a header: `memory-bodies_held`, `share-clients`, `memory-total`.
-    pub fn reason(&self) -> String {
+    pub fn reason(&self) -> Reason {
         match self.why {
-            Why::Cap => format!("memory-{}", self.purpose),
-            Why::Share => format!("share-{}", self.purpose),
-            Why::Total => "memory-total".to_owned(),
+            Why::Cap => Reason::Memory(self.purpose),
+            Why::Share => Reason::Share(self.purpose),
+            Why::Total => Reason::Total,
         }
     }
 }
--- a/crates/memory/src/ledger_test.rs
+++ b/crates/memory/src/ledger_test.rs
@@ -14,7 +14,7 @@
     let read = ledger.take(Purpose::BodiesRead, 60 * KB, None).expect("room");
     let refused = ledger.take(Purpose::BodiesRead, 41 * KB, None).expect_err("none");
     assert_eq!((refused.purpose, refused.why), (Purpose::BodiesRead, Why::Cap));
-    assert_eq!(refused.reason(), "memory-bodies_read");
+    assert_eq!(refused.reason().to_string(), "memory-bodies_read");
     let held = read.turn_into(Purpose::BodiesHeld).expect("room");
     assert_eq!((ledger.held(Purpose::BodiesRead), ledger.held(Purpose::BodiesHeld)), (0, 60 * KB));
     let other = ledger.take(Purpose::BodiesRead, 50 * KB, None).expect("room again");
@@ -51,7 +51,7 @@
     // Alone it may have what nobody else asks for, up to where it gets tight.
     let held: Vec<Charge> = (0..6).map(|_| take(&greedy, 10).expect("room")).collect();
     let refused = take(&again, 10).expect_err("the same client");
-    assert_eq!((refused.why, refused.reason().as_str()), (Why::Share, "share-bodies_read"));
+    assert_eq!((refused.why, refused.reason().to_string().as_str()), (Why::Share, "share-bodies_read"));
     let others: Vec<Charge> = (0..4).map(|_| take(&other, 10).expect("others get in")).collect();
     assert_eq!(take(&other, 1).expect_err("at the cap").why, Why::Cap);
     assert_eq!(ledger.clients(), 2);
@@ -84,7 +84,7 @@
     assert_eq!(changes.len(), 1);
     assert!(changes[0].to_string().contains("total is full, was ample: 31 MB of 32 MB"), "{}", changes[0]);
     let refused = ledger.take(Purpose::Messages, 10, None).expect_err("full");
-    assert_eq!((refused.why, refused.reason().as_str()), (Why::Total, "memory-total"));
+    assert_eq!((refused.why, refused.reason().to_string().as_str()), (Why::Total, "memory-total"));
     assert!(ledger.wait(&refused, second(1)) >= Duration::from_millis(50));
     // What was accepted goes on.
     drop(ledger.force(Purpose::Messages, 10));
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -7,24 +7,32 @@
 //!   (caps)             |   \---- tick(now) -------> level changes     (level)
 //!                      |--- Guest: what one client holds              (ledger)
 //!                      \--- pace: how fast a purpose empties -> wait  (pace)
+//!   Refused ----> Reason, as clients are told (reason); Partings: connections until they have been told (partings)
+//!   Telling: whose share something counts against             (telling)
 //! ```
 //!
 //! A *charge* is memory in use. A *reserve* is memory that an accepted message may still need; it is taken when the
 //! message is accepted, so that nothing done on its behalf later can be refused. Both count against the cap.
 //! Whoever holds a guard needs not give anything back by hand, so nothing is counted twice or left behind.
 //!
-//! Read in this order: [`caps`], [`ledger`], [`level`], [`pace`]. `docs/memory.md` tells why it is so.
+//! Read in this order: [`caps`], [`ledger`], [`level`], [`pace`], [`reason`], [`partings`]. `docs/memory.md` tells why it is so.
 
 pub mod caps;
 pub mod ledger;
 pub mod level;
 pub mod pace;
+pub mod partings;
 mod purpose;
+pub mod reason;
+pub mod telling;
 
 pub use caps::{CapFault, Caps, Portion};
 pub use ledger::{Charge, Client, Guest, Ledger, Refused, Reserve, State, Why};
 pub use level::{Change, Level};
+pub use partings::Partings;
 pub use purpose::{ByPurpose, Purpose};
+pub use reason::Reason;
+pub use telling::Telling;
 
 /// A point on a monotonic clock, as the time since an arbitrary origin.
 pub type Time = std::time::Duration;
