--- a/crates/courier/src/memory_tool.rs
+++ b/crates/courier/src/memory_tool.rs
@@ -40,7 +40,8 @@
     }
 }
 
-/// The page as a table: a line for the process, and one for each purpose.
+/// The page as a table: a line for the process, one for each purpose, and one for each reason for which connections
+/// were turned away.
 fn table(page: &Value) -> String {
     let mut text = format!(
         "{}: resident {} of {}, allocated {}, free in the allocator {}, accounted {}, unaccounted {}; {} clients\n",
@@ -75,6 +76,11 @@
         let cells: String = rest.iter().map(|cell| format!(" {cell:>10}")).collect();
         text += &format!("{purpose:<15}{cells}\n");
     }
+    for (reason, of) in page["turned_away"].as_object().into_iter().flatten() {
+        let (told, silent, untold) = (&of["told"], &of["silent"], &of["untold"]);
+        text +=
+            &format!("connections turned away, {reason}: {told} told, {silent} silent, {untold} untold\n");
+    }
     text
 }
 
@@ -86,7 +92,8 @@
     #[test]
     fn every_purpose_has_a_line_with_its_figures() {
         let page = json!({"level": "tight", "resident": 31_000_000, "total": 32_000_000, "allocated": 20_000_000,
-            "free": 1_500, "accounted": 20_500_000, "unaccounted": -500_000, "clients": 3, "purposes": [
+            "free": 1_500, "accounted": 20_500_000, "unaccounted": -500_000, "clients": 3,
+            "turned_away": {"share-clients": {"told": 12, "silent": 3, "untold": 0}}, "purposes": [
             {"purpose": "bodies_held", "in_use": 6_000_000, "reserved": 0, "cap": 7_200_000, "most": 7_100_000,
              "empties": 1200, "level": "tight", "refused_cap": 2, "refused_share": 3, "refused_total": 0},
             {"purpose": "notices", "in_use": 0, "reserved": 0, "cap": null, "most": 0, "empties": 0,
@@ -98,6 +105,7 @@
         let cells: Vec<&str> = lines[2].split_whitespace().collect();
         assert_eq!(cells[..3], ["bodies_held", "6.0", "MB"]);
         assert!(lines[2].ends_with("5          3") && lines[3].contains(" - "), "{text}");
-        assert_eq!(lines.len(), 4);
+        assert_eq!(lines[4], "connections turned away, share-clients: 12 told, 3 silent, 0 untold");
+        assert_eq!(lines.len(), 5);
     }
 }
--- a/crates/rig/src/bin/stairshed-soak.rs
+++ b/crates/rig/src/bin/stairshed-soak.rs
@@ -1,11 +1,14 @@
 //! Replays dispatch mornings on one courier and looks whether any figure of its memory creeps:
 //!
-//!     stairshed-soak [--minutes N] [--mornings N] [--rate N] [--seed N] [--total SIZE] [--out FOLDER] [PROGRAM]
+//!     stairshed-soak [--minutes N] [--mornings N] [--rate N] [--seed N] [--total SIZE] [--plant LEAK] [--out FOLDER]
+//!         [PROGRAM]
 //!
 //! A morning is quiet, rises to `rate` messages a second, has a wave on each quarter hour, a partner that is slow, one
 //! that is away for a while, clients that reconnect, and MQTT vans that sleep. `mornings` of them are pressed into
 //! `minutes`. Writes `soak.csv` and `soak.svg`; exit status 1
-//! if a figure creeps.
+//! if a figure creeps. `--plant` makes the courier hold ever more, without a change of it, so that the verdict is seen
+//! to find it: `bodies` (1 KB for each message stays, on its way to a partner that takes none), `connections` (one
+//! client's connection in a thousand requests stays open), `map` (ids of messages that have ended stay for a day).
 
 use plotters::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -32,12 +35,26 @@
 /// A figure that rises by less in an hour is of no concern: a page or two, the grain of the allocator.
 const GRAIN: f64 = 64.0 * 1024.0;
 
+/// What stays.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Plant {
+    Nothing,
+    Bodies,
+    Connections,
+    Map,
+}
+
+/// Of so many messages one has a kilobyte for each of them, and stays; of so many requests one leaves its connection.
+const BODY_EVERY: u64 = 32;
+const CONNECTION_EVERY: u32 = 1000;
+
 struct Soak {
     minutes: f64,
     mornings: f64,
     rate: f64,
     seed: u64,
     total: String,
+    plant: Plant,
     out: PathBuf,
     program: PathBuf,
 }
@@ -49,6 +66,7 @@
         rate: 400.0,
         seed: 20_261_201,
         total: "64MB".to_owned(),
+        plant: Plant::Nothing,
         out: ".".into(),
         program: PathBuf::new(),
     };
@@ -60,6 +78,14 @@
             "--rate" => soak.rate = words.next()?.parse().ok()?,
             "--seed" => soak.seed = words.next()?.parse().ok()?,
             "--total" => soak.total = words.next()?,
+            "--plant" => {
+                soak.plant = match words.next()?.as_str() {
+                    "bodies" => Plant::Bodies,
+                    "connections" => Plant::Connections,
+                    "map" => Plant::Map,
+                    _ => return None,
+                }
+            }
             "--out" => soak.out = words.next()?.into(),
             _ if word.starts_with('-') => return None,
             _ => soak.program = word.into(),
@@ -119,9 +145,13 @@
     let mut text = format!(
         "name = \"soak\"\n[listen]\nhttp = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\nmqtt = \"127.0.0.1:0\"\n\
          [limits]\nheld = 5000\n[memory]\ntotal = \"{}\"\nclient_share = 1.0\n\
-         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\nremember = \"5s\"\n\
-         [classes.notice]\neffect = \"repeatable\"\ndeadline = \"10s\"\n",
-        soak.total
+         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\nremember = \"{}\"\n\
+         [classes.notice]\neffect = \"repeatable\"\ndeadline = \"10s\"\n\
+         [classes.stays]\neffect = \"repeatable\"\naim = \"23h\"\ndeadline = \"24h\"\n\
+         [pools.none]\nendpoints = []\n\
+         [routes.stays]\nprefix = \"/stays\"\npool = \"none\"\nclass = \"stays\"\n",
+        soak.total,
+        if soak.plant == Plant::Map { "24h" } else { "5s" }
     );
     for (n, partner) in partners.iter().enumerate() {
         text += &format!(
@@ -145,8 +175,9 @@
 }
 
 /// A client that keeps its connection, and opens another now and then.
-fn client(n: u64, to: SocketAddr, soak: (f64, u64), clock: &Clock, tally: &Tally, stop: &AtomicBool) {
-    let (rate, seed) = soak;
+fn client(n: u64, to: SocketAddr, soak: (f64, u64, Plant), clock: &Clock, tally: &Tally, stop: &AtomicBool) {
+    let (rate, seed, plant) = soak;
+    let mut kept = Vec::new();
     let mut rng = SmallRng::seed_from_u64(seed ^ (n << 32));
     let mut link: Option<(TcpStream, BufReader<TcpStream>)> = None;
     let mut number = 0u64;
@@ -156,6 +187,9 @@
         if rng.random_range(0..300) == 0 {
             link = None;
         }
+        if plant == Plant::Connections && rng.random_range(0..CONNECTION_EVERY) == 0 {
+            kept.extend(link.take());
+        }
         let (to, from) = match &mut link {
             Some(link) => link,
             None => {
@@ -168,8 +202,11 @@
         number += 1;
         let place = rng.random_range(0..PARTNERS);
         let path = if rng.random_bool(0.3) { "pay" } else { "notice" };
+        let stays = plant == Plant::Bodies && number.is_multiple_of(BODY_EVERY);
+        let path = if stays { "stays" } else { path };
         // Mostly small, now and then one near the longest.
         let size = if rng.random_range(0..50) == 0 { 40_000 } else { rng.random_range(100..1500) };
+        let size = if stays { 1024 * BODY_EVERY as usize } else { size };
         let request = format!(
             "POST /{path}/{place} HTTP/1.1\r\nHost: x\r\nX-Request-ID: c{n}-{number}\r\nContent-Length: {size}\r\n\r\n{}",
             "x".repeat(size)
@@ -272,7 +309,7 @@
 fn main() {
     let Some(soak) = read() else {
         eprintln!(
-            "usage: stairshed-soak [--minutes N] [--mornings N] [--rate N] [--seed N] [--total SIZE] [--out FOLDER] [PROGRAM]"
+            "usage: stairshed-soak [--minutes N] [--mornings N] [--rate N] [--seed N] [--total SIZE] [--plant bodies|connections|map] [--out FOLDER] [PROGRAM]"
         );
         std::process::exit(2);
     };
@@ -290,7 +327,7 @@
     let mut threads = Vec::new();
     for n in 0..CLIENTS {
         let (to, of, clock, tally, stop) =
-            (courier.address, (soak.rate, soak.seed), clock.clone(), tally.clone(), stop.clone());
+            (courier.address, (soak.rate, soak.seed, soak.plant), clock.clone(), tally.clone(), stop.clone());
         threads.push(thread::spawn(move || client(n, to, of, &clock, &tally, &stop)));
     }
     for n in 0..VANS {
