--- /dev/null
+++ b/crates/courier/benches/flood.rs
@@ -0,0 +1,121 @@
+//! A client's wait for its answer beside a flood of connections that are turned away, and in the same run without it;
+//! what the flood takes of the courier's descriptors and memory, and whether that is back after.
+//! `cargo bench -p stairshed-courier --bench flood`; `STAIRSHED_FLOOD=10000` and as many descriptors make it large.
+
+use stairshed_rig::figures::resident;
+use stairshed_rig::*;
+use std::fs;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// From another address than the flood's.
+fn other(to: SocketAddr) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 2], 0)).into()).expect("an address of the loopback");
+    socket.connect(&to.into()).expect("a connection");
+    let stream = TcpStream::from(socket);
+    stream.set_nodelay(true).expect("no delay");
+    stream
+}
+
+/// Requests one after the other, each fourth on a new connection; how long each answer took, sorted, and how many
+/// were not taken on.
+fn ask(to: SocketAddr, name: &str, until: impl Fn() -> bool) -> (Vec<Duration>, usize) {
+    let (mut times, mut refused, mut stream) = (Vec::new(), 0, other(to));
+    for n in 0.. {
+        if until() {
+            break;
+        }
+        let at = Instant::now();
+        if n % 4 == 0 {
+            stream = other(to);
+        }
+        let text = format!(
+            "POST /status HTTP/1.1\r\nHost: x\r\nX-Request-ID: {name}{n}\r\nContent-Length: 1\r\n\r\nx"
+        );
+        let sent = stream.write_all(text.as_bytes());
+        let page = sent.ok().and_then(|()| Page::read(&mut BufReader::new(&stream)));
+        refused += usize::from(page.is_none_or(|page| page.status() != 202));
+        times.push(at.elapsed());
+    }
+    times.sort();
+    (times, refused)
+}
+
+fn show(what: &str, (times, refused): &(Vec<Duration>, usize)) {
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize].as_secs_f64() * 1e3;
+    println!(
+        "{what:<16} {:>6} answers, {refused} not taken on: p50 {:.2} ms, p99 {:.2} ms, longest {:.2} ms",
+        times.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+}
+
+fn descriptors(courier: &Courier) -> u64 {
+    fs::read_dir(format!("/proc/{}/fd", courier.id())).map_or(0, |all| all.count() as u64)
+}
+
+fn main() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let folder = Folder::new();
+    let text = format!(
+        "[listen]\nhttp = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n[memory]\ntotal = \"24MB\"\n\
+         [classes.status]\neffect = \"repeatable\"\ndeadline = \"20s\"\n\
+         [pools.p]\nendpoints = [{{ address = \"{}\" }}]\n\
+         [routes.status]\nprefix = \"/status\"\npool = \"p\"\nclass = \"status\"\n",
+        endpoint.address
+    );
+    let courier = Courier::serve(&folder, &text);
+    let to = courier.address;
+    let end = Instant::now() + Duration::from_secs(5);
+    let without = ask(to, "a", || Instant::now() > end);
+    let (before, start) = (descriptors(&courier), resident(courier.id()));
+    let (count, over) = (figure("STAIRSHED_FLOOD", 2000), Arc::new(AtomicBool::new(false)));
+    let most = Arc::new((AtomicU64::new(0), AtomicU64::new(0)));
+    let flooding = {
+        let over = over.clone();
+        thread::spawn(move || {
+            let begun = Instant::now();
+            // Half of them ask and never read, half say nothing.
+            let ask = b"POST /status HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx";
+            let all: Vec<_> = (0..count)
+                .filter_map(|n| {
+                    let mut stream = TcpStream::connect(to).ok()?;
+                    let _ = if n % 2 == 0 { stream.write_all(ask) } else { Ok(()) };
+                    Some(stream)
+                })
+                .collect();
+            let took = begun.elapsed();
+            thread::sleep(Duration::from_secs(5).saturating_sub(took));
+            over.store(true, Ordering::SeqCst);
+            println!("{} connections in {:.2} s, held for 5 s, never read", all.len(), took.as_secs_f64());
+        })
+    };
+    let watching = {
+        let (id, over, most) = (courier.id(), over.clone(), most.clone());
+        thread::spawn(move || {
+            while !over.load(Ordering::SeqCst) {
+                let files = fs::read_dir(format!("/proc/{id}/fd")).map_or(0, |all| all.count() as u64);
+                most.0.fetch_max(files, Ordering::SeqCst);
+                most.1.fetch_max((resident(id) * 1e3) as u64, Ordering::SeqCst);
+                thread::sleep(Duration::from_millis(20));
+            }
+        })
+    };
+    let with = ask(to, "b", || over.load(Ordering::SeqCst));
+    flooding.join().expect("the flood");
+    watching.join().expect("the watch");
+    thread::sleep(Duration::from_secs(15));
+    show("without a flood", &without);
+    show("beside it", &with);
+    let (files, memory) = (most.0.load(Ordering::SeqCst), most.1.load(Ordering::SeqCst) as f64 / 1e3);
+    println!("descriptors {before}, at most {files}, after {}", descriptors(&courier));
+    println!("resident {start:.1} MB, at most {memory:.1}, after {:.1}", resident(courier.id()));
+    println!("turned away: {}", courier.page("/-/memory")["turned_away"]);
+}
--- a/crates/courier/src/front/intake.rs
+++ b/crates/courier/src/front/intake.rs
@@ -341,11 +341,11 @@
                 Ok::<_, Infallible>(answer)
             }
         });
-        let conn = http1::Builder::new()
+        let mut conn = http1::Builder::new()
             .max_buf_size(HEAD_MOST)
             .keep_alive(!self.standing.stopping.get())
             .serve_connection(TokioIo::new(Ear { stream, line: line.clone() }), service);
-        let (mut conn, mut late) = (conn, pin!(sleep(SILENT_TIME)));
+        let mut late = pin!(sleep(SILENT_TIME));
         let shed = loop {
             tokio::select! {
                 biased;
