--- a/crates/courier/tests/farewell.rs
+++ b/crates/courier/tests/farewell.rs
@@ -284,3 +284,33 @@
     let long = format!("X-Client: {}\r\n", "x".repeat(64 * 1024));
     assert_eq!(send(proxy, &long).0, 431, "a head that is too long");
 }
+
+#[test]
+fn a_share_that_is_lowered_closes_no_connection_that_stands_and_turns_new_ones_away() {
+    let endpoint = Endpoint::new(|_| Act::Answer(OK));
+    let folder = Folder::new();
+    let text = |share: &str| {
+        let text = file(&endpoint, &format!("clients = \"2MB\"\nclient_share = {share}"));
+        // A port that is drawn again would be another address.
+        text.replacen("127.0.0.1:0", "127.0.0.1:PORT", 1)
+    };
+    let free =
+        std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port();
+    let text = |share: &str| text(share).replace("PORT", &free.to_string());
+    let courier = Courier::serve(&folder, &text("1.0"));
+    let ready = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    let ask = |stream: &mut TcpStream| {
+        stream.write_all(ready).expect("sent");
+        answer(stream).map(|page| page.status())
+    };
+    let mut all: Vec<TcpStream> = (0..70).map(|_| connect(courier.address)).collect();
+    assert!(all.iter_mut().all(|stream| ask(stream) == Some(200)));
+    courier.reread(&folder, &text("0.2"));
+    until("the new share holds", || {
+        let mut stream = connect(courier.address);
+        ask(&mut stream) == Some(503)
+    });
+    assert!(all.iter_mut().all(|stream| ask(stream) == Some(200)), "what stands is served");
+    let mut other = from([127, 0, 0, 9], courier.address);
+    assert_eq!(ask(&mut other), Some(200), "another client gets in");
+}
