--- a/crates/courier/benches/flood.rs
+++ b/crates/courier/benches/flood.rs
@@ -2,9 +2,8 @@
 //! what the flood takes of the courier's descriptors and memory, and whether that is back after.
 //! `cargo bench -p stairshed-courier --bench flood`; `STAIRSHED_FLOOD=10000` and as many descriptors make it large.
 
-use stairshed_rig::figures::resident;
+use stairshed_rig::figures::{descriptors, resident};
 use stairshed_rig::*;
-use std::fs;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -14,10 +13,7 @@
 
 /// From another address than the flood's.
 fn other(to: SocketAddr) -> TcpStream {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&SocketAddr::from(([127, 0, 0, 2], 0)).into()).expect("an address of the loopback");
-    socket.connect(&to.into()).expect("a connection");
-    let stream = TcpStream::from(socket);
+    let stream = connect_from([127, 0, 0, 2], to);
     stream.set_nodelay(true).expect("no delay");
     stream
 }
@@ -34,9 +30,7 @@
         if n % 4 == 0 {
             stream = other(to);
         }
-        let text = format!(
-            "POST /status HTTP/1.1\r\nHost: x\r\nX-Request-ID: {name}{n}\r\nContent-Length: 1\r\n\r\nx"
-        );
+        let text = request("/status", &format!("{name}{n}"), "", "x");
         let sent = stream.write_all(text.as_bytes());
         let page = sent.ok().and_then(|()| Page::read(&mut BufReader::new(&stream)));
         refused += usize::from(page.is_none_or(|page| page.status() != 202));
@@ -57,10 +51,6 @@
     );
 }
 
-fn descriptors(courier: &Courier) -> u64 {
-    fs::read_dir(format!("/proc/{}/fd", courier.id())).map_or(0, |all| all.count() as u64)
-}
-
 fn main() {
     let endpoint = Endpoint::new(|_| Act::Answer(OK));
     let folder = Folder::new();
@@ -75,7 +65,7 @@
     let to = courier.address;
     let end = Instant::now() + Duration::from_secs(5);
     let without = ask(to, "a", || Instant::now() > end);
-    let (before, start) = (descriptors(&courier), resident(courier.id()));
+    let (before, start) = (descriptors(courier.id()).unwrap_or_default(), resident(courier.id()));
     let (count, over) = (figure("STAIRSHED_FLOOD", 2000), Arc::new(AtomicBool::new(false)));
     let most = Arc::new((AtomicU64::new(0), AtomicU64::new(0)));
     let flooding = {
@@ -101,8 +91,7 @@
         let (id, over, most) = (courier.id(), over.clone(), most.clone());
         thread::spawn(move || {
             while !over.load(Ordering::SeqCst) {
-                let files = fs::read_dir(format!("/proc/{id}/fd")).map_or(0, |all| all.count() as u64);
-                most.0.fetch_max(files, Ordering::SeqCst);
+                most.0.fetch_max(descriptors(id).unwrap_or_default() as u64, Ordering::SeqCst);
                 most.1.fetch_max((resident(id) * 1e3) as u64, Ordering::SeqCst);
                 thread::sleep(Duration::from_millis(20));
             }
@@ -115,7 +104,10 @@
     show("without a flood", &without);
     show("beside it", &with);
     let (files, memory) = (most.0.load(Ordering::SeqCst), most.1.load(Ordering::SeqCst) as f64 / 1e3);
-    println!("descriptors {before}, at most {files}, after {}", descriptors(&courier));
+    println!(
+        "descriptors {before}, at most {files}, after {}",
+        descriptors(courier.id()).unwrap_or_default()
+    );
     println!("resident {start:.1} MB, at most {memory:.1}, after {:.1}", resident(courier.id()));
     println!("turned away: {}", courier.page("/-/memory")["turned_away"]);
 }
--- a/crates/courier/src/front/farewell.rs
+++ b/crates/courier/src/front/farewell.rs
@@ -8,7 +8,8 @@
 use stairshed_memory::partings::{DRAINED, How, LINGER, LISTEN, MOST};
 use stairshed_memory::{Purpose, Reason, Reserve};
 use stairshed_mqtt::frame::encode;
-use stairshed_mqtt::packet::{Connack, Packet, Version, code};
+use stairshed_mqtt::packet::{Packet, Version, code};
+use stairshed_mqtt::server::{refusal, wait_property};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
@@ -238,16 +239,14 @@
     if !name.starts_with(b"\0\x04MQTT") {
         return Some(Vec::new());
     }
-    let (version, code) = match level {
-        5 => (Version::V5, code::QUOTA_EXCEEDED),
-        4 => (Version::V311, 3),
+    let version = match level {
+        5 => Version::V5,
+        4 => Version::V311,
         _ => return Some(Vec::new()),
     };
-    let properties = vec![
-        ("retry-after".to_owned(), format!("{:.3}", why.wait.as_secs_f64())),
-        ("x-reason".to_owned(), why.reason.to_string()),
-    ];
-    let connack = Connack { reason: Some(why.words.clone()), properties, ..Connack::new(code) };
-    let written = encode(version, Packet::Connack(Box::new(connack)), None);
-    Some(written.map(|bytes| bytes.to_vec()).unwrap_or_default())
+    let mut properties = wait_property(Some(why.wait));
+    properties.push(("x-reason".to_owned(), why.reason.to_string()));
+    let connack = refusal(version, code::QUOTA_EXCEEDED, &why.words, properties);
+    let written = connack.map(|connack| encode(version, Packet::Connack(Box::new(connack)), None));
+    Some(written.and_then(Result::ok).map(|bytes| bytes.to_vec()).unwrap_or_default())
 }
--- a/crates/courier/tests/farewell.rs
+++ b/crates/courier/tests/farewell.rs
@@ -3,9 +3,9 @@
 
 use serde_json::Value;
 use stairshed_mqtt::packet::{Connect, Version, code};
+use stairshed_rig::figures::descriptors;
 use stairshed_rig::publisher::Publisher;
 use stairshed_rig::*;
-use std::fs;
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::thread;
@@ -22,9 +22,8 @@
     )
 }
 
-fn request(id: &str, body: &str) -> String {
-    let length = body.len();
-    format!("POST /pay HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nContent-Length: {length}\r\n\r\n{body}")
+fn pay(id: &str, body: &str) -> String {
+    request("/pay", id, "", body)
 }
 
 fn connect(to: SocketAddr) -> TcpStream {
@@ -77,7 +76,7 @@
         let body = "x".repeat(if round % 2 == 0 { 1024 } else { 32 * 1024 });
         let mut all: Vec<TcpStream> = (0..64).map(|_| connect(courier.address)).collect();
         for (n, stream) in all.iter_mut().enumerate() {
-            stream.write_all(request(&format!("r{round}-{n}"), &body).as_bytes()).expect("sent whole");
+            stream.write_all(pay(&format!("r{round}-{n}"), &body).as_bytes()).expect("sent whole");
         }
         for (n, stream) in all.iter().enumerate() {
             let page = answer(stream).unwrap_or_else(|| panic!("round {round}: no answer on connection {n}"));
@@ -99,7 +98,7 @@
     let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
     let crowd = crowd(&courier);
     let mut stream = connect(courier.address);
-    stream.write_all(request("p-1", "42 EUR").as_bytes()).expect("sent");
+    stream.write_all(pay("p-1", "42 EUR").as_bytes()).expect("sent");
     let wait = is_told(&answer(&stream).expect("an answer"), "share-clients");
     assert_eq!(stream.read(&mut [0; 8]).ok(), Some(0), "then its end, no reset");
     drop(crowd);
@@ -120,11 +119,11 @@
     let crowd = crowd(&courier);
     // All of a long body before it reads.
     let mut long = connect(courier.address);
-    long.write_all(request("long", &"x".repeat(600_000)).as_bytes()).expect("sent whole");
+    long.write_all(pay("long", &"x".repeat(600_000)).as_bytes()).expect("sent whole");
     is_told(&answer(&long).expect("an answer"), "share-clients");
     // It ends its sending first.
     let mut half = connect(courier.address);
-    half.write_all(request("half", "x").as_bytes()).expect("sent");
+    half.write_all(pay("half", "x").as_bytes()).expect("sent");
     half.shutdown(Shutdown::Write).expect("half closed");
     is_told(&answer(&half).expect("an answer"), "share-clients");
     // Byte by byte, and another protocol.
@@ -197,8 +196,8 @@
     assert_eq!(post(courier.address, "/pay", "p", "", "x").expect("an answer").status(), 202);
 }
 
-fn descriptors(courier: &Courier) -> usize {
-    fs::read_dir(format!("/proc/{}/fd", courier.id())).expect("its descriptors").count()
+fn open_files(courier: &Courier) -> usize {
+    descriptors(courier.id()).expect("its descriptors")
 }
 
 #[test]
@@ -207,23 +206,23 @@
     let folder = Folder::new();
     let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
     let crowd = crowd(&courier);
-    let before = descriptors(&courier);
+    let before = open_files(&courier);
     let flood: Vec<TcpStream> = (0..600)
         .map(|n| {
             let mut stream = connect(courier.address);
-            let _ = stream.write_all(request(&format!("f{n}"), "x").as_bytes());
+            let _ = stream.write_all(pay(&format!("f{n}"), "x").as_bytes());
             stream
         })
         .collect();
-    let most = descriptors(&courier);
+    let most = open_files(&courier);
     // The bound on those that are told, the listener's and the pages' own.
     assert!(most <= before + stairshed_memory::partings::MOST + 10, "{before} descriptors, then {most}");
-    let mut other = from([127, 0, 0, 9], courier.address);
-    other.write_all(request("other", "x").as_bytes()).expect("sent");
+    let mut other = connect_from([127, 0, 0, 9], courier.address);
+    other.write_all(pay("other", "x").as_bytes()).expect("sent");
     assert_eq!(answer(&other).expect("an answer").status(), 202, "another client is served");
     drop(flood);
     drop(crowd);
-    until("descriptors are back", || descriptors(&courier) <= before);
+    until("descriptors are back", || open_files(&courier) <= before);
     let page = courier.page("/-/memory");
     let counts = &page["turned_away"]["share-clients"];
     let sum: u64 = ["told", "silent", "untold"].iter().filter_map(|how| counts[*how].as_u64()).sum();
@@ -231,15 +230,6 @@
     assert!(page["turned_away"].as_object().is_some_and(|all| all.values().all(Value::is_object)));
 }
 
-/// A connection from another address of the loopback.
-fn from(source: [u8; 4], to: SocketAddr) -> TcpStream {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&SocketAddr::from((source, 0)).into()).expect("an address of the loopback");
-    socket.connect(&to.into()).expect("a connection");
-    socket.set_read_timeout(Some(LIMIT)).expect("a limit");
-    socket.into()
-}
-
 #[test]
 fn the_operators_page_has_each_reason() {
     let page = include_str!("../../../docs/operating-memory.md");
@@ -260,8 +250,8 @@
     let mut n = 0;
     let mut send = |source: [u8; 4], heads: &str| {
         n += 1;
-        let mut stream = from(source, courier.address);
-        let text = request(&format!("m{n}"), &body).replacen("\r\n", &format!("\r\n{heads}"), 1);
+        let mut stream = connect_from(source, courier.address);
+        let text = request("/pay", &format!("m{n}"), heads, &body);
         stream.write_all(text.as_bytes()).expect("sent");
         let page = answer(&stream).expect("an answer");
         (page.status(), page.head("X-Reason").unwrap_or_default().to_owned())
@@ -311,6 +301,6 @@
         ask(&mut stream) == Some(503)
     });
     assert!(all.iter_mut().all(|stream| ask(stream) == Some(200)), "what stands is served");
-    let mut other = from([127, 0, 0, 9], courier.address);
+    let mut other = connect_from([127, 0, 0, 9], courier.address);
     assert_eq!(ask(&mut other), Some(200), "another client gets in");
 }
--- a/crates/courier/tests/idle.rs
+++ b/crates/courier/tests/idle.rs
@@ -19,9 +19,7 @@
 }
 
 fn clients(page: &Value) -> u64 {
-    let all = page["purposes"].as_array().expect("purposes");
-    let of = all.iter().find(|p| p["purpose"] == "clients").expect("clients");
-    of["in_use"].as_u64().expect("a figure")
+    purpose(page, "clients")["in_use"].as_u64().expect("a figure")
 }
 
 fn ask(stream: &mut TcpStream, request: &str) -> Option<Page> {
@@ -57,8 +55,7 @@
     // Half of them wake in the same moment: all requests are sent before the first answer is read.
     let half: Vec<&mut TcpStream> = all.iter_mut().step_by(2).collect();
     for (n, stream) in half.into_iter().enumerate() {
-        let text =
-            format!("POST /status HTTP/1.1\r\nHost: x\r\nX-Request-ID: m{n}\r\nContent-Length: 1\r\n\r\nx");
+        let text = request("/status", &format!("m{n}"), "", "x");
         stream.write_all(text.as_bytes()).expect("sent");
     }
     // Taken on, or told when to come back: thousands at once may be more than is worth holding.
@@ -87,8 +84,7 @@
     // Those that made room hear so if they ask again, or find the connection closed; nobody's request hangs.
     let (mut served, mut told, mut closed) = (0, 0, 0);
     for (n, stream) in all.iter_mut().enumerate() {
-        let text =
-            format!("POST /status HTTP/1.1\r\nHost: x\r\nX-Request-ID: m{n}\r\nContent-Length: 1\r\n\r\nx");
+        let text = request("/status", &format!("m{n}"), "", "x");
         match ask(stream, &text).map(|page| (page.status(), page.head("X-Reason").is_some())) {
             Some((202, _)) => served += 1,
             Some((503, true)) => told += 1,
--- a/crates/courier/tests/memory.rs
+++ b/crates/courier/tests/memory.rs
@@ -64,11 +64,6 @@
     )
 }
 
-fn purpose(page: &Value, name: &str) -> Value {
-    let all = page["purposes"].as_array().expect("purposes");
-    all.iter().find(|p| p["purpose"] == name).expect("the purpose").clone()
-}
-
 /// Looks at a courier's memory all the time, and notes where a purpose is above its cap.
 struct Watch {
     stop: Arc<AtomicBool>,
@@ -253,14 +248,6 @@
     watch.end();
 }
 
-/// A connection from another address of the loopback.
-fn from(source: [u8; 4], to: SocketAddr) -> TcpStream {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&SocketAddr::from((source, 0)).into()).expect("an address of the loopback");
-    socket.connect(&to.into()).expect("a connection");
-    socket.into()
-}
-
 #[test]
 fn one_client_cannot_take_all_of_a_purpose_and_others_get_in() {
     let (partner, folder) = (Gated::new(), Folder::new());
@@ -273,7 +260,7 @@
     assert_eq!((refused.status(), refused.head("X-Reason")), (503, Some("share-bodies_held")), "{text}");
     assert!(text.contains("this client has its share"), "{text}");
     assert_eq!(taken.len(), 13, "up to where it gets tight");
-    let mut other = from([127, 0, 0, 2], courier.address);
+    let mut other = connect_from([127, 0, 0, 2], courier.address);
     let length = body.len();
     let request = format!(
         "POST /status HTTP/1.1\r\nHost: x\r\nX-Request-ID: other\r\nContent-Length: {length}\r\n\r\n{body}"
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -111,8 +111,13 @@
     }
 
     pub fn seeded(settings: Settings, entries: Vec<Entry>, seed: u64) -> Self {
+        Drive::begun(settings, entries, seed, MS * 1000)
+    }
+
+    /// One that starts at this time.
+    pub fn begun(settings: Settings, entries: Vec<Entry>, seed: u64, now: Duration) -> Self {
         let brain = Brain::new(settings, seed).expect("workable settings");
-        let mut drive = Drive { brain, now: MS * 1000, log: Vec::new(), wakes: Vec::new() };
+        let mut drive = Drive { brain, now, log: Vec::new(), wakes: Vec::new() };
         drive.feed(&[Event::Listed { whole: true, entries }]);
         drive
     }
--- a/crates/decide/tests/common/world.rs
+++ b/crates/decide/tests/common/world.rs
@@ -123,11 +123,9 @@
                 }
             }
             self.idle[n].iter_mut().for_each(Vec::clear);
-            let mut drive = Drive::seeded(self.set.clone(), listed.clone(), seed * 1000 + n as u64);
-            drive.log = std::mem::take(&mut self.fleet[n].log);
-            drive.brain = Brain::new(self.set.clone(), seed * 1000 + n as u64).expect("workable settings");
-            drive.now = now;
-            drive.feed(&[Event::Listed { whole: true, entries: listed.clone() }]);
+            let mut drive = Drive::begun(self.set.clone(), listed.clone(), seed * 1000 + n as u64, now);
+            let before = std::mem::take(&mut self.fleet[n].log);
+            drive.log.splice(..0, before);
             self.fleet[n] = drive;
             for (id, (at, class)) in self.taken_at[n].clone() {
                 let destination = self.servers[0].entry.destination.0;
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -120,9 +120,9 @@
 }
 
 /// Two routes apart of one destination, each with its own limit.
-fn routes() -> Vec<Server> {
+fn routes(limits: [f64; 2]) -> Vec<Server> {
     let server = |n, limit| Server { entry: entry(n, 1, 0, 1), limit, depth: 0.5, holds: 1000, away: false };
-    vec![server(0, 60.0), server(1, 30.0)]
+    vec![server(0, limits[0]), server(1, limits[1])]
 }
 
 #[test]
@@ -130,7 +130,7 @@
     // A full bucket for each courier, and a quick return of each that was refused, took all of the limit for
     // calls that were refused: nothing was delivered for seconds.
     for couriers in [3, 30, 100] {
-        let mut world = World::new(settings(), couriers, routes(), 2);
+        let mut world = World::new(settings(), couriers, routes([60.0, 30.0]), 2);
         world.load = vec![(1, 75.0)];
         world.offer(1, 1, 200);
         let first = world.pass(MS * 5000);
@@ -149,11 +149,7 @@
 fn paces_of_a_fleet_do_not_grow_past_a_limit_together() {
     // Each grew by two fifths of an even share with an accepted call while reports, which are late, told of room:
     // then a second of calls was refused, all cut, and it began again. 22 of 100 calls were refused.
-    let servers = || {
-        let server =
-            |n, limit| Server { entry: entry(n, 1, 0, 1), limit, depth: 0.5, holds: 1000, away: false };
-        vec![server(0, 125.0), server(1, 50.0)]
-    };
+    let servers = || routes([125.0, 50.0]);
     for seed in 1..=3 {
         let mut world = World::new(settings(), 100, servers(), seed);
         world.load = vec![(1, 300.0)];
@@ -172,7 +168,7 @@
 #[test]
 fn a_limit_that_is_lowered_to_a_tenth_and_raised_again_is_used_again() {
     for couriers in [3, 30, 100] {
-        let mut world = World::new(settings(), couriers, routes(), 4);
+        let mut world = World::new(settings(), couriers, routes([60.0, 30.0]), 4);
         world.load = vec![(1, 60.0)];
         let before = world.pass(MS * 8000);
         let limits: Vec<f64> = world.servers.iter().map(|s| s.limit).collect();
@@ -195,7 +191,7 @@
 #[test]
 fn half_of_the_endpoints_away_and_back_while_the_others_are_full_costs_no_message_its_end() {
     for couriers in [3, 30, 100] {
-        let mut world = World::new(settings(), couriers, routes(), 6);
+        let mut world = World::new(settings(), couriers, routes([60.0, 30.0]), 6);
         world.load = vec![(1, 70.0)];
         world.pass(MS * 5000);
         world.servers[0].away = true;
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -15,7 +15,8 @@
 //! message is accepted, so that nothing done on its behalf later can be refused. Both count against the cap.
 //! Whoever holds a guard needs not give anything back by hand, so nothing is counted twice or left behind.
 //!
-//! Read in this order: [`caps`], [`ledger`], [`level`], [`pace`], [`reason`], [`partings`]. `docs/memory.md` tells why it is so.
+//! Read in this order: [`caps`], [`ledger`], [`level`], [`pace`], [`reason`], [`partings`], [`telling`].
+//! `docs/memory.md` tells why it is so.
 
 pub mod caps;
 pub mod ledger;
--- a/crates/mqtt/src/server.rs
+++ b/crates/mqtt/src/server.rs
@@ -250,7 +250,23 @@
     }
 }
 
-fn wait_property(wait: Option<Duration>) -> Properties {
+/// What a client whose CONNECT is refused is told in its version; None where 3.1.1 has no code and is just closed.
+pub fn refusal(version: Version, code: u8, why: &str, properties: Properties) -> Option<Connack> {
+    if version == Version::V5 {
+        return Some(Connack { reason: Some(why.to_owned()), properties, ..Connack::new(code) });
+    }
+    let of = match code {
+        code::CLIENT_ID_NOT_VALID => 2,
+        code::BAD_USER_OR_PASSWORD => 4,
+        code::MALFORMED_PACKET | code::PROTOCOL_ERROR => return None,
+        code::SERVER_UNAVAILABLE | code::SERVER_BUSY | code::QUOTA_EXCEEDED => 3,
+        _ => 5,
+    };
+    Some(Connack::new(of))
+}
+
+/// When to come back, as a user property: seconds.
+pub fn wait_property(wait: Option<Duration>) -> Properties {
     let of = |wait: Duration| ("retry-after".to_owned(), format!("{:.3}", wait.as_secs_f64()));
     wait.map(of).into_iter().collect()
 }
--- a/crates/mqtt/src/server/connecting.rs
+++ b/crates/mqtt/src/server/connecting.rs
@@ -1,8 +1,8 @@
 //! Connections from their first byte to their last: CONNECT and its answer, keep alive, wills, takeover.
 
 use super::{
-    After, CLIENT_MOST, Connection, Due, Effect, Outcome, Owner, Server, Stage, Timer, owner, silence,
-    wait_property, will_message,
+    After, CLIENT_MOST, Connection, Due, Effect, Outcome, Owner, Server, Stage, Timer, owner, refusal,
+    silence, wait_property, will_message,
 };
 use crate::Time;
 use crate::fault::Fault;
@@ -53,9 +53,9 @@
     pub(super) fn end(&mut self, connection: u64, code: u8, why: &str, properties: Properties, now: Time) {
         let Some(c) = self.connections.get(&connection) else { return };
         let known = c.reader.version();
-        let reason = Some(why.to_owned());
         match (&c.stage, c.version) {
             (Stage::Open, Version::V5) => {
+                let reason = Some(why.to_owned());
                 let packet = Disconnect { reason, properties, ..Disconnect::new(code) };
                 self.write(connection, Packet::Disconnect(packet));
             }
@@ -69,20 +69,9 @@
                 }
                 self.write(connection, Packet::Connack(Box::new(Connack::new(1))));
             }
-            (_, Version::V5) => {
-                let packet = Connack { reason, properties, ..Connack::new(code) };
-                self.write(connection, Packet::Connack(Box::new(packet)));
-            }
-            (_, Version::V311) => {
-                let of = match code {
-                    code::CLIENT_ID_NOT_VALID => Some(2),
-                    code::BAD_USER_OR_PASSWORD => Some(4),
-                    code::MALFORMED_PACKET | code::PROTOCOL_ERROR => None,
-                    code::SERVER_UNAVAILABLE | code::SERVER_BUSY | code::QUOTA_EXCEEDED => Some(3),
-                    _ => Some(5),
-                };
-                if let Some(code) = of {
-                    self.write(connection, Packet::Connack(Box::new(Connack::new(code))));
+            (_, version) => {
+                if let Some(connack) = refusal(version, code, why, properties) {
+                    self.write(connection, Packet::Connack(Box::new(connack)));
                 }
             }
         }
--- a/crates/rig/src/bin/stairshed-soak.rs
+++ b/crates/rig/src/bin/stairshed-soak.rs
@@ -14,6 +14,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde_json::Value;
 use stairshed_mqtt::packet::Version;
+use stairshed_rig::figures::descriptors;
 use stairshed_rig::publisher::{Publisher, lasting};
 use stairshed_rig::soak::Series;
 use stairshed_rig::*;
@@ -259,8 +260,7 @@
     for key in ["resident", "allocated", "unaccounted"] {
         note(key, page[key].as_f64());
     }
-    let files = fs::read_dir(format!("/proc/{}/fd", courier.id())).map(Iterator::count);
-    note("descriptors", files.ok().map(|n| n as f64));
+    note("descriptors", descriptors(courier.id()).map(|n| n as f64));
     for purpose in page["purposes"].as_array().into_iter().flatten() {
         let held = |key: &str| purpose[key].as_f64().unwrap_or_default();
         note(purpose["purpose"].as_str().unwrap_or("?"), Some(held("in_use") + held("reserved")));
--- a/crates/rig/src/figures.rs
+++ b/crates/rig/src/figures.rs
@@ -1,4 +1,4 @@
-//! What the system tells of a process: CPU and memory.
+//! What the system tells of a process: CPU, memory and descriptors.
 
 /// Clock ticks of `/proc` in a second; Linux has this everywhere.
 const TICKS: f64 = 100.0;
@@ -29,6 +29,11 @@
     status(id, "VmRSS:")
 }
 
+/// Descriptors that a process has open; None once it is gone.
+pub fn descriptors(id: u32) -> Option<usize> {
+    std::fs::read_dir(format!("/proc/{id}/fd")).ok().map(Iterator::count)
+}
+
 fn status(id: u32, name: &str) -> f64 {
     let text = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
     let line = text.lines().find_map(|l| l.strip_prefix(name));
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -588,11 +588,31 @@
 
 /// Hands a message in at a path of an operator's courier.
 pub fn post(to: SocketAddr, path: &str, id: &str, heads: &str, body: &str) -> Option<Page> {
+    raw(to, request(path, id, heads, body).as_bytes())
+}
+
+/// The text of that.
+pub fn request(path: &str, id: &str, heads: &str, body: &str) -> String {
     let length = body.len();
-    let request = format!(
+    format!(
         "POST {path} HTTP/1.1\r\nHost: x.example\r\nX-Request-ID: {id}\r\n{heads}Content-Length: {length}\r\n\r\n{body}"
-    );
-    raw(to, request.as_bytes())
+    )
+}
+
+/// A connection from another address of the loopback: another client.
+pub fn connect_from(source: [u8; 4], to: SocketAddr) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from((source, 0)).into()).expect("an address of the loopback");
+    socket.connect(&to.into()).expect("a connection");
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(LIMIT)).expect("a limit");
+    stream
+}
+
+/// What `/-/memory` says of one purpose.
+pub fn purpose(page: &Value, name: &str) -> Value {
+    let all = page["purposes"].as_array().expect("purposes");
+    all.iter().find(|p| p["purpose"] == name).expect("the purpose").clone()
 }
 
 /// Outcomes in an operator's courier's file: each message's, in order.
