A told wait binds calls that still have no connection

Found by reading for what can write to a pool after its wait was told: the module keeps waits when it decides (choose), in every breaker state; a kept connection is written in the same turn. Only a call that waits for its connection, up to a second where a zone is cut off or sockets are short, is written later, and calls.rs asked again for drains alone at that point.

Now the connections remember until when a pool has told to wait (a route, or a destination whose endpoints share a limit), from the arrival of the answer, and ask before the write: the call ends as never sent. The module says who shares a limit (Brain::pool_id).

--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HOST};
 use hyper::{HeaderMap, Request, StatusCode};
-use stairshed_decide::interface::{EndpointId, Outcome, Report};
+use stairshed_decide::interface::{EndpointId, Outcome, PoolId, Report};
 use stairshed_journal::Letter;
 use stairshed_memory::{Charge, Purpose};
 use std::cell::{Cell, RefCell};
@@ -38,6 +38,8 @@
     pub message: u64,
     pub attempt: u32,
     pub endpoint: EndpointId,
+    /// Who shares its limit: a wait that is told holds for all of it.
+    pub pool: PoolId,
     pub to: To,
     pub letter: Rc<Letter>,
     /// Nothing of it is written from then on: reckoned from when it was decided, so that neither a slow disk nor a
@@ -124,6 +126,8 @@
     keep: Rc<Cell<Duration>>,
     /// Endpoints to which nothing new goes, since when.
     parted: Rc<RefCell<HashMap<EndpointId, Instant>>>,
+    /// Until when nothing may be written to a pool, as it has told.
+    waits: Rc<RefCell<HashMap<PoolId, Instant>>>,
     sockets: Arc<Semaphore>,
     /// By endpoint, not by address: a new endpoint at the address of one that is gone must not inherit links
     /// to that one.
@@ -150,7 +154,8 @@
             }
         });
         let (connect, sockets) = (Rc::new(Cell::new(connect)), Arc::new(Semaphore::new(sockets)));
-        Calls { connect, keep, parted: Rc::default(), sockets, idle, fates: Rc::default(), room }
+        let (parted, waits, fates) = (Rc::default(), Rc::default(), Rc::default());
+        Calls { connect, keep, parted, waits, sockets, idle, fates, room }
     }
 
     /// How long connections are kept here: the module reckons with that.
@@ -267,7 +272,7 @@
 
     async fn ask(
         &self,
-        endpoint: EndpointId,
+        (endpoint, pool): (EndpointId, Option<PoolId>),
         (to, once): (SocketAddr, bool),
         request: Request<Full<Bytes>>,
         until: Instant,
@@ -285,9 +290,20 @@
         if self.parted.borrow().get(&endpoint).is_some_and(|since| since.elapsed() > DRAIN_TIME) {
             return Err(Lost::Unsent);
         }
+        // Nor may it break a wait that was told to another call meanwhile: the module knew of none when it let this
+        // one go, and a connection may be a second in coming.
+        if pool.is_some_and(|p| self.waits.borrow().get(&p).is_some_and(|until| Instant::now() < *until)) {
+            return Err(Lost::Unsent);
+        }
         let answer = link.ask(request, until).await;
         self.fates.borrow_mut().note(idle, matches!(answer, Err(Lost::Broken)));
         let answer = answer?;
+        if let Some((pool, wait)) = pool.zip(told_wait(&answer)) {
+            let mut waits = self.waits.borrow_mut();
+            waits.retain(|_, until| *until > answer.at);
+            let until = waits.entry(pool).or_insert(answer.at);
+            *until = (*until).max(answer.at + wait);
+        }
         if answer.reusable {
             self.keep(endpoint, link);
         }
@@ -303,7 +319,7 @@
         cancel: oneshot::Receiver<()>,
         news: Sender<News>,
     ) {
-        let Call { message, attempt, endpoint, letter, until, once, .. } = call;
+        let Call { message, attempt, endpoint, pool, letter, until, once, .. } = call;
         let timeout = until.saturating_duration_since(Instant::now());
         let path = letter.routed.as_ref().map_or("/inbox", |r| &r.path);
         let mut request = Request::post(path)
@@ -322,7 +338,7 @@
         let end = match request.body(Full::new(letter.body.clone())) {
             Ok(request) => tokio::select! {
                 biased;
-                answer = self.ask(endpoint, (address, once), request, until) => ended(answer),
+                answer = self.ask((endpoint, Some(pool)), (address, once), request, until) => ended(answer),
                 _ = cancel => CallEnd { outcome: Outcome::Cancelled, over: false, report: None, at: Instant::now() },
             },
             Err(_) => CallEnd { outcome: Outcome::Moot, over: false, report: None, at: Instant::now() },
@@ -341,13 +357,20 @@
         let sent = Instant::now();
         let request = Request::get("/-/load").header(HOST, address.to_string()).body(Full::default());
         let answer = match request {
-            Ok(request) => self.ask(endpoint, (address, false), request, sent + timeout).await,
+            Ok(request) => self.ask((endpoint, None), (address, false), request, sent + timeout).await,
             Err(_) => Err(Lost::Unsent),
         };
         let _ = news.send(News::Probed { endpoint, sent, end: ended(answer) }).await;
     }
 }
 
+/// The wait that an answer tells, if it can be relied on.
+fn told_wait(answer: &Answer) -> Option<Duration> {
+    let told = answer.whole && answer.status == StatusCode::TOO_MANY_REQUESTS;
+    let ms = answer.headers.get("Wait-Ms").filter(|_| told)?.to_str().ok()?.trim().parse::<f64>().ok()?;
+    (ms > 0.0 && ms < 1e9).then(|| Duration::from_secs_f64(ms / 1000.0))
+}
+
 /// What PROTOCOL says of an answer. Only what it calls 'never' counts as not run.
 fn ended(answer: Result<Answer, Lost>) -> CallEnd {
     let answer = match answer {
@@ -368,10 +391,7 @@
     let head = |name| answer.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let outcome = match answer.status {
         StatusCode::OK => Outcome::Delivered,
-        StatusCode::TOO_MANY_REQUESTS => {
-            let ms = head("Wait-Ms").and_then(|v| v.parse::<f64>().ok()).filter(|ms| *ms > 0.0 && *ms < 1e9);
-            Outcome::Full { wait: ms.map(|ms| Duration::from_secs_f64(ms / 1000.0)) }
-        }
+        StatusCode::TOO_MANY_REQUESTS => Outcome::Full { wait: told_wait(&answer) },
         StatusCode::SERVICE_UNAVAILABLE if head("Slots-Taken") == Some("1") => Outcome::Moot,
         // It is the connection that is turned away, not the call: the endpoint holds as many as it will, and
         // those that are kept serve on. Taken for a limit of the destination it would stop these too. Covers
@@ -407,6 +427,15 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use stairshed_decide::interface::DestinationId;
+
+    /// A listener, its address, and calls that have one socket between them.
+    async fn one_socket() -> (tokio::net::TcpListener, SocketAddr, Calls) {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let to = listener.local_addr().expect("its address");
+        let room = Room::new(&stairshed_memory::Caps::none(), 1.0);
+        (listener, to, Calls::new(Duration::from_secs(5), Duration::from_secs(10), 1, room))
+    }
 
     fn read(text: &str) -> Option<(f64, f64)> {
         let mut headers = HeaderMap::new();
@@ -418,16 +447,14 @@
     async fn a_call_whose_connection_comes_too_late_is_not_written() {
         tokio::task::LocalSet::new()
             .run_until(async {
-                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-                let to = listener.local_addr().expect("its address");
-                let room = Room::new(&stairshed_memory::Caps::none(), 1.0);
-                let calls = Calls::new(Duration::from_secs(5), Duration::from_secs(10), 1, room);
+                let (_listener, to, calls) = one_socket().await;
                 // The only socket is free again when the call has an eighth of its time left.
                 let socket = calls.permit().await.expect("the only one");
                 let time = Duration::from_millis(800);
                 let until = Instant::now() + time;
                 let request = Request::get("/").header(HOST, "h").body(Full::default()).expect("a request");
-                let (endpoint, ask) = (EndpointId(1), calls.ask(EndpointId(1), (to, true), request, until));
+                let (endpoint, ask) =
+                    (EndpointId(1), calls.ask((EndpointId(1), None), (to, true), request, until));
                 let free = async {
                     tokio::time::sleep_until(until - time / 8).await;
                     drop(socket);
@@ -443,6 +470,44 @@
             .await;
     }
 
+    #[tokio::test]
+    async fn a_wait_that_is_told_holds_for_a_call_that_still_has_no_connection() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        tokio::task::LocalSet::new()
+            .run_until(async {
+                // One socket: the second call has its connection only when the first has its answer.
+                let (listener, to, calls) = one_socket().await;
+                let until = Instant::now() + Duration::from_secs(20);
+                let ask = |route: u32| {
+                    let request = Request::get("/").header(HOST, "h").body(Full::default());
+                    let pool = (DestinationId(7), Some(EndpointId(route)));
+                    let at = (EndpointId(route), Some(pool));
+                    calls.ask(at, (to, true), request.expect("a request"), until)
+                };
+                let server = tokio::task::spawn_local(async move {
+                    let full =
+                        "HTTP/1.1 429 No\r\nWait-Ms: 9000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+                    for answer in [full, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"] {
+                        loop {
+                            let (mut stream, _) = listener.accept().await.expect("a connection");
+                            // One that is closed unwritten is of no call.
+                            if stream.read(&mut [0; 500]).await.is_ok_and(|n| n > 0) {
+                                stream.write_all(answer.as_bytes()).await.expect("written");
+                                break;
+                            }
+                        }
+                    }
+                });
+                let (first, second) = tokio::join!(ask(1), ask(1));
+                assert_eq!(first.map(|a| a.status).ok(), Some(StatusCode::TOO_MANY_REQUESTS));
+                assert_eq!(second.err(), Some(Lost::Unsent), "the pool has told to wait");
+                let other = ask(2).await;
+                assert_eq!(other.map(|a| a.status).ok(), Some(StatusCode::OK), "a route apart is not bound");
+                server.await.expect("served");
+            })
+            .await;
+    }
+
     #[test]
     fn reports_are_read_and_nonsense_is_none() {
         assert_eq!(read("TEXT x0=0.4, x1=25"), Some((0.4, 25.0)));
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -97,8 +97,8 @@
             m.attempts += 1;
             let letter = m.letter.clone();
             let once = self.setup.classes.get(m.class).is_some_and(|c| c.effect == Effect::Once);
-            let until = now + timeout;
-            ready.push(Call { message, attempt: number, endpoint, to, letter, until, once });
+            let (until, pool) = (now + timeout, self.brain.pool_id(endpoint));
+            ready.push(Call { message, attempt: number, endpoint, pool, to, letter, until, once });
         }
         let seq = self.journal.last_seq();
         // The attempts are on record before their first byte goes out; the verdicts before their notice.
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -190,7 +190,8 @@
         self.calls_out < self.set.slots && d.calls < self.cap(d)
     }
 
-    pub(crate) fn pool_id(&self, id: EndpointId) -> PoolId {
+    /// What an endpoint shares its limit with. Panics for one that was never listed.
+    pub fn pool_id(&self, id: EndpointId) -> PoolId {
         let e = &self.endpoints[&id];
         (e.dest, self.set.kinds[e.kind].separate_routes.then_some(id))
     }
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -18,6 +18,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct DestinationId(pub u64);
 
+/// What shares one limit and its waits: a destination, or one endpoint of it where routes are separate.
+pub type PoolId = (DestinationId, Option<EndpointId>);
+
 /// What a repeated delivery of a message does.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Effect {
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -131,8 +131,6 @@
 /// Calls begun in this reply that have room for more messages.
 pub(crate) type Joined = BTreeMap<EndpointId, (u64, usize)>;
 
-pub(crate) type PoolId = (DestinationId, Option<EndpointId>);
-
 #[derive(Default)]
 pub(crate) struct Destination {
     pub(crate) endpoints: BTreeSet<EndpointId>,
--- a/crates/decide/src/weigh.rs
+++ b/crates/decide/src/weigh.rs
@@ -1,8 +1,8 @@
 //! What the decision module holds in memory, estimated from what its tables have in them. Beside it, so that whoever
 //! changes a table finds this; `tests/weigh.rs` holds it against what the allocator gave out.
 
-use crate::interface::{DestinationId, EndpointId, MessageId};
-use crate::state::{Brain, Destination, Endpoint, Message, Ns, Pool, PoolId};
+use crate::interface::{DestinationId, EndpointId, MessageId, PoolId};
+use crate::state::{Brain, Destination, Endpoint, Message, Ns, Pool};
 use std::collections::VecDeque;
 
 /// Bytes of what the module holds.
