--- a/crates/courier/tests/farewell.rs
+++ b/crates/courier/tests/farewell.rs
@@ -22,6 +22,13 @@
     )
 }
 
+/// A courier of this memory, in a folder of its own, and the partner that it delivers to.
+fn serve(memory: &str) -> (Endpoint, Folder, Courier) {
+    let (endpoint, folder) = (Endpoint::new(|_| Act::Answer(OK)), Folder::new());
+    let courier = Courier::serve(&folder, &file(&endpoint, memory));
+    (endpoint, folder, courier)
+}
+
 fn pay(id: &str, body: &str) -> String {
     request("/pay", id, "", body)
 }
@@ -68,9 +75,7 @@
 
 #[test]
 fn every_request_of_64_connections_at_24_mb_has_its_answer() {
-    let endpoint = Endpoint::new(|_| Act::Answer(OK));
-    let folder = Folder::new();
-    let courier = Courier::serve(&folder, &file(&endpoint, "total = \"24MB\""));
+    let (_endpoint, _folder, courier) = serve("total = \"24MB\"");
     let mut told = 0;
     for round in 0..figure("STAIRSHED_ROUNDS", 100) {
         let body = "x".repeat(if round % 2 == 0 { 1024 } else { 32 * 1024 });
@@ -93,9 +98,7 @@
 
 #[test]
 fn a_payment_that_was_turned_away_is_accepted_once_when_it_comes_again_and_runs_once() {
-    let endpoint = Endpoint::new(|_| Act::Answer(OK));
-    let folder = Folder::new();
-    let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
+    let (endpoint, _folder, courier) = serve(SMALL);
     let crowd = crowd(&courier);
     let mut stream = connect(courier.address);
     stream.write_all(pay("p-1", "42 EUR").as_bytes()).expect("sent");
@@ -113,9 +116,7 @@
 
 #[test]
 fn whoever_is_turned_away_is_told_so_however_it_sends() {
-    let endpoint = Endpoint::new(|_| Act::Answer(OK));
-    let folder = Folder::new();
-    let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
+    let (_endpoint, _folder, courier) = serve(SMALL);
     let crowd = crowd(&courier);
     // All of a long body before it reads.
     let mut long = connect(courier.address);
@@ -145,9 +146,7 @@
 
 #[test]
 fn an_mqtt_client_is_told_in_its_own_version() {
-    let endpoint = Endpoint::new(|_| Act::Answer(OK));
-    let folder = Folder::new();
-    let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
+    let (_endpoint, _folder, courier) = serve(SMALL);
     let crowd = crowd(&courier);
     // Less than one of these was left: an MQTT connection takes less than one of HTTP.
     let mut vans = Vec::new();
@@ -174,9 +173,7 @@
 
 #[test]
 fn a_connection_that_makes_room_is_told_so_where_its_request_was_on_its_way() {
-    let endpoint = Endpoint::new(|_| Act::Answer(OK));
-    let folder = Folder::new();
-    let courier = Courier::serve(&folder, &file(&endpoint, "clients = \"250KB\"\nclient_share = 1.0"));
+    let (_endpoint, _folder, courier) = serve("clients = \"250KB\"\nclient_share = 1.0");
     // Heads half sent are of the least use but for idle connections: one that comes pushes them out.
     let begun = b"POST /pay HTTP/1.1\r\nHost: x\r\n";
     let half: Vec<TcpStream> = (0..40)
@@ -202,9 +199,7 @@
 
 #[test]
 fn a_flood_that_reads_nothing_is_bounded_and_others_are_served_meanwhile() {
-    let endpoint = Endpoint::new(|_| Act::Answer(OK));
-    let folder = Folder::new();
-    let courier = Courier::serve(&folder, &file(&endpoint, SMALL));
+    let (_endpoint, _folder, courier) = serve(SMALL);
     let crowd = crowd(&courier);
     let before = open_files(&courier);
     let flood: Vec<TcpStream> = (0..600)
