What runs once keeps off risk, not off missing connections; messages are followed by id

A connection that was not to be had proves that nothing ran, so it costs such a message nothing. Endpoints now have a risk (failures that may have run) beside their doubt; ONCE_DOUBT is held against the risk. A test fails without it (seen to fail).

Ruled out: connections that are closed a way too late.

--follow writes the steps of messages by their ids, with what each outcome rests on: off by default, bounded. A call that is withheld because its endpoint drains, or another call was told to wait, is not sent (Moot) and no longer counts as an endpoint out of reach.

--- /dev/null
+++ b/crates/courier/src/follow.rs
@@ -0,0 +1,139 @@
+//! Follows messages by the ids that their clients gave them: a line on standard error for each step of one. Off unless
+//! asked for, and then bounded by the second. It lies below all other parts and decides nothing.
+
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::fmt::{Arguments, Display};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io::Write;
+use std::str::FromStr;
+use std::sync::OnceLock;
+
+/// Lines a second at most: a log must not fill a disk, nor its writing hold up the messages.
+const LINES_MOST: u32 = 2000;
+/// Ids that can be named at once.
+const IDS_MOST: usize = 1024;
+
+/// Which messages are followed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Followed {
+    /// Those with these ids.
+    Ids(BTreeSet<String>),
+    /// One in so many, drawn by the id: the same ones at every courier.
+    OneIn(u64),
+}
+
+/// What cannot be followed.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum Unclear {
+    #[error("`1/{0}` names no share: give 1/1 for every message, 1/100 for one in a hundred")]
+    Share(String),
+    #[error("no id is named: give ids with commas between them, or a share such as 1/100")]
+    Empty,
+    #[error("{0} ids are too many: {IDS_MOST} can be named, or a share such as 1/100")]
+    Many(usize),
+}
+
+impl FromStr for Followed {
+    type Err = Unclear;
+
+    fn from_str(text: &str) -> Result<Self, Unclear> {
+        if let Some(share) = text.strip_prefix("1/") {
+            let one_in = share.parse().ok().filter(|n| *n > 0);
+            return one_in.map(Followed::OneIn).ok_or_else(|| Unclear::Share(share.to_owned()));
+        }
+        let ids: BTreeSet<_> =
+            text.split(',').map(str::trim).filter(|id| !id.is_empty()).map(str::to_owned).collect();
+        match ids.len() {
+            0 => Err(Unclear::Empty),
+            n if n > IDS_MOST => Err(Unclear::Many(n)),
+            _ => Ok(Followed::Ids(ids)),
+        }
+    }
+}
+
+impl Followed {
+    fn has(&self, id: &str) -> bool {
+        match self {
+            Followed::Ids(ids) => ids.contains(id),
+            Followed::OneIn(1) => true,
+            Followed::OneIn(n) => {
+                let mut hasher = DefaultHasher::new();
+                id.hash(&mut hasher);
+                hasher.finish().is_multiple_of(*n)
+            }
+        }
+    }
+}
+
+static FOLLOWED: OnceLock<Followed> = OnceLock::new();
+
+thread_local! {
+    /// The second, the lines in it, and those that were not written.
+    static WRITTEN: Cell<(u64, u32, u64)> = const { Cell::new((0, 0, 0)) };
+}
+
+/// Follows these from now on, till the process ends. The first call counts.
+pub fn follow(followed: Followed) {
+    let _ = FOLLOWED.set(followed);
+}
+
+/// Whether one more line may be written in this second, and how many were not in the one before.
+fn allowed(second: u64, written: &Cell<(u64, u32, u64)>) -> Option<u64> {
+    let (before, lines, dropped) = written.get();
+    if before != second {
+        written.set((second, 1, 0));
+        return Some(dropped);
+    }
+    let allowed = lines < LINES_MOST;
+    written.set((second, lines.saturating_add(1), dropped + u64::from(!allowed)));
+    allowed.then_some(0)
+}
+
+/// Writes a step of a message, if it is followed: `follow`, Unix time in s, its id, what happened.
+pub fn step(id: &str, what: Arguments) {
+    if FOLLOWED.get().is_some_and(|f| f.has(id)) {
+        write(id, what);
+    }
+}
+
+#[cold]
+fn write(id: impl Display, what: Arguments) {
+    let now = crate::clock::unix();
+    let Some(dropped) = WRITTEN.with(|w| allowed(now.as_secs(), w)) else { return };
+    let mut out = std::io::stderr().lock();
+    // A log that cannot be written to is no reason to stop.
+    if dropped > 0 {
+        let _ = writeln!(out, "follow: {dropped} lines dropped, more than {LINES_MOST} a second");
+    }
+    let _ = writeln!(out, "follow {:.3} {id} {what}", now.as_secs_f64());
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ids_or_a_share_are_followed_and_what_is_neither_is_told() {
+        let of = |text: &str| text.parse::<Followed>();
+        let some = of("a-1, b-2").expect("two ids");
+        assert!(some.has("a-1") && some.has("b-2") && !some.has("a"));
+        assert!(of("1/1").expect("all").has("anything"));
+        let share = of("1/10").expect("a tenth");
+        let followed = (0..10_000).filter(|n| share.has(&format!("m{n}"))).count();
+        assert!((800..1200).contains(&followed), "{followed} of 10,000 in a tenth");
+        assert_eq!(of("1/0"), Err(Unclear::Share("0".to_owned())));
+        assert_eq!(of(" , "), Err(Unclear::Empty));
+        let many = (0..=IDS_MOST).map(|n| n.to_string()).collect::<Vec<_>>().join(",");
+        assert_eq!(of(&many), Err(Unclear::Many(IDS_MOST + 1)));
+    }
+
+    #[test]
+    fn no_more_than_so_many_lines_a_second_are_written_and_the_rest_is_counted() {
+        let written = Cell::new((0, 0, 0));
+        let kept = (0..LINES_MOST + 7).filter(|_| allowed(5, &written).is_some()).count();
+        assert_eq!(kept, LINES_MOST as usize);
+        assert_eq!(allowed(6, &written), Some(7));
+        assert_eq!(allowed(6, &written), Some(0));
+    }
+}
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod client;
 mod clock;
 mod fault;
+pub mod follow;
 mod front;
 mod news;
 mod out;
--- a/crates/courier/src/main.rs
+++ b/crates/courier/src/main.rs
@@ -1,6 +1,7 @@
 //! The `stairshed` command: the courier, and tools for its configuration and its journal.
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
+use stairshed_courier::follow::{Followed, follow};
 use stairshed_courier::users;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -23,6 +24,9 @@
     /// The operator's settings beside the platform's; without it each has its default.
     #[arg(long, value_name = "FILE")]
     settings: Option<PathBuf>,
+    /// Writes each step of these messages to standard error: ids with commas between them, or a share such as 1/100.
+    #[arg(long, value_name = "IDS", global = true)]
+    follow: Option<Followed>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -112,6 +116,9 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    if let Some(followed) = cli.follow {
+        follow(followed);
+    }
     let out = &mut std::io::stdout();
     let text = |e: &dyn std::fmt::Display| e.to_string();
     let done = match cli.command {
--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -203,6 +203,8 @@
     pub over: bool,
     pub report: Option<Report>,
     pub at: Instant,
+    /// What the outcome rests on, for those who follow the message.
+    pub proof: &'static str,
 }
 
 /// A list, or its changes, as discovery writes it.
--- a/crates/courier/src/out/broker.rs
+++ b/crates/courier/src/out/broker.rs
@@ -363,5 +363,11 @@
         End::Lost => Outcome::Reset,
         End::TimedOut => Outcome::TimedOut,
     };
-    CallEnd { outcome, over: end == End::Delivered, report: None, at: Instant::now() }
+    CallEnd {
+        outcome,
+        over: end == End::Delivered,
+        report: None,
+        at: Instant::now(),
+        proof: "the broker's word",
+    }
 }
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -288,12 +288,12 @@
         }
         // Whoever waited long for a connection must not come in after a drain's grace.
         if self.parted.borrow().get(&endpoint).is_some_and(|since| since.elapsed() > DRAIN_TIME) {
-            return Err(Lost::Unsent);
+            return Err(Lost::Withheld("the endpoint drains or is gone"));
         }
         // Nor may it break a wait that was told to another call meanwhile: the module knew of none when it let this
         // one go, and a connection may be a second in coming.
         if pool.is_some_and(|p| self.waits.borrow().get(&p).is_some_and(|until| Instant::now() < *until)) {
-            return Err(Lost::Unsent);
+            return Err(Lost::Withheld("another call was told to wait"));
         }
         let answer = link.ask(request, until).await;
         self.fates.borrow_mut().note(idle, matches!(answer, Err(Lost::Broken)));
@@ -339,9 +339,15 @@
             Ok(request) => tokio::select! {
                 biased;
                 answer = self.ask((endpoint, Some(pool)), (address, once), request, until) => ended(answer),
-                _ = cancel => CallEnd { outcome: Outcome::Cancelled, over: false, report: None, at: Instant::now() },
+                _ = cancel => CallEnd { outcome: Outcome::Cancelled, over: false, report: None, at: Instant::now(), proof: "called off" },
+            },
+            Err(_) => CallEnd {
+                outcome: Outcome::Moot,
+                over: false,
+                report: None,
+                at: Instant::now(),
+                proof: "no request can be made of it",
             },
-            Err(_) => CallEnd { outcome: Outcome::Moot, over: false, report: None, at: Instant::now() },
         };
         let _ = news.send(News::Called { message, attempt, endpoint, end }).await;
     }
@@ -376,17 +382,20 @@
     let answer = match answer {
         Ok(answer) => answer,
         Err(lost) => {
-            let outcome = match lost {
-                Lost::Unsent => Outcome::ConnectFailed,
-                Lost::Broken => Outcome::Reset,
-                Lost::Silent => Outcome::TimedOut,
+            let (outcome, proof) = match lost {
+                Lost::Unsent => (Outcome::ConnectFailed, "no connection, nothing written"),
+                // It says nothing of the endpoint, which has not been asked.
+                Lost::Withheld(why) => (Outcome::Moot, why),
+                Lost::Broken => (Outcome::Reset, "connection broke under it"),
+                Lost::Silent => (Outcome::TimedOut, "no answer in time"),
             };
-            return CallEnd { outcome, over: false, report: None, at: Instant::now() };
+            return CallEnd { outcome, over: false, report: None, at: Instant::now(), proof };
         }
     };
     // A spoilt answer proves nothing but a first line with 200: the request has run, or may have.
     if !answer.whole && answer.status != StatusCode::OK {
-        return CallEnd { outcome: Outcome::Reset, over: false, report: None, at: answer.at };
+        let (outcome, at, proof) = (Outcome::Reset, answer.at, "spoilt answer");
+        return CallEnd { outcome, over: false, report: None, at, proof };
     }
     let head = |name| answer.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let outcome = match answer.status {
@@ -403,7 +412,11 @@
         _ => Outcome::Error,
     };
     let over = matches!(answer.status, StatusCode::OK | StatusCode::GONE);
-    CallEnd { outcome, over, report: report(&answer.headers), at: answer.at }
+    let proof = match outcome {
+        Outcome::ConnectFailed => "503 and close",
+        _ => answer.status.canonical_reason().unwrap_or("an answer"),
+    };
+    CallEnd { outcome, over, report: report(&answer.headers), at: answer.at, proof }
 }
 
 /// Whether the connection ends with this answer.
@@ -500,7 +513,11 @@
                 });
                 let (first, second) = tokio::join!(ask(1), ask(1));
                 assert_eq!(first.map(|a| a.status).ok(), Some(StatusCode::TOO_MANY_REQUESTS));
-                assert_eq!(second.err(), Some(Lost::Unsent), "the pool has told to wait");
+                assert_eq!(
+                    second.err(),
+                    Some(Lost::Withheld("another call was told to wait")),
+                    "the pool has told to wait"
+                );
                 let other = ask(2).await;
                 assert_eq!(other.map(|a| a.status).ok(), Some(StatusCode::OK), "a route apart is not bound");
                 server.await.expect("served");
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -180,6 +180,8 @@
 pub enum Lost {
     /// No byte of the request left.
     Unsent,
+    /// Its connection came, and it must not be written any more: why.
+    Withheld(&'static str),
     /// The connection broke with the request out, or part of it.
     Broken,
     /// Time was up with the request out.
--- a/crates/courier/src/owner/notices.rs
+++ b/crates/courier/src/owner/notices.rs
@@ -1,6 +1,8 @@
 //! Verdicts and the notices of them: on record first, then posted in batches until acknowledged.
 
 use super::Courier;
+use crate::clock::unix;
+use crate::follow;
 use crate::out::outcomes::{Notice, Outcomes};
 use stairshed_journal::Verdict;
 use std::collections::VecDeque;
@@ -31,6 +33,15 @@
             return;
         }
         let id = m.letter.id.clone();
+        let left = m.letter.until.saturating_sub(unix());
+        follow::step(
+            &id,
+            format_args!(
+                "ends verdict={verdict:?} attempts={} out={} left={left:?}",
+                m.attempts,
+                m.out.is_some()
+            ),
+        );
         if m.out.is_none() {
             self.out.held.remove(&message);
         }
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -4,6 +4,7 @@
 use super::held::{Held, Waiting};
 use super::stopping::STOP_SENDING;
 use crate::clock::unix;
+use crate::follow;
 use crate::news::CallEnd;
 use crate::out::calls::{Call, Calls, To};
 use stairshed_decide::interface::*;
@@ -39,6 +40,22 @@
         if self.resumed(message, &end) {
             return;
         }
+        if let Some(m) = self.out.held.get(&message) {
+            let ran = if never {
+                "never"
+            } else if end.outcome == Outcome::Delivered {
+                "yes"
+            } else {
+                "maybe"
+            };
+            follow::step(
+                &m.letter.id,
+                format_args!(
+                    "attempt={attempt} ended outcome={:?} ran={ran} over={} proof={:?}",
+                    end.outcome, end.over, end.proof
+                ),
+            );
+        }
         // It may have gone while the call was out, and its connection was kept after that.
         self.part(endpoint);
         let Some(m) = self.out.held.get_mut(&message) else { return };
@@ -95,6 +112,13 @@
                 continue;
             };
             m.attempts += 1;
+            follow::step(
+                &m.letter.id,
+                format_args!(
+                    "attempt={number} decided endpoint={} address={address} for={timeout:?}",
+                    endpoint.0
+                ),
+            );
             let letter = m.letter.clone();
             let once = self.setup.classes.get(m.class).is_some_and(|c| c.effect == Effect::Once);
             let (until, pool) = (now + timeout, self.brain.pool_id(endpoint));
--- a/crates/courier/src/owner/records.rs
+++ b/crates/courier/src/owner/records.rs
@@ -4,6 +4,7 @@
 use super::Courier;
 use super::held::{Held, NOWHERE, Waiting};
 use crate::clock::unix;
+use crate::follow;
 use crate::news::News;
 use crate::out::outcomes::Notice;
 use stairshed_decide::interface::*;
@@ -58,6 +59,10 @@
                 continue;
             }
             let taken = self.taken_before(message, &m, class.unwrap_or_default());
+            follow::step(
+                &letter.id,
+                format_args!("resumed number={message} class={} past={:?}", letter.class, taken.past),
+            );
             self.events.push(Event::Taken(taken));
             let (class, attempts) = (class.unwrap_or_default(), m.attempts.len() as u32);
             self.out.held.insert(message, Held { letter, class, attempts, out: None });
--- a/crates/courier/src/owner/taking.rs
+++ b/crates/courier/src/owner/taking.rs
@@ -4,6 +4,7 @@
 use super::held::{Held, Waiting};
 use super::memory::Holding;
 use super::{Courier, Verdict};
+use crate::follow;
 use crate::news::{Offer, Reply, ReplyTo};
 use stairshed_decide::interface::*;
 use stairshed_journal::{Letter, Refusal};
@@ -119,6 +120,10 @@
         for (message, Offered { class, offer, holding }) in std::mem::take(&mut self.taking.offers) {
             if let Some(verdict) = refused.remove(&message) {
                 self.taking.ids.remove(&offer.letter.id);
+                follow::step(
+                    &offer.letter.id,
+                    format_args!("refused at once class={} verdict={verdict:?}", offer.letter.class),
+                );
                 let told = match verdict {
                     Verdict::Bounced { wait } => Reply::Refused { wait },
                     Verdict::Dead => Reply::Failed,
@@ -134,6 +139,13 @@
                 continue;
             }
             let Offer { letter, reply, .. } = offer;
+            follow::step(
+                &letter.id,
+                format_args!(
+                    "taken number={message} class={} destination={}",
+                    letter.class, letter.destination
+                ),
+            );
             self.journal.accept(message, letter.clone());
             self.memory.accepted(message, holding);
             self.out.held.insert(message, Held { letter, class, attempts: 0, out: None });
@@ -158,6 +170,9 @@
     /// Tells a client that its message is taken on. One that has left counts it as not taken.
     pub(super) fn taken(&mut self, message: u64, reply: ReplyTo) {
         if reply.send(Reply::Taken).is_err() {
+            if let Some(m) = self.out.held.get(&message) {
+                follow::step(&m.letter.id, format_args!("withdrawn: its client left unheard"));
+            }
             self.withdraw(message);
         }
     }
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -379,7 +379,7 @@
             // Too many connections look like a dead endpoint, but for answers on the others.
             Outcome::ConnectFailed if e.last_ok > sent || (!e.calls.is_empty() && e.last_ok > 0) => {}
             Outcome::Cancelled | Outcome::Moot => {}
-            _ => self.failed(id, call),
+            _ => self.failed(id, call, outcome != Outcome::ConnectFailed),
         }
         self.spare.insert(id);
     }
@@ -671,7 +671,8 @@
             let again = if m.last == Some(*id) && m.attempts > 0 { COST_LATENCY } else { 0.0 };
             let load = 1.0 + e.calls.len() as f64 / 4.0;
             let slow = COST_LATENCY / aim * e.latency + short * e.latency.max(FIRST_LATENCY);
-            let cost = fee + cold + again + slow * load + COST_LEAN * e.lean + COST_DOUBT * self.doubt(e);
+            let cost =
+                fee + cold + again + slow * load + COST_LEAN * e.lean + COST_DOUBT * e.doubt.now(self.now);
             if best.is_none_or(|(c, _)| cost < c) {
                 best = Some((cost, *id));
             }
@@ -702,19 +703,16 @@
         in_window && m.attempts < self.set.classes[m.class].attempts.unwrap_or(self.set.attempt_cap)
     }
 
-    fn doubt(&self, e: &Endpoint) -> f64 {
-        e.doubt * 0.5f64.powf(secs(self.now - e.doubt_at) / DOUBT_HALVES)
-    }
-
     /// None if the message may go there, else when to ask again. A half-open breaker lets one trial through.
-    /// What may run only once keeps off doubtful endpoints until half its time is gone.
+    /// What may run only once keeps off endpoints where calls failed that may have run, until half its time
+    /// is gone. A connection that was not to be had costs it nothing, and in a fleet most are so at times.
     fn healthy_for(&self, m: &Message, e: &Endpoint) -> Option<Ns> {
         let half_gone = m.end - ns(self.set.classes[m.class].deadline) / 2;
-        let doubt = self.doubt(e);
-        let doubtful = self.set.classes[m.class].effect == Effect::Once && doubt >= ONCE_DOUBT;
+        let risk = e.risk.now(self.now);
+        let doubtful = self.set.classes[m.class].effect == Effect::Once && risk >= ONCE_DOUBT;
         match e.breaker {
             Breaker::Closed | Breaker::HalfOpen if doubtful && half_gone > self.now => {
-                Some(half_gone.min(self.now + sec(DOUBT_HALVES * (doubt / ONCE_DOUBT).log2()) + 1))
+                Some(half_gone.min(self.now + sec(DOUBT_HALVES * (risk / ONCE_DOUBT).log2()) + 1))
             }
             Breaker::Closed => None,
             Breaker::HalfOpen if e.trial.is_none() => None,
@@ -784,9 +782,8 @@
     }
 
     fn worked(&mut self, id: EndpointId) {
-        let (now, doubt) = (self.now, self.doubt(&self.endpoints[&id]));
-        let e = self.endpoints.get_mut(&id).expect("known");
-        (e.doubt, e.doubt_at) = (doubt * (1.0 - FAILURE_GAIN), now);
+        let (now, e) = (self.now, self.endpoints.get_mut(&id).expect("known"));
+        (e.doubt, e.risk) = (e.doubt.moved(now, FAILURE_GAIN, 0.0), e.risk.moved(now, FAILURE_GAIN, 0.0));
         e.last_ok = now;
         // Slow start follows failures, not mere silence: a lost reply must not cost a well endpoint its rate.
         if e.breaker != Breaker::Closed {
@@ -798,13 +795,16 @@
         }
     }
 
-    fn failed(&mut self, id: EndpointId, call: u64) {
-        let (now, doubt) = (self.now, self.doubt(&self.endpoints[&id]));
-        let e = self.endpoints.get_mut(&id).expect("known");
+    /// A call failed; `ran` if it may have run.
+    fn failed(&mut self, id: EndpointId, call: u64, ran: bool) {
+        let (now, e) = (self.now, self.endpoints.get_mut(&id).expect("known"));
         let gain = if secs(now - e.last_ok) < 4.0 { FAILURE_GAIN } else { STALE_GAIN };
-        (e.doubt, e.doubt_at) = (doubt + gain * (1.0 - doubt), now);
+        e.doubt = e.doubt.moved(now, gain, 1.0);
+        if ran {
+            e.risk = e.risk.moved(now, gain, 1.0);
+        }
         match e.breaker {
-            Breaker::Closed if e.doubt > TRIP_RATIO => self.open(id, true),
+            Breaker::Closed if e.doubt.share > TRIP_RATIO => self.open(id, true),
             Breaker::HalfOpen if e.trial == Some(call) => self.open(id, true),
             _ => {}
         }
@@ -946,6 +946,18 @@
     if times == 0 { 0.0 } else { (FULL_PAUSE * 2f64.powi(times as i32 - 1)).min(FULL_LONGEST) }
 }
 
+impl Doubt {
+    /// What is left of it; it halves in a fixed time.
+    fn now(self, now: Ns) -> f64 {
+        self.share * 0.5f64.powf(secs(now - self.at) / DOUBT_HALVES)
+    }
+
+    fn moved(self, now: Ns, gain: f64, to: f64) -> Self {
+        let share = self.now(now);
+        Doubt { share: share + gain * (to - share), at: now }
+    }
+}
+
 impl Pool {
     fn even(&self, couriers: usize) -> Option<f64> {
         self.limit.map(|l| l / couriers.max(1) as f64)
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -73,6 +73,13 @@
     HalfOpen,
 }
 
+/// The smoothed share of calls that failed, as it was when last noted.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Doubt {
+    pub(crate) share: f64,
+    pub(crate) at: Ns,
+}
+
 #[derive(Default)]
 pub(crate) struct Endpoint {
     pub(crate) dest: DestinationId,
@@ -90,8 +97,9 @@
     pub(crate) connect_at: Ns,
     pub(crate) unconnected: u32,
     pub(crate) connect_failed: Ns,
-    pub(crate) doubt: f64,
-    pub(crate) doubt_at: Ns,
+    /// Failures of late; and those of them that may have run.
+    pub(crate) doubt: Doubt,
+    pub(crate) risk: Doubt,
     pub(crate) last_ok: Ns,
     pub(crate) breaker: Breaker,
     /// When an open breaker lets a trial through, if one is held.
--- a/crates/decide/tests/scenarios.rs
+++ b/crates/decide/tests/scenarios.rs
@@ -316,3 +316,25 @@
     d.feed(&[list(vec![entry(out, 1, 0, 1)])]);
     assert_eq!(sends(&d.feed(&[taken(2, 0, 1, MS * 8000)])), [(2, out)]);
 }
+
+#[test]
+fn what_runs_once_keeps_off_endpoints_where_calls_may_have_run_and_failed_not_off_those_without_a_connection()
+{
+    // One of a fleet calls now and then, so that a single failure weighs much.
+    for (outcome, waits) in [(Outcome::ConnectFailed, false), (Outcome::Error, true)] {
+        let mut d = Drive::new(settings(), vec![entry(0, 1, 0, 0)]);
+        assert_eq!(serve(&mut d, 0, 1, 0, 1, Outcome::Delivered, 50), 1);
+        d.pass(MS * 1000);
+        assert_eq!(sends(&d.feed(&[taken(1, 2, 1, MS * 20_000)])), [(1, 0)]);
+        d.feed(&[ended(1, 0, Outcome::ConnectFailed, 50)]);
+        assert_eq!(
+            sends(&d.pass(MS * 1000)),
+            [(1, 0)],
+            "never ran: again as soon as a connection may be had"
+        );
+        d.feed(&[ended(1, 0, outcome, 50)]);
+        d.feed(&[taken(2, 2, 1, MS * 20_000)]);
+        let soon = sends(&d.pass(MS * 1000)).iter().any(|s| s.0 == 2);
+        assert_eq!(soon, !waits, "after {outcome:?}");
+    }
+}
