A zone that the settings do not tell has a number of its own: keyed repeats stay in their zone

Found by reading Courier::zone (members.rs): on the platform every zone that the settings' dcs do not name got one number, that of none. A keyed message that may have run in one of them was sent again to the other, whose endpoints do not know its key: an effect twice. Shown on sockets with two zones of which the settings tell none, both answering 500: m0 had 3 calls in one zone and 3 in the other.

Zones are numbered as they are heard of, as an operator's were. The test fails without it (seen to fail).

--- a/crates/courier/src/owner/members.rs
+++ b/crates/courier/src/owner/members.rs
@@ -183,16 +183,14 @@
         }
     }
 
-    /// The number of a zone. The platform tells all of its zones at the start; an operator's are numbered as
-    /// they are heard of, also those that only the journal names: another must not get the same number.
+    /// The number of a zone. Those that the settings do not tell are numbered as they are heard of, also those that
+    /// only the journal names: with one number for two zones a keyed repeat would go where its key is not known.
     pub(super) fn zone(&mut self, name: &str) -> usize {
         let zones = &mut self.setup.zones;
-        let known = zones.iter().position(|z| z == name);
-        if known.is_none() && self.setup.installation.is_some() {
+        zones.iter().position(|z| z == name).unwrap_or_else(|| {
             zones.push(name.to_owned());
-            return zones.len() - 1;
-        }
-        known.unwrap_or(zones.len())
+            zones.len() - 1
+        })
     }
 
     pub(super) fn number(&mut self, host: &str) -> EndpointId {
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -99,6 +99,35 @@
     assert_eq!(there.ids(), ["new"]);
 }
 
+#[test]
+fn a_keyed_message_that_may_have_run_stays_in_its_zone_where_the_settings_tell_none_of_the_zones() {
+    let ends = ["x", "y"].map(|site| (site, Endpoint::new(|_| Act::Answer(ERROR))));
+    let hosts = ends.iter().map(|(site, endpoint)| {
+        let mut host = host(&format!("s-{site}"), endpoint, 7, "ready");
+        host["site"] = json!(site);
+        host
+    });
+    let discovery = Discovery::new(list(1, true, hosts.collect()));
+    let folder = Folder::new();
+    let courier = Courier::start(&folder, &discovery);
+    let calls = |id: &str| ends.each_ref().map(|(_, e)| e.ids().iter().filter(|i| *i == id).count());
+    for n in 0..6 {
+        courier.take(&format!("m{n}"), "notice", 7, 8_000);
+    }
+    let mut again = 0;
+    for id in (0..6).map(|n| format!("m{n}")) {
+        // One that no endpoint was tried for ends as bounced.
+        until("its end", || !discovery.results(&id).is_empty());
+        let [x, y] = calls(&id);
+        assert!(
+            x == 0 || y == 0,
+            "{id}: {x} calls in one zone and {y} in the other, which knows no key of it"
+        );
+        again += usize::from(x + y > 1);
+    }
+    assert!(again > 0, "where its key is known a message is tried again");
+}
+
 #[test]
 fn a_told_wait_is_heeded_for_every_message() {
     let (folder, endpoint, discovery) = one(|n| Act::Answer(if n == 0 { FULL_TOLD } else { OK }));
