An endpoint that holds no more connections is not taken for one that is down

The module heard of them as failed connects: with no fresh success one raises the doubt by 0.6 and opens the breaker (brain.rs, call_ended and failed), for 1.5 s and up to a turn of the even share, and each trial that is turned away opens it again. So most couriers sat out at endpoints that served.

A 503 that closes is told to the module as Crowded now: a pause for new connections as before, no word on the endpoint's health, and the trial goes to the next. Both tests fail without it (seen to fail).

--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -406,14 +406,14 @@
         // those that are kept serve on. Taken for a limit of the destination it would stop these too. Covers
         // an endpoint that is shutting down as well. Hurts where a destination at its limit closes whatever
         // it turns away: then new connections alone are held back, and its limit is found on kept ones.
-        StatusCode::SERVICE_UNAVAILABLE if closes(&answer.headers) => Outcome::ConnectFailed,
+        StatusCode::SERVICE_UNAVAILABLE if closes(&answer.headers) => Outcome::Crowded,
         StatusCode::SERVICE_UNAVAILABLE => Outcome::Full { wait: None },
         StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE => Outcome::Moot,
         _ => Outcome::Error,
     };
     let over = matches!(answer.status, StatusCode::OK | StatusCode::GONE);
     let proof = match outcome {
-        Outcome::ConnectFailed => "503 and close",
+        Outcome::Crowded => "503 and close",
         _ => answer.status.canonical_reason().unwrap_or("an answer"),
     };
     CallEnd { outcome, over, report: report(&answer.headers), at: answer.at, proof }
@@ -525,6 +525,21 @@
             .await;
     }
 
+    #[test]
+    fn a_connection_that_is_turned_away_is_told_apart_from_a_limit_and_from_an_endpoint_out_of_reach() {
+        let of = |heads: &[(&'static str, &'static str)]| {
+            let heads = heads
+                .iter()
+                .map(|(name, value)| (name.parse().expect("a name"), value.parse().expect("a value")));
+            let (status, at) = (StatusCode::SERVICE_UNAVAILABLE, Instant::now());
+            ended(Ok(Answer { status, headers: heads.collect(), at, whole: true, reusable: false })).outcome
+        };
+        assert_eq!(of(&[("connection", "close")]), Outcome::Crowded);
+        assert_eq!(of(&[]), Outcome::Full { wait: None });
+        assert_eq!(of(&[("slots-taken", "1"), ("connection", "close")]), Outcome::Moot);
+        assert_eq!(ended(Err(Lost::Unsent)).outcome, Outcome::ConnectFailed);
+    }
+
     #[test]
     fn reports_are_read_and_nonsense_is_none() {
         assert_eq!(read("TEXT x0=0.4, x1=25"), Some((0.4, 25.0)));
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -28,7 +28,10 @@
 impl Courier {
     pub(super) fn called(&mut self, message: u64, attempt: u32, endpoint: EndpointId, end: CallEnd) {
         // What proves that it never ran; all else may have.
-        let never = matches!(end.outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot);
+        let never = matches!(
+            end.outcome,
+            Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Crowded | Outcome::Moot
+        );
         if never {
             self.journal.never_ran(message, attempt);
         }
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -295,7 +295,10 @@
         self.touched.insert(m.dest);
         self.call_ended(flight, ended);
         if outcome != Outcome::Moot {
-            self.back_off(id, matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed));
+            self.back_off(
+                id,
+                matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Crowded),
+            );
         }
         let m = &self.messages[&id];
         if outcome != Outcome::Delivered && !ended.over && !m.over {
@@ -378,6 +381,8 @@
             }
             // Too many connections look like a dead endpoint, but for answers on the others.
             Outcome::ConnectFailed if e.last_ok > sent || (!e.calls.is_empty() && e.last_ok > 0) => {}
+            // It is up, and what shuts it out says nothing of how it serves.
+            Outcome::Crowded => e.trial = None,
             Outcome::Cancelled | Outcome::Moot => {}
             _ => self.failed(id, call, outcome != Outcome::ConnectFailed),
         }
@@ -394,7 +399,7 @@
         if kept && opens {
             e.unconnected = e.unconnected.saturating_sub(1);
         }
-        if outcome == Outcome::ConnectFailed {
+        if matches!(outcome, Outcome::ConnectFailed | Outcome::Crowded) {
             self.tight[e.kind] = secs(now);
             // Those that were thought idle when it left are not there.
             e.idle.retain(|t| *t > sent);
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -167,6 +167,8 @@
     TimedOut,
     /// No connection could be had; it never ran.
     ConnectFailed,
+    /// The endpoint said that it holds no more connections; it is up, and it never ran.
+    Crowded,
     /// The connection broke; it may have run.
     Reset,
     /// Called off; it may have run.
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -84,6 +84,7 @@
             5 => Outcome::ConnectFailed,
             6 => Outcome::Reset,
             7 => Outcome::Moot,
+            8 => Outcome::Crowded,
             _ => Outcome::Delivered,
         };
         let took = match outcome {
--- a/crates/decide/tests/scenarios.rs
+++ b/crates/decide/tests/scenarios.rs
@@ -338,3 +338,17 @@
         assert_eq!(soon, !waits, "after {outcome:?}");
     }
 }
+
+#[test]
+fn an_endpoint_that_holds_no_more_connections_is_tried_again_soon_and_not_taken_for_down() {
+    let mut d = Drive::new(settings(), vec![entry(0, 1, 0, 0)]);
+    assert_eq!(serve(&mut d, 0, 1, 0, 1, Outcome::Delivered, 50), 1);
+    // Long after that success a failure would open the breaker, and each trial that is turned away keep it open.
+    d.pass(MS * 12_000);
+    assert_eq!(sends(&d.feed(&[taken(1, 1, 1, MS * 20_000)])), [(1, 0)]);
+    for wait in [150, 300, 600] {
+        d.feed(&[ended(1, 0, Outcome::Crowded, 50)]);
+        assert!(sends(&d.pass(MS * 45)).is_empty(), "not at once: others may have the place that comes free");
+        assert_eq!(sends(&d.pass(MS * wait)), [(1, 0)]);
+    }
+}
