--- a/crates/courier/src/place/dns.rs
+++ b/crates/courier/src/place/dns.rs
@@ -24,8 +24,6 @@
 const TRIES: usize = 2;
 /// A datagram and a TCP answer are no longer: RFC 1035, 4.2.
 const ANSWER_MOST: usize = 65_535;
-/// Addresses taken of one answer.
-const ADDRESSES_MOST: usize = 256;
 /// Aliases followed within one answer.
 const ALIASES_MOST: usize = 16;
 /// Questions that are out at once: a version may name thousands.
@@ -309,10 +307,39 @@
             addresses.push(IpAddr::from(a.address.to_be_bytes()));
         }
     }
-    addresses.truncate(ADDRESSES_MOST);
     // Taken as it is, an empty answer would drain the pool; it may be a slip of the zone.
     match addresses.is_empty() {
         true => Read::Answer(Err("the resolver has no address of it".to_owned())),
         false => Read::Answer(Ok((addresses, Duration::from_secs(u64::from(ttl))))),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use simple_dns::ResourceRecord;
+    use simple_dns::rdata::A;
+
+    #[test]
+    fn every_address_of_an_answer_is_taken() {
+        let name = Name::new("many.example").expect("a name");
+        let mut packet = Packet::new_reply(7);
+        packet.questions.push(Question::new(
+            name.clone(),
+            QTYPE::TYPE(TYPE::A),
+            QCLASS::CLASS(CLASS::IN),
+            false,
+        ));
+        for n in 0..2048 {
+            let address = RData::A(A { address: 0x7f00_0000 + n });
+            packet.answers.push(ResourceRecord::new(name.clone(), CLASS::IN, 60, address));
+        }
+        let bytes = packet.build_bytes_vec_compressed().expect("an answer");
+        // Its length is the bound: a list that is cut would leave endpoints out without a word.
+        assert!(bytes.len() <= ANSWER_MOST);
+        let Read::Answer(Ok((addresses, _))) = read(7, "many.example", &bytes) else {
+            panic!("no addresses")
+        };
+        assert_eq!(addresses.len(), 2048);
+    }
+}
