A trial that is turned away at the door keeps its distance to the next

Such a trial opens the breaker again, without the word that the endpoint is down; with a closed breaker nothing changes. Test fails without it (seen to fail).

--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -381,8 +381,10 @@
             }
             // Too many connections look like a dead endpoint, but for answers on the others.
             Outcome::ConnectFailed if e.last_ok > sent || (!e.calls.is_empty() && e.last_ok > 0) => {}
-            // It is up, and what shuts it out says nothing of how it serves.
-            Outcome::Crowded => e.trial = None,
+            // It is up; what shuts a call out tells nothing of how it serves. Nor, after an outage, that it
+            // is well: the next trial keeps its distance, since all that reach it push it.
+            Outcome::Crowded if e.breaker == Breaker::Closed => {}
+            Outcome::Crowded => self.open(id, false),
             Outcome::Cancelled | Outcome::Moot => {}
             _ => self.failed(id, call, outcome != Outcome::ConnectFailed),
         }
--- a/crates/decide/tests/scenarios.rs
+++ b/crates/decide/tests/scenarios.rs
@@ -352,3 +352,20 @@
         assert_eq!(sends(&d.pass(MS * wait)), [(1, 0)]);
     }
 }
+
+#[test]
+fn a_trial_that_is_turned_away_at_the_door_keeps_its_distance_to_the_next() {
+    let mut d = Drive::new(settings(), vec![entry(0, 1, 0, 0)]);
+    assert!(serve(&mut d, 0, 6, 0, 1, Outcome::Error, 20) > 0);
+    let held: Vec<_> = (20..26).map(|id| taken(id, 0, 1, MS * 60_000)).collect();
+    let mut trial = sends(&d.feed(&held));
+    for _ in 0..400 {
+        if trial.is_empty() {
+            trial = sends(&d.pass(MS * 5));
+        }
+    }
+    assert_eq!(trial.len(), 1, "one trial for six that are held: {trial:?}");
+    d.feed(&[ended(trial[0].0, 0, Outcome::Crowded, 20)]);
+    assert!(sends(&d.pass(MS * 240)).is_empty(), "the place at the door is no sign that it is well");
+    assert!(!sends(&d.pass(MS * 45_000)).is_empty(), "it is tried again");
+}
