What ended a moment ago is not sent again under its id; a keyed message without its key runs once

Shown on sockets: a payment whose client loses its connection is delivered, comes again under its id, and is sent to the endpoint a second time. Now ids of what was delivered or may have run are known for 5 s, twelve times a client's patience, 4,096 at most; what bounced may come again. Not kept over a restart.

And a message of a keyed class that has no key was repeated after a reset, though the endpoint cannot know it: it is taken as one that runs once (Courier::class).

Each has a test on sockets; the first was seen to fail without it.

--- a/crates/courier/src/owner/ended.rs
+++ b/crates/courier/src/owner/ended.rs
@@ -5,10 +5,49 @@
 use super::held::Waiting;
 use super::memory::Loose;
 use crate::clock::unix;
+use crate::follow;
 use crate::news::{Offer, Reply, ReplyTo};
 use stairshed_journal::{Kept, Letter, Verdict};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long the platform's messages are known by their ids once they have ended. A client that loses its connection
+/// sends its request once more under the same id, and gives up after 400 ms: twelve times that.
+const RECALL: Duration = Duration::from_secs(5);
+/// As many at most, the latest: half a megabyte.
+const RECALLED_MOST: usize = 4096;
+
+/// The ids of messages that have ended a moment ago.
+#[derive(Default)]
+struct Recalled {
+    ids: HashSet<Rc<str>>,
+    /// In the order of their ends.
+    ended: VecDeque<(Instant, Rc<str>)>,
+}
+
+impl Recalled {
+    fn insert(&mut self, id: &str, now: Instant) {
+        let old = |(at, _): &mut (Instant, Rc<str>)| now.duration_since(*at) > RECALL;
+        while let Some((_, id)) = self.ended.pop_front_if(old) {
+            self.ids.remove(&id);
+        }
+        if self.ended.len() >= RECALLED_MOST
+            && let Some((_, id)) = self.ended.pop_front()
+        {
+            self.ids.remove(&id);
+        }
+        let id: Rc<str> = id.into();
+        if self.ids.insert(id.clone()) {
+            self.ended.push_back((now, id));
+        }
+    }
+
+    fn has(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
+}
 
 #[derive(Default)]
 pub struct Ended {
@@ -22,6 +61,8 @@
     /// operator is still on its way.
     telling: HashSet<u64>,
     told: HashSet<u64>,
+    /// On the platform, which has no time for which ids are remembered.
+    recalled: Recalled,
 }
 
 impl Ended {
@@ -43,7 +84,7 @@
 
     /// Whether a message of this id is remembered.
     pub(super) fn knows(&self, id: &str) -> bool {
-        self.by_id.contains_key(id)
+        self.by_id.contains_key(id) || self.recalled.has(id)
     }
 
     /// Its tables after a burst.
@@ -91,6 +132,10 @@
     /// The answer to a message whose id is remembered: it is taken on already, and its client is told again how it
     /// ended.
     pub(super) fn repeat(&mut self, letter: &Letter) -> Option<Reply> {
+        if letter.routed.is_none() && self.ended.recalled.has(&letter.id) {
+            follow::step(&letter.id, format_args!("handed in again after its end: not sent again"));
+            return Some(Reply::Taken);
+        }
         let message = *self.ended.by_id.get(&letter.id)?;
         let owner = letter.routed.as_ref().and_then(|r| r.owner.clone());
         if let Some(owner) = owner.filter(|o| self.hears(o))
@@ -132,6 +177,10 @@
         self.taking.ids.remove(&letter.id);
         let told = self.ended.told.remove(&message);
         let Some(routed) = letter.routed.as_ref().filter(|_| stays(&letter)) else {
+            // One that bounced may be handed in again; of all others a repeat would run what has run.
+            if letter.routed.is_none() && !matches!(verdict, Some(Verdict::Bounced { .. })) {
+                self.ended.recalled.insert(&letter.id, Instant::now());
+            }
             self.memory.ended(message);
             return self.journal.end(message);
         };
@@ -242,3 +291,24 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_id_is_known_for_its_time_and_no_more_are_than_may_be() {
+        let (mut recalled, now) = (Recalled::default(), Instant::now());
+        recalled.insert("a", now);
+        recalled.insert("a", now);
+        recalled.insert("b", now + RECALL);
+        assert!(recalled.has("a") && recalled.has("b"));
+        recalled.insert("c", now + RECALL + Duration::from_millis(1));
+        assert!(!recalled.has("a") && recalled.has("b"));
+        for n in 0..=RECALLED_MOST {
+            recalled.insert(&n.to_string(), now + RECALL);
+        }
+        assert_eq!((recalled.ids.len(), recalled.ended.len()), (RECALLED_MOST, RECALLED_MOST));
+        assert!(recalled.has(&RECALLED_MOST.to_string()) && !recalled.has("0"), "the latest are kept");
+    }
+}
--- a/crates/courier/src/owner/taking.rs
+++ b/crates/courier/src/owner/taking.rs
@@ -186,8 +186,19 @@
 
     /// The class of a message, by its name and, where a route took it, by what a repeat did then.
     pub(super) fn class(&mut self, letter: &Letter) -> Option<usize> {
-        let Some(routed) = &letter.routed else { return self.setup.classes.named(&letter.class) };
         let deadline = letter.until.saturating_sub(letter.taken);
+        let Some(routed) = &letter.routed else {
+            let classes = &mut self.setup.classes;
+            let class = classes.named(&letter.class)?;
+            let keyed = classes.get(class).is_some_and(|c| matches!(c.effect, Effect::Keyed { .. }));
+            // Without a key no endpoint can tell a repeat from another message.
+            let runs_again = keyed && letter.key.is_none();
+            return Some(if runs_again {
+                classes.recorded(&letter.class, Effect::Once, deadline)
+            } else {
+                class
+            });
+        };
         Some(self.setup.classes.recorded(&letter.class, routed.effect, deadline))
     }
 
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -128,6 +128,43 @@
     assert!(again > 0, "where its key is known a message is tried again");
 }
 
+#[test]
+fn a_message_of_a_keyed_class_that_came_without_a_key_runs_once() {
+    let (folder, endpoint, discovery) = one(|n| if n < 2 { Act::Break } else { Act::Answer(OK) });
+    let courier = Courier::start(&folder, &discovery);
+    let bare = message("bare", "notice", 7, 20_000).replace("Idempotency-Key: key-bare\r\n", "");
+    assert_eq!(raw(courier.address, bare.as_bytes()).expect("an answer").status(), 202);
+    until("its end", || discovery.results("bare") == ["dead"]);
+    courier.take("keyed", "notice", 7, 20_000);
+    until("the repeat of one with a key", || endpoint.calls().len() == 3);
+    assert_eq!(endpoint.ids(), ["bare", "keyed", "keyed"]);
+}
+
+#[test]
+fn what_is_handed_in_again_under_its_id_is_sent_once_however_it_ended() {
+    // The first payment is delivered, the second may have run; of each the client loses its connection unheard.
+    let (folder, endpoint, discovery) = one(|n| if n == 1 { Act::Break } else { Act::Answer(OK) });
+    let courier = Courier::start(&folder, &discovery);
+    for (n, id) in ["paid", "broken"].into_iter().enumerate() {
+        let mut stream = TcpStream::connect(courier.address).expect("a connection");
+        stream.write_all(message(id, "payment", 7, 20_000).as_bytes()).expect("written");
+        until("its call", || endpoint.calls().len() == n + 1);
+        drop(stream);
+        if id == "broken" {
+            until("its end", || discovery.results(id) == ["dead"]);
+        }
+        // Its end is on record a moment after the endpoint has answered: before and after that it is known.
+        for _ in 0..5 {
+            assert_eq!(courier.hand_in(id, "payment", 7, 20_000).status(), 202, "{id} is taken on already");
+            thread::sleep(100 * MS);
+        }
+    }
+    courier.take("next", "payment", 7, 20_000);
+    until("the next call", || endpoint.ids().contains(&"next".to_owned()));
+    assert_eq!(endpoint.ids(), ["paid", "broken", "next"]);
+    assert_eq!(discovery.results("broken"), ["dead"], "one final answer");
+}
+
 #[test]
 fn a_told_wait_is_heeded_for_every_message() {
     let (folder, endpoint, discovery) = one(|n| Act::Answer(if n == 0 { FULL_TOLD } else { OK }));
