--- a/crates/courier/src/front/admin.rs
+++ b/crates/courier/src/front/admin.rs
@@ -3,6 +3,7 @@
 
 use crate::front::intake::Standing;
 use crate::place::control::View;
+use crate::place::watch_status::WatchStatus;
 use crate::room::Room;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -24,9 +25,19 @@
 /// An operator asks seldom: nobody holds a connection for longer, and few are open at once.
 const CONNECTION_TIME: Duration = Duration::from_secs(10);
 const CONNECTIONS: usize = 16;
+const PAGES: [&str; 5] = ["/-/config", "/-/config/values", "/-/discovery", "/-/memory", "/-/ready"];
+
+/// What the pages show.
+#[derive(Clone)]
+pub struct Pages {
+    pub view: View,
+    pub standing: Rc<Standing>,
+    pub room: Room,
+    pub watch: Rc<WatchStatus>,
+}
 
 /// Answers until the process ends.
-pub async fn run(listener: TcpListener, view: View, standing: Rc<Standing>, room: Room) {
+pub async fn run(listener: TcpListener, pages: Pages) {
     let places = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
         let Ok(permit) = places.clone().acquire_owned().await else { return };
@@ -34,11 +45,11 @@
             sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let (view, standing, room) = (view.clone(), standing.clone(), room.clone());
+        let pages = pages.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
-                let (view, standing, room) = (view.clone(), standing.clone(), room.clone());
-                async move { Ok::<_, Infallible>(answer(&request, &view, &standing, &room).await) }
+                let pages = pages.clone();
+                async move { Ok::<_, Infallible>(answer(&request, &pages).await) }
             });
             let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             let _ = timeout(CONNECTION_TIME, conn).await;
@@ -47,22 +58,17 @@
     }
 }
 
-async fn answer(
-    request: &Request<Incoming>,
-    view: &View,
-    standing: &Standing,
-    room: &Room,
-) -> Response<Full<Bytes>> {
+async fn answer(request: &Request<Incoming>, pages: &Pages) -> Response<Full<Bytes>> {
     let page = match (request.method(), request.uri().path()) {
-        (&Method::GET, "/-/config") => Some(view.status.json()),
-        (&Method::GET, "/-/config/values") => Some(values(view).await),
-        (&Method::GET, "/-/memory") => Some(room.page()),
-        (&Method::GET, "/-/ready") => Some(json!({"ready": standing.ready.get()})),
+        (&Method::GET, "/-/config") => Some(pages.view.status.json()),
+        (&Method::GET, "/-/config/values") => Some(values(&pages.view).await),
+        (&Method::GET, "/-/discovery") => Some(pages.watch.page()),
+        (&Method::GET, "/-/memory") => Some(pages.room.page()),
+        (&Method::GET, "/-/ready") => Some(json!({"ready": pages.standing.ready.get()})),
         _ => None,
     };
     let found = page.is_some();
-    let page =
-        page.unwrap_or_else(|| json!({"pages": ["/-/config", "/-/config/values", "/-/memory", "/-/ready"]}));
+    let page = page.unwrap_or_else(|| json!({"pages": PAGES}));
     let text = match page {
         Value::String(made) => made,
         page => serde_json::to_string_pretty(&page).unwrap_or_default(),
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -267,7 +267,7 @@
         }
         let permit = self.permit().await?;
         let room = self.room_for_link();
-        Link::open(address, self.connect.get(), Some((permit, room))).await.map(|link| (link, None))
+        Link::open(address, self.connect.get(), Some((permit, room))).await.ok().map(|link| (link, None))
     }
 
     async fn ask(
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -175,19 +175,45 @@
     _room: Option<(OwnedSemaphorePermit, Charge)>,
 }
 
+/// Why there is no connection.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    #[error("it did not come up within {0:?}")]
+    TimedOut(Duration),
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+}
+
 /// Why there is no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Lost {
     /// No byte of the request left.
+    #[error("no byte of the request was written")]
     Unsent,
     /// Its connection came, and it must not be written any more: why.
+    #[error("{0}")]
     Withheld(&'static str),
     /// The connection broke with the request out, or part of it.
+    #[error("the connection broke with the request out")]
     Broken,
     /// Time was up with the request out.
+    #[error("no answer in time")]
     Silent,
 }
 
+/// Why a body without an end has no next piece.
+#[derive(Debug, thiserror::Error)]
+pub enum StreamEnd {
+    #[error("silent for {0:?}")]
+    Silent(Duration),
+    #[error("ended by the other side")]
+    Ended,
+    #[error("broken: {0}")]
+    Broken(hyper::Error),
+}
+
 pub struct Answer {
     pub status: StatusCode,
     pub headers: HeaderMap,
@@ -243,13 +269,14 @@
         to: SocketAddr,
         within: Duration,
         room: Option<(OwnedSemaphorePermit, Charge)>,
-    ) -> Option<Self> {
-        let stream = timeout(within, TcpStream::connect(to)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+    ) -> Result<Self, ConnectError> {
+        let connected = timeout(within, TcpStream::connect(to)).await;
+        let stream = connected.map_err(|_| ConnectError::TimedOut(within))??;
+        stream.set_nodelay(true)?;
         let wire = Rc::new(Wire { stream, written: Cell::new(0), first: RefCell::default() });
         let io = TokioIo::new(Tap(wire.clone()));
-        let (sender, driver) = http1::Builder::new().max_buf_size(BODY_MOST).handshake(io).await.ok()?;
-        Some(Link { wire, sender, driver: Some(Box::pin(driver)), _room: room })
+        let (sender, driver) = http1::Builder::new().max_buf_size(BODY_MOST).handshake(io).await?;
+        Ok(Link { wire, sender, driver: Some(Box::pin(driver)), _room: room })
     }
 
     /// Whether the peer has left it open and said nothing out of turn. Asks the kernel: the runtime may not
@@ -319,16 +346,20 @@
         &mut self,
         request: Request<Full<Bytes>>,
         within: Duration,
-    ) -> Option<Response<Incoming>> {
-        timeout(within, self.start(request)).await.ok()?.ok()
+    ) -> Result<Response<Incoming>, Lost> {
+        timeout(within, self.start(request)).await.unwrap_or(Err(Lost::Silent))
     }
 
-    /// The next piece of a body; None when it ends, breaks or stays silent for so long.
-    pub async fn piece(&mut self, body: &mut Incoming, within: Duration) -> Option<Bytes> {
+    /// The next piece of a body.
+    ///
+    /// # Errors
+    /// It ended, broke, or nothing came `within` this time.
+    pub async fn piece(&mut self, body: &mut Incoming, within: Duration) -> Result<Bytes, StreamEnd> {
         loop {
-            let frame = timeout(within, drive(&mut self.driver, body.frame())).await.ok()??.ok()?;
-            if let Ok(data) = frame.into_data() {
-                return Some(data);
+            let frame = timeout(within, drive(&mut self.driver, body.frame())).await;
+            let frame = frame.map_err(|_| StreamEnd::Silent(within))?.ok_or(StreamEnd::Ended)?;
+            if let Ok(data) = frame.map_err(StreamEnd::Broken)?.into_data() {
+                return Ok(data);
             }
         }
     }
--- a/crates/courier/src/out/outcomes.rs
+++ b/crates/courier/src/out/outcomes.rs
@@ -197,7 +197,7 @@
         let kept = self.kept.borrow_mut().take().filter(|(_, at)| at.elapsed() < KEEP);
         let mut link = match kept.and_then(|(mut link, _)| link.sound().then_some(link)) {
             Some(link) => link,
-            None => Link::open(to, CONNECT, None).await?,
+            None => Link::open(to, CONNECT, None).await.ok()?,
         };
         let text: String = batch.iter().map(Notice::line).collect();
         let request = Request::post(&*self.path)
--- a/crates/courier/src/owner/members.rs
+++ b/crates/courier/src/owner/members.rs
@@ -4,7 +4,7 @@
 use super::Courier;
 use super::held::Held;
 use crate::news::{Changes, Configured, Health, Host, List, differences};
-use crate::place::discovery::Watch;
+use crate::place::watch::Watch;
 use stairshed_decide::interface::{self, *};
 use stairshed_journal::Verdict;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -267,7 +267,8 @@
     pub(super) fn watch_from(&mut self, seq: u64, fresh: bool) {
         let Some(address) = self.setup.discovery else { return };
         let spread = self.setup.settings.ask_spread();
-        let watch = Watch { address, seed: self.setup.seed, seq, fresh, spread };
+        let status = self.setup.watch_status.clone();
+        let watch = Watch { address, seed: self.setup.seed, seq, fresh, spread, status };
         let task = tokio::task::spawn_local(watch.run(self.news.clone()));
         self.members.watch = Some(task.abort_handle());
     }
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -115,11 +115,16 @@
                 continue;
             };
             m.attempts += 1;
+            let list = &self.setup.watch_status;
+            let host = self.members.endpoints.get(&endpoint).map(|e| e.host.as_str());
             follow::step(
                 &m.letter.id,
                 format_args!(
-                    "attempt={number} decided endpoint={} address={address} for={timeout:?}",
-                    endpoint.0
+                    "attempt={number} decided endpoint={} host={} address={address} for={timeout:?} list={} list_age={:?}",
+                    endpoint.0,
+                    host.unwrap_or_default(),
+                    list.version(),
+                    list.silence()
                 ),
             );
             let letter = m.letter.clone();
--- a/crates/courier/src/owner/setup.rs
+++ b/crates/courier/src/owner/setup.rs
@@ -2,12 +2,14 @@
 
 use crate::front::effective::Effective;
 use crate::news::List;
+use crate::place::watch_status::WatchStatus;
 use crate::room::Room;
 use stairshed_config::Installation;
 use stairshed_config::classes::ClassTable;
 use stairshed_decide::interface::Settings;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +23,7 @@
     /// The list as it was when the configuration was written.
     pub known: Option<List>,
     pub discovery: Option<SocketAddr>,
+    pub watch_status: Rc<WatchStatus>,
     /// For an operator's courier: what is in effect.
     pub installation: Option<Arc<Installation>>,
     /// And where the fronts look for it.
--- a/crates/courier/src/place/control.rs
+++ b/crates/courier/src/place/control.rs
@@ -569,13 +569,13 @@
 
     /// One connection, to its end, and whether a line came on it; a refusal if it is the sender's fault.
     async fn once(&self, hear: &Sender<Heard>, heard: &mut bool) -> Option<Refusal> {
-        let mut link = Link::open(self.url.address, CONNECT, None).await?;
+        let mut link = Link::open(self.url.address, CONNECT, None).await.ok()?;
         let held = self.held.borrow().map_or(String::new(), |v| format!("&version={v}"));
         let request = Request::get(format!("{}?node={}{held}", self.url.path, self.node))
             .header(header::HOST, self.url.address.to_string())
             .body(Full::<Bytes>::default())
             .ok()?;
-        let answer = link.watch(request, ANSWER).await?;
+        let answer = link.watch(request, ANSWER).await.ok()?;
         if answer.status() != StatusCode::OK {
             return None;
         }
@@ -584,7 +584,7 @@
         let (most, key) = (self.most, "control.version_most").min((fits, "as memory.configuration allows"));
         let (mut body, mut lines) = (answer.into_body(), Lines::new(most as usize));
         let mut begun: Option<Instant> = None;
-        while let Some(piece) = link.piece(&mut body, self.silence).await {
+        while let Ok(piece) = link.piece(&mut body, self.silence).await {
             if lines.push(&piece).is_err() {
                 let why = format!("longer than {most} bytes ({key})");
                 return Some(Refusal::Unreadable(why));
@@ -618,7 +618,7 @@
             let kept = link.take().and_then(|mut l| l.sound().then_some(l));
             let open = match kept {
                 Some(link) => Some(link),
-                None => Link::open(url.address, CONNECT, None).await,
+                None => Link::open(url.address, CONNECT, None).await.ok(),
             };
             let request = Request::post(format!("{}/answers", url.path.trim_end_matches('/')))
                 .header(header::HOST, url.address.to_string())
--- /dev/null
+++ b/crates/courier/src/place/watch.rs
@@ -0,0 +1,198 @@
+//! The watch on the list of endpoints. It lasts until its connection ends or falls silent; then it is
+//! asked for again, with backoff.
+
+use super::watch_status::WatchStatus;
+use crate::news::{List, News};
+use crate::out::link::{ConnectError, Link, Lost, StreamEnd};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode, header};
+use rand::{SeedableRng, rngs::SmallRng};
+use stairshed_config::lines::Lines;
+use stairshed_decide::brain::ask_after;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::Sender;
+use tokio::time::{Instant, sleep};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Discovery works through calls in turn and gives one up after its own time-out.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2500);
+/// While nothing changes an empty line comes every 2 s. A machine that vanished leaves the connection open
+/// and silent; a change counts as told 6 s later, so silence must be found out before that.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(4300);
+const INITIAL_BACKOFF_S: f64 = 0.15;
+const MAX_BACKOFF_S: f64 = 2.0;
+/// No line is longer; guards memory against one without an end.
+const MAX_LINE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why a watch could not be opened, or ended.
+#[derive(Debug, thiserror::Error)]
+pub enum WatchEnd {
+    #[error("no connection: {0}")]
+    Connect(#[from] ConnectError),
+    #[error("no answer: {0}")]
+    NoAnswer(#[from] Lost),
+    #[error("answered {0}")]
+    Refused(StatusCode),
+    #[error("{0}")]
+    Stream(#[from] StreamEnd),
+    #[error("a line longer than {MAX_LINE_BYTES} bytes")]
+    LineTooLong,
+    #[error("a line that cannot be read: {0}")]
+    Unreadable(#[from] serde_json::Error),
+    #[error("the courier is ending")]
+    Closing,
+}
+
+impl WatchEnd {
+    /// The name that it is counted under.
+    fn kind(&self) -> &'static str {
+        match self {
+            WatchEnd::Connect(_) => "connect",
+            WatchEnd::NoAnswer(_) => "no_answer",
+            WatchEnd::Refused(_) => "refused",
+            WatchEnd::Stream(StreamEnd::Silent(_)) => "silent",
+            WatchEnd::Stream(_) => "lost",
+            WatchEnd::LineTooLong | WatchEnd::Unreadable(_) => "malformed",
+            WatchEnd::Closing => "closing",
+        }
+    }
+}
+
+/// A watch on discovery, opened again whenever it ends.
+pub struct Watch {
+    pub address: SocketAddr,
+    pub seed: u64,
+    /// The version that the courier has.
+    pub seq: u64,
+    /// Ask for the whole list: the version is not known to be one of discovery's.
+    pub fresh: bool,
+    /// Time over which the fleet's calls are spread once a watch has ended or was turned away: all may have lost
+    /// theirs in the same moment.
+    pub spread: Duration,
+    pub status: Rc<WatchStatus>,
+}
+
+impl Watch {
+    /// Watches for good. Ends only when nobody listens any more.
+    pub async fn run(mut self, news: Sender<News>) {
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let mut backoff = INITIAL_BACKOFF_S;
+        while !news.is_closed() {
+            let since = Instant::now();
+            let mut lines_read = 0;
+            let Err(end) = self.watch_once(&news, &mut lines_read).await;
+            if lines_read > 0 && since.elapsed() > SILENCE_TIMEOUT {
+                backoff = INITIAL_BACKOFF_S;
+            }
+            let pause = ask_after(backoff, self.spread, &mut rng);
+            self.report_end(&end, since.elapsed(), lines_read, pause);
+            sleep(pause).await;
+            backoff = (backoff * 2.0).min(MAX_BACKOFF_S);
+        }
+    }
+
+    fn report_end(&self, end: &WatchEnd, after: Duration, lines_read: u64, pause: Duration) {
+        self.status.ended(end.kind(), &end.to_string());
+        let what = if lines_read > 0 { "the watch is lost" } else { "no watch" };
+        let (after, pause) = (after.as_secs_f64(), pause.as_secs_f64());
+        eprintln!(
+            "discovery: {what} after {after:.2} s, {lines_read} lines: {end}; calls again in {pause:.2} s"
+        );
+    }
+
+    /// One watch, from its connection to its end, which is its only result.
+    async fn watch_once(
+        &mut self,
+        news: &Sender<News>,
+        lines_read: &mut u64,
+    ) -> Result<Infallible, WatchEnd> {
+        let begun = Instant::now();
+        let (mut link, answer) = self.call().await?;
+        let (mut body, mut lines) = (answer.into_body(), Lines::new(MAX_LINE_BYTES));
+        loop {
+            let piece = link.piece(&mut body, SILENCE_TIMEOUT).await?;
+            if lines.push(&piece).is_err() || lines.buffered() > MAX_LINE_BYTES {
+                return Err(WatchEnd::LineTooLong);
+            }
+            for line in lines.by_ref() {
+                let list = self.read_line(&line, *lines_read == 0)?;
+                self.status.line_read(self.seq);
+                *lines_read += 1;
+                if *lines_read == 1 {
+                    let after = begun.elapsed().as_secs_f64();
+                    eprintln!(
+                        "discovery: the watch is open at version {}, {after:.2} s after its call",
+                        self.seq
+                    );
+                }
+                if let Some(list) = list {
+                    news.send(News::Listed(list)).await.map_err(|_| WatchEnd::Closing)?;
+                }
+            }
+        }
+    }
+
+    /// Connects and asks; an answer with a status other than 200 is none.
+    async fn call(&self) -> Result<(Link, Response<Incoming>), WatchEnd> {
+        self.status.call_started();
+        let path = match self.fresh {
+            true => "/api/targets?stream=1".to_owned(),
+            false => format!("/api/targets?stream=1&index={}", self.seq),
+        };
+        eprintln!("discovery: calls {} for {path}", self.address);
+        let mut link = Link::open(self.address, CONNECT_TIMEOUT, None).await?;
+        let request = Request::get(path)
+            .header(header::HOST, self.address.to_string())
+            .body(Full::<Bytes>::default())
+            .map_err(|_| WatchEnd::NoAnswer(Lost::Unsent))?;
+        let answer = link.watch(request, HEAD_TIMEOUT).await?;
+        match answer.status() {
+            StatusCode::OK => Ok((link, answer)),
+            status => Err(WatchEnd::Refused(status)),
+        }
+    }
+
+    /// What a line changes; None if nothing. The first line is passed on also if it is empty: it says that all is as
+    /// it was, which is an answer too.
+    fn read_line(&mut self, line: &[u8], is_first: bool) -> Result<Option<List>, WatchEnd> {
+        let list = match line.iter().all(u8::is_ascii_whitespace) {
+            true => List { seq: self.seq, ..List::default() },
+            false => serde_json::from_slice::<List>(line).inspect_err(|_| {
+                // What it would have told is asked for again, as a whole list.
+                self.fresh = true;
+            })?,
+        };
+        if !list.hosts.is_empty() || list.whole {
+            (self.seq, self.fresh) = (list.seq, false);
+            return Ok(Some(list));
+        }
+        self.seq = self.seq.max(list.seq);
+        Ok(is_first.then_some(list))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_fleet_that_loses_its_watches_does_not_ask_again_at_once() {
+        // Asked by all within a quarter of a second, discovery gave up each call before its turn came, for good.
+        let asks = |spread| {
+            let mut seconds = [0; 20];
+            for seed in 0..100 {
+                let rng = &mut SmallRng::seed_from_u64(seed);
+                seconds[ask_after(INITIAL_BACKOFF_S, spread, rng).as_secs() as usize] += 1;
+            }
+            seconds
+        };
+        let fleet = asks(Duration::from_secs(8));
+        assert!(fleet.iter().all(|asked| *asked <= 25), "{fleet:?}");
+        assert_eq!(asks(Duration::ZERO)[0], 100, "few ask at once");
+    }
+}
--- a/crates/courier/src/start/config.rs
+++ b/crates/courier/src/start/config.rs
@@ -13,6 +13,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -67,6 +68,7 @@
             seed: self.seed,
             known: self.known,
             discovery: Some(self.discovery),
+            watch_status: Rc::default(),
             installation: None,
             effective: None,
             room,
--- a/crates/courier/src/start/serve.rs
+++ b/crates/courier/src/start/serve.rs
@@ -2,7 +2,7 @@
 
 use super::{INBOX, SPARE_SOCKETS, lock, on, tell};
 use crate::fault::Fault;
-use crate::front::admin;
+use crate::front::admin::{self, Pages};
 use crate::front::effective::Effective;
 use crate::front::farewell::Farewells;
 use crate::front::intake::{BODY_MOST, Front, Intake, Standing};
@@ -97,6 +97,7 @@
         seed: rand::random(),
         known: None,
         discovery: installation.discovery,
+        watch_status: Rc::default(),
         installation: Some(installation.clone()),
         effective: Some(effective.clone()),
         room: room.clone(),
@@ -200,6 +201,7 @@
     let topics = !installation.topics.is_empty();
     let kept = journal.len();
     let discovery = installation.discovery.is_some();
+    let watch_status = setup.watch_status.clone();
     let mut courier = Courier::new(setup, brain, journal, calls, outcomes, standing.clone(), news.clone());
     let hub = match installation.mqtt {
         Some(_) => Some(hub(&installation, &beside, &effective, &news, (&courier, &room, &farewells))?),
@@ -231,7 +233,9 @@
         let listener = listen(admin).map_err(|e| bad("listen.admin", format!("{admin}: {e}")))?;
         let at = listener.local_addr().map_err(|e| bad("listen.admin", e))?;
         eprintln!("the operator's pages are at {at}");
-        tokio::task::spawn_local(admin::run(listener, configurator.view(), standing.clone(), room.clone()));
+        let (view, standing, room) = (configurator.view(), standing.clone(), room.clone());
+        let pages = Pages { view, standing, room, watch: watch_status };
+        tokio::task::spawn_local(admin::run(listener, pages));
     }
     if installation_mqtt.is_none() && topics {
         eprintln!("configuration: there are [topics], and listen.mqtt is not set: none is taken");
