--- /dev/null
+++ b/crates/courier/tests/stale_membership.rs
@@ -0,0 +1,228 @@
+//! No request goes to an endpoint that drains once its courier counts as told, whatever keeps the courier from
+//! hearing of it: couriers as processes on loopback, with a fake discovery that fails in several ways.
+
+use serde_json::{Value, json};
+use stairshed_rig::*;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A change counts as told this long after discovery had it, whether or not it arrived (protocol page).
+const TOLD_AFTER: Duration = Duration::from_secs(6);
+/// After SIGHUP what the new discovery has counts as told after this time.
+const TOLD_AFTER_RELOAD: Duration = Duration::from_secs(4);
+/// The rule on drains, with the 50 ms that it has on sockets.
+const GRACE: Duration = Duration::from_millis(1050);
+/// Couriers played side by side, each with a seed of its own.
+const COURIERS: u64 = 12;
+/// Couriers that the settings tell of: calls to discovery are spread over nearly 8 s then.
+const FLEET: u64 = 300;
+const LARGE_SHARE: f64 = 100_000.0;
+
+fn endpoint_entry(name: &str, endpoint: &Endpoint, health: &str) -> Value {
+    let mut entry = host(name, endpoint, 7, health);
+    // A limit that holds back no courier, however many share it.
+    entry["share"] = json!(LARGE_SHARE);
+    entry
+}
+
+/// Couriers of one large fleet, and the two endpoints of their destination: `old` is replaced by `new`.
+struct Fleet {
+    discovery: Discovery,
+    old: Arc<Endpoint>,
+    new: Arc<Endpoint>,
+    folders: Vec<Folder>,
+    couriers: Vec<Courier>,
+    siblings: u64,
+}
+
+impl Fleet {
+    fn start(couriers: u64, siblings: u64) -> Self {
+        let (old, new) = (Endpoint::new(|_| Act::Answer(OK)), Endpoint::new(|_| Act::Answer(OK)));
+        let discovery = Discovery::new(list(1, true, vec![endpoint_entry("s-old", &old, "ready")]));
+        let folders = (0..couriers).map(|_| Folder::new()).collect();
+        let (old, new) = (Arc::new(old), Arc::new(new));
+        let mut fleet = Fleet { discovery, old, new, folders, couriers: Vec::new(), siblings };
+        fleet.start_processes(1);
+        until("each has a watch", || fleet.discovery.watches.load(Ordering::SeqCst) as u64 >= couriers);
+        fleet
+    }
+
+    fn config(&self, discovery: &Discovery, seed: u64) -> Value {
+        let known = list(1, true, vec![endpoint_entry("s-old", &self.old, "ready")]);
+        let mut config = config(discovery, known);
+        config["settings"]["siblings"] = json!(self.siblings);
+        config["seed"] = json!(format!("{seed:x}"));
+        config
+    }
+
+    /// Starts all on the list that they had first.
+    fn start_processes(&mut self, first_seed: u64) {
+        println!("seeds {first_seed} to {}", first_seed + self.folders.len() as u64 - 1);
+        let starts: Vec<_> = (first_seed..)
+            .zip(&self.folders)
+            .map(|(seed, folder)| command(folder, &self.discovery, &self.config(&self.discovery, seed)))
+            .collect();
+        let starting =
+            starts.into_iter().map(|mut command| thread::spawn(move || Courier::spawn(&mut command)));
+        let starting: Vec<_> = starting.collect();
+        self.couriers = starting.into_iter().map(|start| start.join().expect("it starts")).collect();
+    }
+
+    fn kill(&mut self) {
+        self.couriers.drain(..).for_each(Courier::kill);
+    }
+
+    /// Discovery has the replacement from now on.
+    fn replace(&self) -> Instant {
+        let entries =
+            vec![endpoint_entry("s-old", &self.old, "draining"), endpoint_entry("s-new", &self.new, "ready")];
+        self.discovery.tell(list(2, false, entries));
+        Instant::now()
+    }
+
+    /// Clients that hand in a message at each courier every 100 ms, until the time has come.
+    fn hand_in_until(&self, end: Instant) {
+        let addresses: Vec<_> = self.couriers.iter().map(|c| c.address).collect();
+        let clients = addresses.into_iter().enumerate().map(|(n, to)| {
+            thread::spawn(move || {
+                for message in 0.. {
+                    if Instant::now() >= end {
+                        return;
+                    }
+                    let id = format!("m-{n}-{message}-{}", std::process::id());
+                    raw(to, message_with(&id, "status", 7, 4000, "").as_bytes());
+                    thread::sleep(100 * MS);
+                }
+            })
+        });
+        let clients: Vec<_> = clients.collect();
+        clients.into_iter().for_each(|client| client.join().expect("a client"));
+    }
+
+    /// Nothing may have gone to the old endpoint later than this.
+    fn assert_nothing_old_after(&self, latest: Instant) {
+        let late = self.old.calls().into_iter().filter(|call| call.at > latest);
+        let late: Vec<_> = late.map(|call| (call.id, call.at - latest)).collect();
+        assert!(late.is_empty(), "{} requests to a draining endpoint after the grace: {late:?}", late.len());
+    }
+
+    fn assert_new_is_used(&self) {
+        assert!(!self.new.calls().is_empty(), "the new endpoint serves once its couriers know it");
+    }
+}
+
+// Guards against an endpoint list of unknown age after a restart: incident d5b7e4.
+#[test]
+fn restarted_courier_sends_nothing_to_an_endpoint_that_began_to_drain_while_it_was_down() {
+    let mut fleet = Fleet::start(COURIERS, FLEET);
+    fleet.kill();
+    let change = fleet.replace();
+    thread::sleep(600 * MS);
+    fleet.start_processes(100);
+    fleet.hand_in_until(change + TOLD_AFTER * 2);
+    fleet.assert_nothing_old_after(change + TOLD_AFTER + GRACE);
+    fleet.assert_new_is_used();
+}
+
+// Guards against a silent watch that is noticed and opened anew too late.
+#[test]
+fn courier_whose_watch_fell_silent_sends_nothing_to_an_endpoint_that_drains() {
+    let fleet = Fleet::start(COURIERS, FLEET);
+    fleet.discovery.mute_watches();
+    let change = fleet.replace();
+    fleet.hand_in_until(change + TOLD_AFTER * 2);
+    fleet.assert_nothing_old_after(change + TOLD_AFTER + GRACE);
+    fleet.assert_new_is_used();
+}
+
+// Guards against retries of a refused call to discovery that are spread too far.
+#[test]
+fn courier_that_a_crowded_discovery_turns_away_sends_nothing_to_an_endpoint_that_drains() {
+    let fleet = Fleet::start(COURIERS, FLEET);
+    fleet.discovery.answer_watches(WatchAnswer::RefuseAfter(Duration::ZERO));
+    fleet.discovery.cut_watches();
+    let change = fleet.replace();
+    let discovery = fleet.discovery.clone();
+    let recovery = thread::spawn(move || {
+        thread::sleep(5000 * MS);
+        discovery.answer_watches(WatchAnswer::Serve);
+    });
+    fleet.hand_in_until(change + TOLD_AFTER * 3);
+    recovery.join().expect("it recovers");
+    fleet.assert_nothing_old_after(change + TOLD_AFTER + GRACE);
+    fleet.assert_new_is_used();
+}
+
+// Guards against a watch that sends bytes and never a line.
+#[test]
+fn courier_whose_watch_never_sends_a_whole_line_sends_nothing_to_an_endpoint_that_drains() {
+    let fleet = Fleet::start(2, 1);
+    fleet.discovery.answer_watches(WatchAnswer::NeverALine);
+    fleet.discovery.cut_watches();
+    let change = fleet.replace();
+    let discovery = fleet.discovery.clone();
+    let recovery = thread::spawn(move || {
+        thread::sleep(500 * MS);
+        discovery.answer_watches(WatchAnswer::Serve);
+    });
+    fleet.hand_in_until(change + TOLD_AFTER * 2);
+    recovery.join().expect("it recovers");
+    fleet.assert_nothing_old_after(change + TOLD_AFTER + GRACE);
+    fleet.assert_new_is_used();
+}
+
+// Guards against a reload whose new discovery does not answer at first.
+#[test]
+fn reloaded_courier_sends_nothing_to_an_endpoint_that_the_new_discovery_drains() {
+    let fleet = Fleet::start(COURIERS, FLEET);
+    let moved = Discovery::new(list(7, true, vec![endpoint_entry("s-new", &fleet.new, "ready")]));
+    moved.answer_watches(WatchAnswer::RefuseAfter(Duration::ZERO));
+    for (seed, (courier, folder)) in (200..).zip(fleet.couriers.iter().zip(&fleet.folders)) {
+        courier.reload(folder, &fleet.config(&moved, seed).to_string());
+    }
+    let reload = Instant::now();
+    let recovering = moved.clone();
+    let recovery = thread::spawn(move || {
+        thread::sleep(500 * MS);
+        recovering.answer_watches(WatchAnswer::Serve);
+    });
+    fleet.hand_in_until(reload + TOLD_AFTER * 2);
+    recovery.join().expect("it recovers");
+    fleet.assert_nothing_old_after(reload + TOLD_AFTER_RELOAD + GRACE);
+    fleet.assert_new_is_used();
+}
+
+/// The share of what was handed in that is delivered from the eighth second of an outage of discovery on, longer than
+/// a list is good without any word.
+fn share_served_in_outage(siblings: u64) -> f64 {
+    let fleet = Fleet::start(4, siblings);
+    fleet.discovery.answer_watches(WatchAnswer::RefuseAfter(Duration::from_secs(2)));
+    fleet.discovery.cut_watches();
+    let outage = Instant::now();
+    fleet.hand_in_until(outage + Duration::from_secs(24));
+    let calls = fleet.old.calls();
+    let in_second = |from: u64| {
+        let second = outage + Duration::from_secs(from)..outage + Duration::from_secs(from + 1);
+        calls.iter().filter(|call| second.contains(&call.at)).count()
+    };
+    let served: Vec<_> = (0..24).map(in_second).collect();
+    println!("{siblings} couriers: calls by second of the outage {served:?}");
+    // Four couriers, a message each 100 ms, 16 s.
+    served[8..].iter().sum::<usize>() as f64 / (16.0 * 40.0)
+}
+
+// Guards against an outage of discovery that stops the couriers.
+#[test]
+fn few_couriers_deliver_through_a_long_outage_of_discovery() {
+    let share = share_served_in_outage(3);
+    assert!(share >= 0.8, "{share:.2} of what was handed in");
+}
+
+// Guards against the same where calls to discovery are spread over many couriers.
+#[test]
+fn large_fleet_delivers_through_a_long_outage_of_discovery() {
+    let share = share_served_in_outage(FLEET);
+    assert!(share >= 0.5, "{share:.2} of what was handed in");
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -187,6 +187,17 @@
     }
 }
 
+/// What a fake discovery does with a call for a watch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchAnswer {
+    /// Writes the list, its changes and heartbeats.
+    Serve,
+    /// 503 after this time: at once as one that is crowded, late as one that is down or full of waiting calls.
+    RefuseAfter(Duration),
+    /// The head of an answer, and then a blank every 200 ms that never becomes a line.
+    NeverALine,
+}
+
 /// Discovery and the platform in one.
 #[derive(Clone)]
 pub struct Discovery {
@@ -206,6 +217,8 @@
     pub picky: Arc<AtomicBool>,
     /// Watches with a lower number fall silent after their first line, and stay open.
     pub mute: Arc<AtomicUsize>,
+    /// For calls from now on.
+    pub watch_answer: Arc<Mutex<WatchAnswer>>,
 }
 
 impl Discovery {
@@ -222,6 +235,7 @@
             posts: Arc::default(),
             picky: Arc::default(),
             mute: Arc::default(),
+            watch_answer: Arc::new(Mutex::new(WatchAnswer::Serve)),
         };
         let own = this.clone();
         thread::spawn(move || {
@@ -239,7 +253,17 @@
         while let Some(page) = Page::read(&mut from) {
             if page.first.starts_with("GET /api/targets?stream=1") {
                 self.asked.lock().expect("asked").push(page.first.clone());
-                return self.watch(&mut out);
+                let answer = *self.watch_answer.lock().expect("an answer");
+                match answer {
+                    WatchAnswer::Serve => return self.watch(&mut out),
+                    WatchAnswer::NeverALine => return never_a_line(&mut out),
+                    WatchAnswer::RefuseAfter(time) => {
+                        thread::sleep(time);
+                        let _ =
+                            out.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                        continue;
+                    }
+                }
             }
             let none = self
                 .refuse_posts
@@ -287,6 +311,21 @@
         }
     }
 
+    /// What calls for a watch meet from now on.
+    pub fn answer_watches(&self, answer: WatchAnswer) {
+        *self.watch_answer.lock().expect("an answer") = answer;
+    }
+
+    /// Ends all open watches.
+    pub fn cut_watches(&self) {
+        self.cut.store(self.watches.load(Ordering::SeqCst), Ordering::SeqCst);
+    }
+
+    /// All open watches fall silent and stay open.
+    pub fn mute_watches(&self) {
+        self.mute.store(self.watches.load(Ordering::SeqCst), Ordering::SeqCst);
+    }
+
     pub fn tell(&self, line: Value) {
         self.lines.lock().expect("lines").push(line);
     }
@@ -298,6 +337,13 @@
     }
 }
 
+fn never_a_line(out: &mut TcpStream) {
+    let _ = out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    while out.write_all(b"1\r\n \r\n").is_ok() {
+        thread::sleep(200 * MS);
+    }
+}
+
 pub fn host(name: &str, endpoint: &Endpoint, block: u64, health: &str) -> Value {
     json!({"host": name, "dial": endpoint.address.to_string(), "site": "a", "class": "shops", "block": block,
         "health": health, "share": 50.0, "born_ms": 0})
