A lease on the list of endpoints: nothing is sent on a list that may be out of date

Cause: the first call to discovery after a start, and each call after a failed one, is put off by a random part of up to 8 s (Settings::ask_spread, for the sake of discovery), a change counts as told after 6 s, and nothing tied the one to the other: requests were decided on a list whatever its age. Change: a lease (decide/membership_lease.rs, policy). It runs 6 s from discovery's last whole line. A call that shows that discovery cannot be reached renews it from the call's begin, one that is turned away at once does not, but for the third in a row. Run out, messages are held; what waited for its connection is withheld. The moment of the last line outlives the process (list-age, on CLOCK_BOOTTIME with the machine's boot id); unknown, torn or of another boot means: run out. SIGHUP cuts it to 4 s. Why it works: the spread stays, but its length no longer decides on what list a request goes.

--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -31,6 +31,16 @@
         end: CallEnd,
     },
     Listed(List),
+    /// Discovery at this address has written a whole line: the courier has all that it had told by then.
+    DiscoveryHeard {
+        discovery: SocketAddr,
+        at: Instant,
+    },
+    /// Discovery at this address could not be reached by a call that began then: it could not have told of a change.
+    DiscoveryUnreachable {
+        discovery: SocketAddr,
+        since: Instant,
+    },
     /// The platform has acknowledged the notices for these.
     Told(Vec<u64>),
     /// The configuration was read again: where discovery is now.
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -33,6 +33,10 @@
 /// Nothing new goes to an endpoint this long after news that it drains or is gone; a rule says 1 s.
 pub const DRAIN_TIME: Duration = Duration::from_millis(900);
 
+/// An attempt that was decided on a valid list may be written so much later; with the list's term it stays within the
+/// grace that the rule on drains gives.
+const LATE_WRITE: Duration = Duration::from_millis(600);
+
 /// What an attempt needs to know.
 pub struct Call {
     pub message: u64,
@@ -128,6 +132,8 @@
     parted: Rc<RefCell<HashMap<EndpointId, Instant>>>,
     /// Until when nothing may be written to a pool, as it has told.
     waits: Rc<RefCell<HashMap<PoolId, Instant>>>,
+    /// Until when the list of endpoints may be acted on; None for good.
+    list_valid_until: Rc<Cell<Option<Instant>>>,
     sockets: Arc<Semaphore>,
     /// By endpoint, not by address: a new endpoint at the address of one that is gone must not inherit links
     /// to that one.
@@ -155,7 +161,8 @@
         });
         let (connect, sockets) = (Rc::new(Cell::new(connect)), Arc::new(Semaphore::new(sockets)));
         let (parted, waits, fates) = (Rc::default(), Rc::default(), Rc::default());
-        Calls { connect, keep, parted, waits, sockets, idle, fates, room }
+        let list_valid_until = Rc::default();
+        Calls { connect, keep, parted, waits, list_valid_until, sockets, idle, fates, room }
     }
 
     /// How long connections are kept here: the module reckons with that.
@@ -179,6 +186,11 @@
         }
     }
 
+    /// Until when the list of endpoints may be acted on; None for good.
+    pub fn set_list_valid_until(&self, until: Option<Instant>) {
+        self.list_valid_until.set(until);
+    }
+
     /// The endpoint is known no more.
     pub fn forget(&self, endpoint: EndpointId) {
         self.close(endpoint);
@@ -290,6 +302,10 @@
         if self.parted.borrow().get(&endpoint).is_some_and(|since| since.elapsed() > DRAIN_TIME) {
             return Err(Lost::Withheld("the endpoint drains or is gone"));
         }
+        // Nor on a list that ran out of date while it waited.
+        if self.list_valid_until.get().is_some_and(|until| Instant::now() > until + LATE_WRITE) {
+            return Err(Lost::Withheld("the list of endpoints may be out of date"));
+        }
         // Nor may it break a wait that was told to another call meanwhile: the module knew of none when it let this
         // one go, and a connection may be a second in coming.
         if pool.is_some_and(|p| self.waits.borrow().get(&p).is_some_and(|until| Instant::now() < *until)) {
--- a/crates/courier/src/owner.rs
+++ b/crates/courier/src/owner.rs
@@ -7,12 +7,14 @@
 //!   out       messages held, their calls    records   what waits on the journal, a failing disk
 //!   notices   verdicts to be acknowledged   stopping  the end after SIGTERM
 //!   memory    what each message holds, measuring, giving back
+//!   lease     until when the list of endpoints may be acted on
 //!   ended     what stays of ended messages  brokers   attempts at MQTT brokers      notes  state by key
 //! ```
 
 mod brokers;
 mod ended;
 mod held;
+mod lease;
 mod members;
 mod memory;
 mod notes;
@@ -118,6 +120,7 @@
             courier.members.slice = usize::MAX;
             courier.change();
         }
+        courier.resume_lease();
         courier.resume();
         courier.lose_open();
         courier.resume_open();
@@ -220,6 +223,8 @@
                     false => self.list(list),
                 }
             }
+            News::DiscoveryHeard { discovery, at } => self.discovery_heard(discovery, at),
+            News::DiscoveryUnreachable { discovery, since } => self.discovery_unreachable(discovery, since),
             News::Told(messages) => {
                 self.notices.posts -= 1;
                 for message in messages {
@@ -258,6 +263,7 @@
         let events = std::mem::take(&mut self.events);
         let mut actions = Vec::new();
         self.brain.handle(now.duration_since(self.origin), &events, &mut actions);
+        self.apply_lease(now);
         let (mut sends, mut refused, mut cancels) = (Vec::new(), HashMap::new(), Vec::new());
         for action in actions {
             match action {
--- /dev/null
+++ b/crates/courier/src/owner/lease.rs
@@ -0,0 +1,79 @@
+//! The lease on the list of endpoints, between the watch that renews it and the decision module that keeps it: what a
+//! start knows of the list's age, what renews the lease, and what the connections and the log learn of it.
+
+use super::Courier;
+use crate::place::list_age::ListAge;
+use stairshed_decide::interface::Event;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Taken as the age of a list that comes with the configuration of a first start.
+const ASSUMED_FIRST_AGE: Duration = Duration::from_secs(2);
+/// What a new discovery has counts as told this long after SIGHUP (protocol page).
+const MOVED_TERM: Duration = Duration::from_secs(4);
+
+impl Courier {
+    /// The list that the start was given is as old as discovery's last word to an earlier life. Where that is not
+    /// known, messages are held until discovery has answered.
+    pub(super) fn resume_lease(&mut self) {
+        let Some(file) = &self.setup.list_age else { return };
+        let ago = match file.load() {
+            ListAge::Known(ago) => ago,
+            ListAge::Unrecorded if self.journal.last() == 0 => ASSUMED_FIRST_AGE,
+            ListAge::Unrecorded | ListAge::Unknown => {
+                eprintln!(
+                    "discovery: the age of the list is not known; nothing is sent until discovery answers"
+                );
+                return;
+            }
+        };
+        self.events.push(Event::MembershipCurrent { ago });
+    }
+
+    /// Discovery has written a whole line: what is listed here is all that it had to tell by then.
+    pub(super) fn discovery_heard(&mut self, discovery: SocketAddr, at: Instant) {
+        if self.setup.discovery != Some(discovery) {
+            return;
+        }
+        self.events.push(Event::MembershipCurrent { ago: at.elapsed() });
+        if let Some(Err(e)) = self.setup.list_age.as_ref().map(|file| file.save()) {
+            // The next start takes the list for older than it is.
+            self.members.report_list_age_error(&e);
+        }
+    }
+
+    /// Discovery could not be reached since then, and so could not tell of a change.
+    pub(super) fn discovery_unreachable(&mut self, discovery: SocketAddr, since: Instant) {
+        if self.setup.discovery == Some(discovery) {
+            self.events.push(Event::MembershipCurrent { ago: since.elapsed() });
+        }
+    }
+
+    /// Discovery is elsewhere from now on; the old one's word does not hold for long.
+    pub(super) fn discovery_moved(&mut self) {
+        self.events.push(Event::DiscoveryMoved { term: MOVED_TERM });
+    }
+
+    /// Tells the connections, the pages and the log until when the list may be acted on.
+    pub(super) fn apply_lease(&mut self, now: Instant) {
+        let expires = self.brain.membership_expires_at().map(|at| self.origin + at);
+        self.out.calls.set_list_valid_until(expires);
+        self.setup.watch_status.set_lease(expires);
+        let stale = expires.is_some_and(|at| at <= now) && !self.out.held.is_empty();
+        match (self.members.list_stale_since, stale) {
+            (None, true) => {
+                eprintln!(
+                    "discovery: the list may be out of date; messages are held until discovery answers"
+                );
+                self.members.list_stale_since = Some(now);
+            }
+            (Some(since), false) => {
+                let held = now.duration_since(since).as_secs_f64();
+                eprintln!("discovery: the list is current again, after {held:.2} s");
+                self.members.list_stale_since = None;
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/courier/src/owner/members.rs
+++ b/crates/courier/src/owner/members.rs
@@ -8,7 +8,9 @@
 use stairshed_decide::interface::{self, *};
 use stairshed_journal::Verdict;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -18,6 +20,9 @@
 const SLICE: usize = 250;
 const SLICES_MOST: usize = 40;
 
+/// Between two lines of the log on the same fault.
+const REPORT_PAUSE: Duration = Duration::from_secs(60);
+
 pub(super) struct Endpoint {
     pub(super) host: String,
     pub(super) address: Option<SocketAddr>,
@@ -39,6 +44,9 @@
     /// Discovery has answered since the start.
     pub(super) listed: bool,
     watch: Option<AbortHandle>,
+    /// Since when messages are held because the list may be out of date.
+    pub(super) list_stale_since: Option<Instant>,
+    list_age_reported: Option<Instant>,
     /// What a configuration changes among the endpoints and the module has not heard of yet, and how many of
     /// them it hears of in a turn; who is told once it has.
     pub(super) changes: VecDeque<Host>,
@@ -51,6 +59,19 @@
     pub(super) removed: BTreeMap<u64, Instant>,
 }
 
+impl Members {
+    /// Says once in a while that the age of the list cannot be kept.
+    pub(super) fn report_list_age_error(&mut self, error: &io::Error) {
+        let now = Instant::now();
+        if self.list_age_reported.is_none_or(|at| now - at >= REPORT_PAUSE) {
+            self.list_age_reported = Some(now);
+            eprintln!(
+                "discovery: the age of the list cannot be kept: {error}; a restart may hold messages longer"
+            );
+        }
+    }
+}
+
 impl Courier {
     /// Puts a configuration into effect: whole, between two turns.
     pub(super) fn configured(&mut self, configured: Configured) {
@@ -280,6 +301,7 @@
             return;
         }
         self.notices.outcomes.move_to(discovery);
+        self.discovery_moved();
         if let Some(watch) = self.members.watch.take() {
             watch.abort();
             self.watch_from(0, true);
--- a/crates/courier/src/owner/setup.rs
+++ b/crates/courier/src/owner/setup.rs
@@ -2,6 +2,7 @@
 
 use crate::front::effective::Effective;
 use crate::news::List;
+use crate::place::list_age::ListAgeFile;
 use crate::place::watch_status::WatchStatus;
 use crate::room::Room;
 use stairshed_config::Installation;
@@ -24,6 +25,8 @@
     pub known: Option<List>,
     pub discovery: Option<SocketAddr>,
     pub watch_status: Rc<WatchStatus>,
+    /// Where the moment of discovery's last word is kept; None where lists have no term.
+    pub list_age: Option<ListAgeFile>,
     /// For an operator's courier: what is in effect.
     pub installation: Option<Arc<Installation>>,
     /// And where the fronts look for it.
--- a/crates/courier/src/place.rs
+++ b/crates/courier/src/place.rs
@@ -4,6 +4,7 @@
 pub mod dns;
 pub mod file;
 pub mod hosts;
+pub mod list_age;
 pub mod names;
 pub mod watch;
 pub mod watch_status;
--- a/crates/courier/src/place/watch.rs
+++ b/crates/courier/src/place/watch.rs
@@ -12,6 +12,7 @@
 use stairshed_config::lines::Lines;
 use stairshed_decide::brain::ask_after;
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +27,10 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(4300);
 const INITIAL_BACKOFF_S: f64 = 0.15;
 const MAX_BACKOFF_S: f64 = 2.0;
+/// A call that is refused sooner was turned away by a discovery that is up and crowded.
+const MIN_OUTAGE_WAIT: Duration = Duration::from_millis(1000);
+/// So many failed calls in a row are an outage, however they failed.
+const OUTAGE_FAILED_CALLS: u32 = 3;
 /// No line is longer; guards memory against one without an end.
 const MAX_LINE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -49,6 +54,25 @@
 }
 
 impl WatchEnd {
+    /// Whether a call that ended so after `waited` met a discovery that could not be reached: it could not have told
+    /// anybody of a change. Not so for one that is up and turns calls away, nor for a fault of this machine.
+    fn is_unreachable(&self, waited: Duration) -> bool {
+        match self {
+            WatchEnd::Connect(ConnectError::TimedOut(_)) => true,
+            WatchEnd::Connect(ConnectError::Io(e)) => matches!(
+                e.kind(),
+                ErrorKind::ConnectionRefused
+                    | ErrorKind::ConnectionReset
+                    | ErrorKind::HostUnreachable
+                    | ErrorKind::NetworkUnreachable
+                    | ErrorKind::TimedOut
+            ),
+            WatchEnd::NoAnswer(_) => waited >= MIN_OUTAGE_WAIT,
+            WatchEnd::Refused(StatusCode::SERVICE_UNAVAILABLE) => waited >= MIN_OUTAGE_WAIT,
+            _ => false,
+        }
+    }
+
     /// The name that it is counted under.
     fn kind(&self) -> &'static str {
         match self {
@@ -82,6 +106,7 @@
     pub async fn run(mut self, news: Sender<News>) {
         let mut rng = SmallRng::seed_from_u64(self.seed);
         let mut backoff = INITIAL_BACKOFF_S;
+        let mut failed_calls = 0;
         while !news.is_closed() {
             let since = Instant::now();
             let mut lines_read = 0;
@@ -89,6 +114,14 @@
             if lines_read > 0 && since.elapsed() > SILENCE_TIMEOUT {
                 backoff = INITIAL_BACKOFF_S;
             }
+            failed_calls = if lines_read > 0 { 0 } else { failed_calls + 1 };
+            if lines_read == 0 && (end.is_unreachable(since.elapsed()) || failed_calls >= OUTAGE_FAILED_CALLS)
+            {
+                let unreachable = News::DiscoveryUnreachable { discovery: self.address, since };
+                if news.send(unreachable).await.is_err() {
+                    return;
+                }
+            }
             let pause = ask_after(backoff, self.spread, &mut rng);
             self.report_end(&end, since.elapsed(), lines_read, pause);
             sleep(pause).await;
@@ -133,6 +166,8 @@
                 if let Some(list) = list {
                     news.send(News::Listed(list)).await.map_err(|_| WatchEnd::Closing)?;
                 }
+                let heard = News::DiscoveryHeard { discovery: self.address, at: Instant::now() };
+                news.send(heard).await.map_err(|_| WatchEnd::Closing)?;
             }
         }
     }
--- a/crates/courier/src/place/watch_status.rs
+++ b/crates/courier/src/place/watch_status.rs
@@ -20,6 +20,7 @@
     answered_calls: u64,
     failures: BTreeMap<&'static str, u64>,
     last_failure: Option<String>,
+    lease_expires: Option<Instant>,
 }
 
 impl WatchStatus {
@@ -43,6 +44,11 @@
         inner.last_failure = Some(reason.to_owned());
     }
 
+    /// Until when the list may be acted on; None for good.
+    pub fn set_lease(&self, expires: Option<Instant>) {
+        self.0.borrow_mut().lease_expires = expires;
+    }
+
     /// The list's version, 0 before the first line.
     pub fn version(&self) -> u64 {
         self.0.borrow().version
@@ -57,7 +63,10 @@
     pub fn page(&self) -> Value {
         let silence = self.silence().map(|s| s.as_secs_f64());
         let inner = self.0.borrow();
+        let lease_left =
+            inner.lease_expires.map(|at| at.saturating_duration_since(Instant::now()).as_secs_f64());
         json!({
+            "list_valid_for_s": lease_left,
             "watch_open": inner.is_open,
             "version": inner.version,
             "last_line_s_ago": silence,
--- a/crates/courier/src/start/config.rs
+++ b/crates/courier/src/start/config.rs
@@ -4,6 +4,7 @@
 use crate::fault::Fault;
 use crate::news::List;
 use crate::owner::setup::Setup;
+use crate::place::list_age::ListAgeFile;
 use crate::room::Room;
 use serde::Deserialize;
 use stairshed_config::classes::ClassTable;
@@ -69,6 +70,7 @@
             known: self.known,
             discovery: Some(self.discovery),
             watch_status: Rc::default(),
+            list_age: Some(ListAgeFile::new(&self.state)),
             installation: None,
             effective: None,
             room,
--- a/crates/courier/src/start/platform.rs
+++ b/crates/courier/src/start/platform.rs
@@ -21,6 +21,9 @@
 use tokio::signal::unix::{Signal, SignalKind};
 use tokio::sync::mpsc;
 
+/// Whatever discovery has counts as told to each courier after this time, whether or not it arrived (protocol page).
+const LIST_TERM: Duration = Duration::from_secs(6);
+
 /// Reads the configuration again at each SIGHUP. A file that cannot be read changes nothing.
 async fn reload(mut hangup: Signal, file: PathBuf, news: mpsc::Sender<News>) {
     while hangup.recv().await.is_some() {
@@ -70,6 +73,7 @@
         Calls::new(config.settings.connect_timeout, config.settings.keepalive, for_calls, room.clone());
     // The module reckons with the connections that are kept here.
     config.settings.keepalive = calls.keep_time();
+    config.settings.membership_term = config.settings.must_subscribe.then_some(LIST_TERM);
     let brain = Brain::new(config.settings.clone(), config.seed);
     let brain = brain.map_err(|e| Fault::Bad("LB_CONFIG", e))?;
     let (news, inbox) = mpsc::channel(INBOX);
--- a/crates/courier/src/start/serve.rs
+++ b/crates/courier/src/start/serve.rs
@@ -98,6 +98,7 @@
         known: None,
         discovery: installation.discovery,
         watch_status: Rc::default(),
+        list_age: None,
         installation: Some(installation.clone()),
         effective: Some(effective.clone()),
         room: room.clone(),
--- a/crates/decide/examples/embed.rs
+++ b/crates/decide/examples/embed.rs
@@ -31,6 +31,7 @@
         may_probe: true,
         may_cancel: true,
         must_subscribe: false,
+        membership_term: None,
         tick: Duration::from_millis(5),
         drain_grace: Duration::from_secs(1),
         cold_from: 0.2,
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -204,6 +204,8 @@
                 self.ask_at = self.set.must_subscribe.then_some(self.now + ns(pause));
                 self.ask_pause = (self.ask_pause * 2.0).min(LIST_RETRY * 8.0);
             }
+            Event::MembershipCurrent { ago } => self.membership_current(*ago),
+            Event::DiscoveryMoved { term } => self.membership.limit(self.now + ns(*term)),
             Event::Taken(taken) => self.taken(taken, out),
             Event::Answering { .. } | Event::Told { .. } => {}
             Event::Ended(ended) => self.ended(ended, out),
@@ -242,6 +244,26 @@
             }
         }
         self.forget(out);
+        self.touch_occupied();
+    }
+
+    /// Renews the lease on the list; what was held for want of it may go.
+    fn membership_current(&mut self, ago: Duration) {
+        let had_run_out = !self.membership.is_valid(self.now);
+        self.membership.renew(self.now - ns(ago));
+        if had_run_out {
+            self.touch_occupied();
+        }
+    }
+
+    /// Until when the list of endpoints may be acted on, on the clock of [`Brain::handle`]; None for good.
+    pub fn membership_expires_at(&self) -> Option<Time> {
+        let expires_at = self.membership.expires_at();
+        (expires_at != NEVER).then(|| self.origin.unwrap_or_default() + span(expires_at))
+    }
+
+    /// Looks again at each destination that has messages.
+    fn touch_occupied(&mut self) {
         self.touched.extend(self.dests.iter().filter(|(_, d)| !d.members.is_empty()).map(|(id, _)| *id));
     }
 
@@ -631,6 +653,10 @@
 
     /// The cheapest endpoint that may take this message now. Each rule on sends is kept here.
     fn choose(&mut self, id: MessageId, joined: &Joined) -> Option<EndpointId> {
+        // Rule: nothing to an endpoint that may drain or be gone without this courier's knowing it.
+        if !self.membership.is_valid(self.now) {
+            return None;
+        }
         let m = &self.messages[&id];
         let d = &self.dests[&m.dest];
         let room = self.room(d);
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -118,6 +118,8 @@
     pub may_cancel: bool,
     /// List changes come only after [`Action::Subscribe`].
     pub must_subscribe: bool,
+    /// How long the list may be acted on from when it was last known to be current; None for good.
+    pub membership_term: Option<Duration>,
     /// The smallest time between two calls of the module.
     pub tick: Duration,
     /// Nothing new may go to an endpoint this long after news that it drains or is gone.
@@ -237,6 +239,10 @@
     Listed { whole: bool, entries: Vec<Entry> },
     /// A request for the list failed, or the subscription broke.
     ListFailed,
+    /// The list was current so long ago: discovery has written since, or could not have told of a change.
+    MembershipCurrent { ago: Duration },
+    /// Discovery is asked at another place from now on: without its word the list may be acted on only so long.
+    DiscoveryMoved { term: Duration },
     /// A message was taken and is owed one final answer.
     Taken(Taken),
     /// A streamed answer has begun.
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -173,6 +173,7 @@
             may_probe: limits.probing,
             may_cancel: limits.cancel,
             must_subscribe: conf.membership_mode == "subscribe",
+            membership_term: None,
             tick: span(conf.tick_ns, "tick-ns")?,
             drain_grace: span(rules.drain_grace_ns, "drain-grace-ns")?,
             cold_from: rules.cold_from,
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -2,6 +2,7 @@
 //! set and read in [`crate::brain`].
 
 use crate::interface::*;
+use crate::membership_lease::MembershipLease;
 use rand::{SeedableRng, rngs::SmallRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -201,6 +202,7 @@
     /// Endpoints with a call that has ended: its connection is free, unless another call left on it.
     pub(crate) spare: BTreeSet<EndpointId>,
     pub(crate) stuck_at: Ns,
+    pub(crate) membership: MembershipLease,
     /// When to ask for the list again.
     pub(crate) ask_at: Option<Ns>,
     pub(crate) ask_pause: f64,
@@ -231,6 +233,7 @@
             pressed: BTreeSet::new(),
             spare: BTreeSet::new(),
             stuck_at: NEVER,
+            membership: MembershipLease::new(set.membership_term),
             ask_at: set.must_subscribe.then_some(0),
             ask_pause: 0.0,
             set,
@@ -267,6 +270,7 @@
             self.tallies.resize(set.classes.len(), Tally::default());
         }
         self.tight.resize(set.kinds.len(), f64::MIN);
+        self.membership.set_term(set.membership_term);
         self.set = set;
         Ok(())
     }
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -52,6 +52,7 @@
         may_probe: true,
         may_cancel: true,
         must_subscribe: false,
+        membership_term: None,
         tick: MS * 5,
         drain_grace: MS * 1000,
         cold_from: 0.2,
