A watch that never sends a whole line is given up and opened anew

What callers saw: with the lease no request goes to a draining endpoint there any more, but messages were held for good: each byte counted as a sign of life, so the watch was neither silent nor ever told anything. Change: a line has 5 s from its first byte.

--- a/crates/courier/src/place/watch.rs
+++ b/crates/courier/src/place/watch.rs
@@ -25,6 +25,8 @@
 /// While nothing changes an empty line comes every 2 s. A machine that vanished leaves the connection open
 /// and silent; a change counts as told 6 s later, so silence must be found out before that.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(4300);
+/// A line has to be whole within this time of its first byte: bytes that never become one are no word of discovery.
+const LINE_TIMEOUT: Duration = Duration::from_secs(5);
 const INITIAL_BACKOFF_S: f64 = 0.15;
 const MAX_BACKOFF_S: f64 = 2.0;
 /// A call that is refused sooner was turned away by a discovery that is up and crowded.
@@ -45,6 +47,8 @@
     Refused(StatusCode),
     #[error("{0}")]
     Stream(#[from] StreamEnd),
+    #[error("a line without an end for {LINE_TIMEOUT:?}")]
+    EndlessLine,
     #[error("a line longer than {MAX_LINE_BYTES} bytes")]
     LineTooLong,
     #[error("a line that cannot be read: {0}")]
@@ -81,7 +85,7 @@
             WatchEnd::Refused(_) => "refused",
             WatchEnd::Stream(StreamEnd::Silent(_)) => "silent",
             WatchEnd::Stream(_) => "lost",
-            WatchEnd::LineTooLong | WatchEnd::Unreadable(_) => "malformed",
+            WatchEnd::EndlessLine | WatchEnd::LineTooLong | WatchEnd::Unreadable(_) => "malformed",
             WatchEnd::Closing => "closing",
         }
     }
@@ -147,8 +151,14 @@
         let begun = Instant::now();
         let (mut link, answer) = self.call().await?;
         let (mut body, mut lines) = (answer.into_body(), Lines::new(MAX_LINE_BYTES));
+        let mut line_begun: Option<Instant> = None;
         loop {
-            let piece = link.piece(&mut body, SILENCE_TIMEOUT).await?;
+            let line_time_left =
+                line_begun.map_or(LINE_TIMEOUT, |begun| LINE_TIMEOUT.saturating_sub(begun.elapsed()));
+            if line_time_left.is_zero() {
+                return Err(WatchEnd::EndlessLine);
+            }
+            let piece = link.piece(&mut body, SILENCE_TIMEOUT.min(line_time_left)).await?;
             if lines.push(&piece).is_err() || lines.buffered() > MAX_LINE_BYTES {
                 return Err(WatchEnd::LineTooLong);
             }
@@ -156,6 +166,7 @@
                 let list = self.read_line(&line, *lines_read == 0)?;
                 self.status.line_read(self.seq);
                 *lines_read += 1;
+                line_begun = None;
                 if *lines_read == 1 {
                     let after = begun.elapsed().as_secs_f64();
                     eprintln!(
@@ -169,6 +180,7 @@
                 let heard = News::DiscoveryHeard { discovery: self.address, at: Instant::now() };
                 news.send(heard).await.map_err(|_| WatchEnd::Closing)?;
             }
+            line_begun = lines.is_open().then(|| line_begun.unwrap_or_else(Instant::now));
         }
     }
 
