Quick refusals by discovery are an outage only after five in a row and 12 s

Few couriers retry after 0.15, 0.3 and 0.6 s, so a discovery that was up and crowded for a second renewed the lease: 81 requests to a draining endpoint after the grace in 9 s of refusals (the new test, seen to fail). Change: what a failed call says (CallFailure) and the judgement (OutageDetector) stand in place/outage.rs. Quick refusals count once there were five and 12 s have passed; the second new test holds that service comes back then.

--- a/crates/courier/src/place.rs
+++ b/crates/courier/src/place.rs
@@ -6,5 +6,6 @@
 pub mod hosts;
 pub mod list_age;
 pub mod names;
+mod outage;
 pub mod watch;
 pub mod watch_status;
--- a/crates/courier/src/place/watch.rs
+++ b/crates/courier/src/place/watch.rs
@@ -1,6 +1,7 @@
 //! The watch on the list of endpoints. It lasts until its connection ends or falls silent; then it is
 //! asked for again, with backoff.
 
+use super::outage::{CallFailure, OutageDetector};
 use super::watch_status::WatchStatus;
 use crate::news::{List, News};
 use crate::out::link::{ConnectError, Link, Lost, StreamEnd};
@@ -29,10 +30,6 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(5);
 const INITIAL_BACKOFF_S: f64 = 0.15;
 const MAX_BACKOFF_S: f64 = 2.0;
-/// A call that is refused sooner was turned away by a discovery that is up and crowded.
-const MIN_OUTAGE_WAIT: Duration = Duration::from_millis(1000);
-/// So many failed calls in a row are an outage, however they failed.
-const OUTAGE_FAILED_CALLS: u32 = 3;
 /// No line is longer; guards memory against one without an end.
 const MAX_LINE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -58,22 +55,20 @@
 }
 
 impl WatchEnd {
-    /// Whether a call that ended so after `waited` met a discovery that could not be reached: it could not have told
-    /// anybody of a change. Not so for one that is up and turns calls away, nor for a fault of this machine.
-    fn is_unreachable(&self, waited: Duration) -> bool {
+    /// What a call that ended so says of discovery.
+    fn failure(&self) -> CallFailure {
         match self {
-            WatchEnd::Connect(ConnectError::TimedOut(_)) => true,
-            WatchEnd::Connect(ConnectError::Io(e)) => matches!(
-                e.kind(),
+            WatchEnd::Connect(ConnectError::TimedOut(_)) => CallFailure::NoConnection,
+            WatchEnd::Connect(ConnectError::Io(e)) => match e.kind() {
                 ErrorKind::ConnectionRefused
-                    | ErrorKind::ConnectionReset
-                    | ErrorKind::HostUnreachable
-                    | ErrorKind::NetworkUnreachable
-                    | ErrorKind::TimedOut
-            ),
-            WatchEnd::NoAnswer(_) => waited >= MIN_OUTAGE_WAIT,
-            WatchEnd::Refused(StatusCode::SERVICE_UNAVAILABLE) => waited >= MIN_OUTAGE_WAIT,
-            _ => false,
+                | ErrorKind::ConnectionReset
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::TimedOut => CallFailure::NoConnection,
+                _ => CallFailure::Other,
+            },
+            WatchEnd::NoAnswer(_) | WatchEnd::Refused(_) => CallFailure::NotServed,
+            _ => CallFailure::Other,
         }
     }
 
@@ -110,7 +105,7 @@
     pub async fn run(mut self, news: Sender<News>) {
         let mut rng = SmallRng::seed_from_u64(self.seed);
         let mut backoff = INITIAL_BACKOFF_S;
-        let mut failed_calls = 0;
+        let mut outage = OutageDetector::default();
         while !news.is_closed() {
             let since = Instant::now();
             let mut lines_read = 0;
@@ -118,9 +113,9 @@
             if lines_read > 0 && since.elapsed() > SILENCE_TIMEOUT {
                 backoff = INITIAL_BACKOFF_S;
             }
-            failed_calls = if lines_read > 0 { 0 } else { failed_calls + 1 };
-            if lines_read == 0 && (end.is_unreachable(since.elapsed()) || failed_calls >= OUTAGE_FAILED_CALLS)
-            {
+            if lines_read > 0 {
+                outage.answered();
+            } else if outage.call_failed(end.failure(), since) {
                 let unreachable = News::DiscoveryUnreachable { discovery: self.address, since };
                 if news.send(unreachable).await.is_err() {
                     return;
--- a/crates/courier/tests/stale_membership.rs
+++ b/crates/courier/tests/stale_membership.rs
@@ -140,13 +140,23 @@
 // Guards against retries of a refused call to discovery that are spread too far.
 #[test]
 fn courier_that_a_crowded_discovery_turns_away_sends_nothing_to_an_endpoint_that_drains() {
-    let fleet = Fleet::start(COURIERS, FLEET);
+    turned_away(&Fleet::start(COURIERS, FLEET), Duration::from_secs(5));
+}
+
+// Guards against quick refusals in a row that pass for an outage.
+#[test]
+fn few_couriers_that_a_crowded_discovery_turns_away_send_nothing_to_an_endpoint_that_drains() {
+    turned_away(&Fleet::start(2, 1), Duration::from_secs(9));
+}
+
+/// Watches end, and discovery turns each call away at once for a while; meanwhile an endpoint is replaced.
+fn turned_away(fleet: &Fleet, crowded: Duration) {
     fleet.discovery.answer_watches(WatchAnswer::RefuseAfter(Duration::ZERO));
     fleet.discovery.cut_watches();
     let change = fleet.replace();
     let discovery = fleet.discovery.clone();
     let recovery = thread::spawn(move || {
-        thread::sleep(5000 * MS);
+        thread::sleep(crowded);
         discovery.answer_watches(WatchAnswer::Serve);
     });
     fleet.hand_in_until(change + TOLD_AFTER * 3);
@@ -197,8 +207,15 @@
 /// The share of what was handed in that is delivered from the eighth second of an outage of discovery on, longer than
 /// a list is good without any word.
 fn share_served_in_outage(siblings: u64) -> f64 {
+    let served = served_in_outage(siblings, Duration::from_secs(2));
+    // Four couriers, a message each 100 ms, 16 s.
+    served[8..].iter().sum::<usize>() as f64 / (16.0 * 40.0)
+}
+
+/// Calls by second of an outage in which calls to discovery are refused after this time.
+fn served_in_outage(siblings: u64, refused_after: Duration) -> Vec<usize> {
     let fleet = Fleet::start(4, siblings);
-    fleet.discovery.answer_watches(WatchAnswer::RefuseAfter(Duration::from_secs(2)));
+    fleet.discovery.answer_watches(WatchAnswer::RefuseAfter(refused_after));
     fleet.discovery.cut_watches();
     let outage = Instant::now();
     fleet.hand_in_until(outage + Duration::from_secs(24));
@@ -209,8 +226,15 @@
     };
     let served: Vec<_> = (0..24).map(in_second).collect();
     println!("{siblings} couriers: calls by second of the outage {served:?}");
-    // Four couriers, a message each 100 ms, 16 s.
-    served[8..].iter().sum::<usize>() as f64 / (16.0 * 40.0)
+    served
+}
+
+// Guards against an outage that shows itself by quick refusals and would hold all messages for good.
+#[test]
+fn few_couriers_deliver_again_while_discovery_refuses_at_once_for_long() {
+    let served = served_in_outage(3, Duration::ZERO);
+    let late = served[16..].iter().sum::<usize>() as f64 / (8.0 * 40.0);
+    assert!(late >= 0.8, "{late:.2} of what was handed in");
 }
 
 // Guards against an outage of discovery that stops the couriers.
