Calls to discovery come while the list may still be acted on: first calls and outage retries

Change: the first call is drawn inside the lease (a quarter of the fleet's spread at the least); after a call that could not reach discovery the next one comes within 2 s, so that it ends before the list runs out; couriers that are turned away at once still spread over 8 s. A first list is taken as 1 s old (2 s); the term is 6.2 s, a late write 0.4 s: 6.6 s of 7.05.

--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -35,7 +35,7 @@
 
 /// An attempt that was decided on a valid list may be written so much later; with the list's term it stays within the
 /// grace that the rule on drains gives.
-const LATE_WRITE: Duration = Duration::from_millis(600);
+const LATE_WRITE: Duration = Duration::from_millis(400);
 
 /// What an attempt needs to know.
 pub struct Call {
--- a/crates/courier/src/owner/lease.rs
+++ b/crates/courier/src/owner/lease.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 /// Taken as the age of a list that comes with the configuration of a first start.
-const ASSUMED_FIRST_AGE: Duration = Duration::from_secs(2);
+const ASSUMED_FIRST_AGE: Duration = Duration::from_secs(1);
 /// What a new discovery has counts as told this long after SIGHUP (protocol page).
 const MOVED_TERM: Duration = Duration::from_secs(4);
 
--- a/crates/courier/src/place/watch.rs
+++ b/crates/courier/src/place/watch.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use stairshed_config::lines::Lines;
 use stairshed_decide::brain::ask_after;
 use std::convert::Infallible;
@@ -30,6 +30,10 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(5);
 const INITIAL_BACKOFF_S: f64 = 0.15;
 const MAX_BACKOFF_S: f64 = 2.0;
+/// Longest pause after a call that could not reach discovery: the next one ends before the list runs out of date that
+/// this one has shown to be current. Couriers that find discovery back and crowded are turned away at once, and spread
+/// over the fleet's time then.
+const MAX_OUTAGE_PAUSE: Duration = Duration::from_millis(2000);
 /// No line is longer; guards memory against one without an end.
 const MAX_LINE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -113,15 +117,16 @@
             if lines_read > 0 && since.elapsed() > SILENCE_TIMEOUT {
                 backoff = INITIAL_BACKOFF_S;
             }
+            let mut pause = ask_after(backoff, self.spread, &mut rng);
             if lines_read > 0 {
                 outage.answered();
             } else if outage.call_failed(end.failure(), since) {
+                pause = pause.min(MAX_OUTAGE_PAUSE.mul_f64(rng.random_range(0.25..1.0)));
                 let unreachable = News::DiscoveryUnreachable { discovery: self.address, since };
                 if news.send(unreachable).await.is_err() {
                     return;
                 }
             }
-            let pause = ask_after(backoff, self.spread, &mut rng);
             self.report_end(&end, since.elapsed(), lines_read, pause);
             sleep(pause).await;
             backoff = (backoff * 2.0).min(MAX_BACKOFF_S);
--- a/crates/courier/src/start/platform.rs
+++ b/crates/courier/src/start/platform.rs
@@ -21,8 +21,10 @@
 use tokio::signal::unix::{Signal, SignalKind};
 use tokio::sync::mpsc;
 
-/// Whatever discovery has counts as told to each courier after this time, whether or not it arrived (protocol page).
-const LIST_TERM: Duration = Duration::from_secs(6);
+/// How long a list is acted on: what discovery has counts as told after 6 s, whether or not it arrived (protocol page),
+/// and nothing may go to an endpoint that drains 1 s later. The rest is for lines that are read and calls that are
+/// written late.
+const LIST_TERM: Duration = Duration::from_millis(6200);
 
 /// Reads the configuration again at each SIGHUP. A file that cannot be read changes nothing.
 async fn reload(mut hangup: Signal, file: PathBuf, news: mpsc::Sender<News>) {
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -77,6 +77,8 @@
 const ROOM_SHARE: f64 = 0.9;
 /// Retry of a failed list call, s.
 const LIST_RETRY: f64 = 1.0;
+/// Time that a call for the list mostly takes to its answer.
+const LIST_ANSWER: f64 = 1.5;
 /// Discovery takes a call from every courier in this time, s, however many they are.
 const LIST_ALL: f64 = 8.0;
 /// So few couriers that act in the same moment never stand in each other's way.
@@ -254,6 +256,17 @@
         if had_run_out {
             self.touch_occupied();
         }
+        self.ask_before_expiry();
+    }
+
+    /// Draws the first call for the list anew where it would be answered only after the list has run out of
+    /// date. The fleet's calls stay spread over a quarter of its time at the least.
+    fn ask_before_expiry(&mut self) {
+        let latest = self.membership.expires_at().saturating_sub(sec(LIST_ANSWER));
+        if self.ask_at.is_some_and(|at| at > latest) {
+            let window = (latest - self.now).max(ns(self.set.ask_spread()) / 4);
+            self.ask_at = Some(self.now + sec(secs(window) * self.rng.random::<f64>()));
+        }
     }
 
     /// Until when the list of endpoints may be acted on, on the clock of [`Brain::handle`]; None for good.
--- a/crates/decide/tests/membership.rs
+++ b/crates/decide/tests/membership.rs
@@ -53,6 +53,23 @@
     assert!(wakes < 50, "{wakes} wake-ups while nothing can be sent");
 }
 
+#[test]
+fn a_fleet_asks_for_the_list_before_it_runs_out_and_not_all_at_once() {
+    const FLEET: u64 = 100;
+    let set = Settings { couriers: FLEET as usize, must_subscribe: true, ..leased() };
+    let asked = (0..FLEET).map(|seed| {
+        let mut drive = Drive::seeded(set.clone(), vec![entry(0, 1, 0, 0)], seed);
+        let begun = drive.now;
+        drive.feed(&[Event::MembershipCurrent { ago: MS * 1000 }]);
+        drive.pass(MS * 4900);
+        let ask = drive.log.iter().find(|(_, action)| matches!(action, Action::Subscribe { .. }));
+        ask.expect("it asks while its list may still be acted on").0 - begun
+    });
+    let asked: Vec<_> = asked.collect();
+    let in_second = |second: u64| asked.iter().filter(|at| at.as_secs() == second).count();
+    assert!((0..5).all(|second| in_second(second) <= FLEET as usize / 2), "{asked:?}");
+}
+
 #[test]
 fn a_moved_discovery_shortens_the_term_until_it_answers() {
     let mut drive = Drive::new(leased(), vec![entry(0, 1, 0, 0)]);
