A courier whose lists are pushed opens its watch, and acts on no list before the first

With membership-mode automatic the courier never heard of any change. The new test failed before: the endpoint of its pushed list got nothing within 60 s. Change: the platform's start opens the watch; nothing is sent on the list that it was given (what is pushed counts as told from the first moment); while no watch is open the list has 0.5 s, within the grace. An outage of the agent is handled as where lists are asked for: what it gets at its return may then be heard 2 s late. Also a test that passes from the start: couriers stopped (SIGSTOP) from before a drain until its grace is over send nothing there.

--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -36,6 +36,10 @@
         discovery: SocketAddr,
         at: Instant,
     },
+    /// The open watch at this address has ended.
+    WatchLost {
+        discovery: SocketAddr,
+    },
     /// Discovery at this address could not be reached by a call that began then: it could not have told of a change.
     DiscoveryUnreachable {
         discovery: SocketAddr,
--- a/crates/courier/src/owner.rs
+++ b/crates/courier/src/owner.rs
@@ -224,6 +224,7 @@
                 }
             }
             News::DiscoveryHeard { discovery, at } => self.discovery_heard(discovery, at),
+            News::WatchLost { discovery } => self.watch_lost(discovery),
             News::DiscoveryUnreachable { discovery, since } => self.discovery_unreachable(discovery, since),
             News::Told(messages) => {
                 self.notices.posts -= 1;
--- a/crates/courier/src/owner/lease.rs
+++ b/crates/courier/src/owner/lease.rs
@@ -12,12 +12,15 @@
 const ASSUMED_FIRST_AGE: Duration = Duration::from_secs(1);
 /// What a new discovery has counts as told this long after SIGHUP (protocol page).
 const MOVED_TERM: Duration = Duration::from_secs(4);
+/// Of a pushed list while no watch is open; within the grace that the rule on drains gives.
+const UNWATCHED_TERM: Duration = Duration::from_millis(500);
 
 impl Courier {
     /// The list that the start was given is as old as discovery's last word to an earlier life. Where that is not
     /// known, messages are held until discovery has answered.
     pub(super) fn resume_lease(&mut self) {
-        let Some(file) = &self.setup.list_age else { return };
+        // What is pushed counts as told from the first moment of a process, so there is nothing to resume.
+        let Some(file) = self.setup.list_age.as_ref().filter(|_| !self.lists_are_pushed()) else { return };
         let ago = match file.load() {
             ListAge::Known(ago) => ago,
             ListAge::Unrecorded if self.journal.last() == 0 => ASSUMED_FIRST_AGE,
@@ -43,6 +46,18 @@
         }
     }
 
+    /// The watch has ended. What is pushed counts as told also while none is open.
+    pub(super) fn watch_lost(&mut self, discovery: SocketAddr) {
+        if self.setup.discovery == Some(discovery) && self.lists_are_pushed() {
+            self.events.push(Event::MembershipLimited { term: UNWATCHED_TERM });
+        }
+    }
+
+    /// Whether discovery tells of changes without being asked, as the platform's settings may have it.
+    pub(super) fn lists_are_pushed(&self) -> bool {
+        self.setup.installation.is_none() && !self.setup.settings.must_subscribe
+    }
+
     /// Discovery could not be reached since then, and so could not tell of a change.
     pub(super) fn discovery_unreachable(&mut self, discovery: SocketAddr, since: Instant) {
         if self.setup.discovery == Some(discovery) {
@@ -52,7 +67,7 @@
 
     /// Discovery is elsewhere from now on; the old one's word does not hold for long.
     pub(super) fn discovery_moved(&mut self) {
-        self.events.push(Event::DiscoveryMoved { term: MOVED_TERM });
+        self.events.push(Event::MembershipLimited { term: MOVED_TERM });
     }
 
     /// Tells the connections, the pages and the log until when the list may be acted on.
--- a/crates/courier/src/owner/members.rs
+++ b/crates/courier/src/owner/members.rs
@@ -287,7 +287,8 @@
 
     pub(super) fn watch_from(&mut self, seq: u64, fresh: bool) {
         let Some(address) = self.setup.discovery else { return };
-        let spread = self.setup.settings.ask_spread();
+        // An agent that pushes serves its own courier; a service that is asked serves the fleet.
+        let spread = if self.lists_are_pushed() { Duration::ZERO } else { self.setup.settings.ask_spread() };
         let status = self.setup.watch_status.clone();
         let watch = Watch { address, seed: self.setup.seed, seq, fresh, spread, status };
         let task = tokio::task::spawn_local(watch.run(self.news.clone()));
--- a/crates/courier/src/place/watch.rs
+++ b/crates/courier/src/place/watch.rs
@@ -120,6 +120,9 @@
             let mut pause = ask_after(backoff, self.spread, &mut rng);
             if lines_read > 0 {
                 outage.answered();
+                if news.send(News::WatchLost { discovery: self.address }).await.is_err() {
+                    return;
+                }
             } else if outage.call_failed(end.failure(), since) {
                 pause = pause.min(MAX_OUTAGE_PAUSE.mul_f64(rng.random_range(0.25..1.0)));
                 let unreachable = News::DiscoveryUnreachable { discovery: self.address, since };
--- a/crates/courier/src/start/platform.rs
+++ b/crates/courier/src/start/platform.rs
@@ -75,10 +75,15 @@
         Calls::new(config.settings.connect_timeout, config.settings.keepalive, for_calls, room.clone());
     // The module reckons with the connections that are kept here.
     config.settings.keepalive = calls.keep_time();
-    config.settings.membership_term = config.settings.must_subscribe.then_some(LIST_TERM);
+    config.settings.membership_term = Some(LIST_TERM);
+    let pushed = !config.settings.must_subscribe;
     let brain = Brain::new(config.settings.clone(), config.seed);
     let brain = brain.map_err(|e| Fault::Bad("LB_CONFIG", e))?;
     let (news, inbox) = mpsc::channel(INBOX);
+    if pushed {
+        // Nobody asks for lists that are pushed: the watch is open from the start.
+        let _ = news.send(News::Watch).await;
+    }
     let standing = Rc::new(Standing::default());
     let listener = listen(config.listen).map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
     let at = listener.local_addr().map_err(|e| Fault::Bad("LB_LISTEN", e.to_string()))?;
--- a/crates/courier/tests/stale_membership.rs
+++ b/crates/courier/tests/stale_membership.rs
@@ -5,7 +5,7 @@
 use stairshed_rig::*;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 /// A change counts as told this long after discovery had it, whether or not it arrived (protocol page).
@@ -82,8 +82,13 @@
         Instant::now()
     }
 
-    /// Clients that hand in a message at each courier every 100 ms, until the time has come.
+    /// Hands in messages until the time has come.
     fn hand_in_until(&self, end: Instant) {
+        self.clients_until(end).into_iter().for_each(|client| client.join().expect("a client"));
+    }
+
+    /// Clients that hand in a message at each courier every 100 ms, until the time has come.
+    fn clients_until(&self, end: Instant) -> Vec<JoinHandle<()>> {
         let addresses: Vec<_> = self.couriers.iter().map(|c| c.address).collect();
         let clients = addresses.into_iter().enumerate().map(|(n, to)| {
             thread::spawn(move || {
@@ -97,8 +102,7 @@
                 }
             })
         });
-        let clients: Vec<_> = clients.collect();
-        clients.into_iter().for_each(|client| client.join().expect("a client"));
+        clients.collect()
     }
 
     /// Nothing may have gone to the old endpoint later than this.
@@ -204,6 +208,36 @@
     fleet.assert_new_is_used();
 }
 
+// Guards against the backlog of a stopped process that passes for fresh word of discovery.
+#[test]
+fn courier_that_was_stopped_for_seconds_sends_nothing_to_an_endpoint_that_began_to_drain_meanwhile() {
+    let fleet = Fleet::start(2, 1);
+    fleet.couriers.iter().for_each(|courier| courier.signal("-STOP"));
+    thread::sleep(1500 * MS);
+    let change = fleet.replace();
+    let latest = change + TOLD_AFTER + GRACE;
+    let clients = fleet.clients_until(latest + Duration::from_secs(3));
+    thread::sleep(latest + 50 * MS - Instant::now());
+    fleet.couriers.iter().for_each(|courier| courier.signal("-CONT"));
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    fleet.assert_nothing_old_after(latest);
+    fleet.assert_new_is_used();
+}
+
+// Guards against a site that pushes its lists, where nobody asks for them.
+#[test]
+fn courier_whose_lists_are_pushed_hears_of_them_and_acts_on_none_before() {
+    let (old, new) = (Endpoint::new(|_| Act::Answer(OK)), Endpoint::new(|_| Act::Answer(OK)));
+    let discovery = Discovery::new(list(2, true, vec![endpoint_entry("s-new", &new, "ready")]));
+    let folder = Folder::new();
+    let mut config = config(&discovery, list(1, true, vec![endpoint_entry("s-old", &old, "ready")]));
+    config["settings"]["membership-mode"] = json!("automatic");
+    let courier = Courier::with(&folder, &discovery, &config);
+    courier.take("m1", "status", 7, 20_000);
+    until("the delivery", || !new.calls().is_empty());
+    assert!(old.calls().is_empty(), "what the agent had from the start counts as told");
+}
+
 /// The share of what was handed in that is delivered from the eighth second of an outage of discovery on, longer than
 /// a list is good without any word.
 fn share_served_in_outage(siblings: u64) -> f64 {
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -207,7 +207,7 @@
                 self.ask_pause = (self.ask_pause * 2.0).min(LIST_RETRY * 8.0);
             }
             Event::MembershipCurrent { ago } => self.membership_current(*ago),
-            Event::DiscoveryMoved { term } => self.membership.limit(self.now + ns(*term)),
+            Event::MembershipLimited { term } => self.membership.limit(self.now + ns(*term)),
             Event::Taken(taken) => self.taken(taken, out),
             Event::Answering { .. } | Event::Told { .. } => {}
             Event::Ended(ended) => self.ended(ended, out),
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -241,8 +241,9 @@
     ListFailed,
     /// The list was current so long ago: discovery has written since, or could not have told of a change.
     MembershipCurrent { ago: Duration },
-    /// Discovery is asked at another place from now on: without its word the list may be acted on only so long.
-    DiscoveryMoved { term: Duration },
+    /// Discovery may tell of changes that do not reach this courier: the list may be acted on only so long without a
+    /// new word.
+    MembershipLimited { term: Duration },
     /// A message was taken and is owed one final answer.
     Taken(Taken),
     /// A streamed answer has begun.
--- a/crates/decide/tests/membership.rs
+++ b/crates/decide/tests/membership.rs
@@ -73,7 +73,7 @@
 #[test]
 fn a_moved_discovery_shortens_the_term_until_it_answers() {
     let mut drive = Drive::new(leased(), vec![entry(0, 1, 0, 0)]);
-    drive.feed(&[current(), Event::DiscoveryMoved { term: MS * 1000 }]);
+    drive.feed(&[current(), Event::MembershipLimited { term: MS * 1000 }]);
     drive.pass(MS * 1000);
     assert!(sends(&drive.feed(&[taken(1, 0, 1, MS * 8000)])).is_empty());
     assert_eq!(sends(&drive.feed(&[current()])), [(1, 0)]);
