The word of one discovery does not count for another after a restart

Moved by SIGHUP and killed before the new one had answered, a courier went on for 6.2 s on the old one's word, where the new one's counts after 4 s; and it asked the new one for changes after a version of the old one. The new test failed before (22 requests after the grace) and passes. list-age holds the address; another one's, as a damaged file, means that the age is not known: messages are held and the whole list is asked for.

--- a/crates/courier/src/owner/lease.rs
+++ b/crates/courier/src/owner/lease.rs
@@ -20,14 +20,16 @@
     /// known, messages are held until discovery has answered.
     pub(super) fn resume_lease(&mut self) {
         // What is pushed counts as told from the first moment of a process, so there is nothing to resume.
-        let Some(file) = self.setup.list_age.as_ref().filter(|_| !self.lists_are_pushed()) else { return };
-        let ago = match file.load() {
+        let file = self.setup.list_age.as_ref().filter(|_| !self.lists_are_pushed());
+        let Some((file, discovery)) = file.zip(self.setup.discovery) else { return };
+        let ago = match file.load(discovery) {
             ListAge::Known(ago) => ago,
             ListAge::Unrecorded if self.journal.last() == 0 => ASSUMED_FIRST_AGE,
             ListAge::Unrecorded | ListAge::Unknown => {
                 eprintln!(
                     "discovery: the age of the list is not known; nothing is sent until discovery answers"
                 );
+                self.members.list_unknown = true;
                 return;
             }
         };
@@ -40,7 +42,7 @@
             return;
         }
         self.events.push(Event::MembershipCurrent { ago: at.elapsed() });
-        if let Some(Err(e)) = self.setup.list_age.as_ref().map(|file| file.save()) {
+        if let Some(Err(e)) = self.setup.list_age.as_ref().map(|file| file.save(discovery)) {
             // The next start takes the list for older than it is.
             self.members.report_list_age_error(&e);
         }
--- a/crates/courier/src/owner/members.rs
+++ b/crates/courier/src/owner/members.rs
@@ -46,6 +46,8 @@
     watch: Option<AbortHandle>,
     /// Since when messages are held because the list may be out of date.
     pub(super) list_stale_since: Option<Instant>,
+    /// Nothing says how old the list of the start is, nor which discovery gave it.
+    pub(super) list_unknown: bool,
     list_age_reported: Option<Instant>,
     /// What a configuration changes among the endpoints and the module has not heard of yet, and how many of
     /// them it hears of in a turn; who is told once it has.
@@ -280,7 +282,8 @@
     /// One watch lasts for good and asks again by itself.
     pub(super) fn watch(&mut self) {
         if self.members.watch.is_none() {
-            let known = self.setup.known.as_ref();
+            // A version means something only to the discovery that gave it.
+            let known = self.setup.known.as_ref().filter(|_| !self.members.list_unknown);
             self.watch_from(known.map_or(0, |l| l.seq), known.is_none());
         }
     }
--- a/crates/courier/src/place/list_age.rs
+++ b/crates/courier/src/place/list_age.rs
@@ -4,6 +4,7 @@
 use rustix::time::{ClockId, clock_gettime};
 use std::fs;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
     Known(Duration),
     /// No earlier life has left a word of it.
     Unrecorded,
-    /// What an earlier life left cannot be used: damaged, or from before the machine's last start.
+    /// What an earlier life left cannot be used: damaged, of another discovery, or from before the machine's last start.
     Unknown,
 }
 
@@ -36,29 +37,30 @@
         ListAgeFile { path: folder.join(FILE_NAME), next: folder.join(NEXT_FILE_NAME), boot_id }
     }
 
-    /// How long ago discovery's last word came.
-    pub fn load(&self) -> ListAge {
+    /// How long ago the last word of this discovery came.
+    pub fn load(&self, discovery: SocketAddr) -> ListAge {
         match fs::read_to_string(&self.path) {
-            Ok(text) => self.age(&text, machine_time()).map_or(ListAge::Unknown, ListAge::Known),
+            Ok(text) => self.age(&text, discovery, machine_time()).map_or(ListAge::Unknown, ListAge::Known),
             Err(e) if e.kind() == io::ErrorKind::NotFound => ListAge::Unrecorded,
             Err(_) => ListAge::Unknown,
         }
     }
 
-    fn age(&self, text: &str, now: Duration) -> Option<Duration> {
-        let (boot_id, nanoseconds) = text.strip_suffix('\n')?.split_once(' ')?;
-        let same_boot = self.boot_id.as_deref() == Some(boot_id);
-        let at = Duration::from_nanos(nanoseconds.parse().ok().filter(|_| same_boot)?);
+    fn age(&self, text: &str, discovery: SocketAddr, now: Duration) -> Option<Duration> {
+        let (boot_id, rest) = text.strip_suffix('\n')?.split_once(' ')?;
+        let (nanoseconds, of) = rest.split_once(' ')?;
+        let applies = self.boot_id.as_deref() == Some(boot_id) && of.parse() == Ok(discovery);
+        let at = Duration::from_nanos(nanoseconds.parse().ok().filter(|_| applies)?);
         now.checked_sub(at)
     }
 
-    /// Notes that discovery's word came just now. Beside the old one, then in its place: a crash leaves either whole.
+    /// Notes that a word of this discovery came just now. Beside the old one, then in its place: a crash leaves either whole.
     ///
     /// # Errors
     /// It cannot be written; what stands there stays, and is older.
-    pub fn save(&self) -> io::Result<()> {
+    pub fn save(&self, discovery: SocketAddr) -> io::Result<()> {
         let Some(boot_id) = &self.boot_id else { return Ok(()) };
-        fs::write(&self.next, format!("{boot_id} {}\n", machine_time().as_nanos()))?;
+        fs::write(&self.next, format!("{boot_id} {} {discovery}\n", machine_time().as_nanos()))?;
         fs::rename(&self.next, &self.path)
     }
 }
--- a/crates/courier/src/place/list_age_test.rs
+++ b/crates/courier/src/place/list_age_test.rs
@@ -1,4 +1,7 @@
 use super::*;
+use std::net::{IpAddr, Ipv4Addr};
+
+const DISCOVERY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8500);
 
 fn folder(name: &str) -> PathBuf {
     let folder = std::env::temp_dir().join(format!("stairshed-list-age-{name}-{}", std::process::id()));
@@ -10,28 +13,32 @@
 fn the_age_of_the_list_goes_on_over_a_restart() {
     let folder = folder("restart");
     let file = ListAgeFile::new(&folder);
-    assert_eq!(file.load(), ListAge::Unrecorded);
-    file.save().expect("saved");
+    assert_eq!(file.load(DISCOVERY), ListAge::Unrecorded);
+    file.save(DISCOVERY).expect("saved");
     std::thread::sleep(Duration::from_millis(20));
-    let ListAge::Known(age) = ListAgeFile::new(&folder).load() else { panic!("no age") };
+    let ListAge::Known(age) = ListAgeFile::new(&folder).load(DISCOVERY) else { panic!("no age") };
     assert!(age >= Duration::from_millis(20) && age < Duration::from_secs(20), "{age:?}");
     fs::remove_dir_all(folder).expect("removed");
 }
 
 #[test]
-fn what_is_damaged_or_of_another_run_of_the_machine_tells_no_age() {
+fn what_is_damaged_of_another_run_of_the_machine_or_of_another_discovery_tells_no_age() {
     let folder = folder("damaged");
     let file = ListAgeFile::new(&folder);
-    file.save().expect("saved");
+    file.save(DISCOVERY).expect("saved");
     let whole = fs::read_to_string(&file.path).expect("a file");
-    let future = format!("{} {}\n", file.boot_id.clone().unwrap_or_default(), u64::MAX);
+    let future = format!("{} {} {DISCOVERY}\n", file.boot_id.clone().unwrap_or_default(), u64::MAX);
     let cut = (0..whole.len()).map(|length| whole[..length].to_owned());
     for text in cut.chain([format!("other-{whole}"), future, format!("{whole}x"), "\u{0}".repeat(60)]) {
         fs::write(&file.path, &text).expect("written");
-        assert_eq!(file.load(), ListAge::Unknown, "{text:?}");
+        assert_eq!(file.load(DISCOVERY), ListAge::Unknown, "{text:?}");
     }
+    fs::write(&file.path, &whole).expect("written");
+    let other = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8501);
+    assert_eq!(file.load(other), ListAge::Unknown, "another discovery's word is not known");
+    assert!(matches!(file.load(DISCOVERY), ListAge::Known(_)));
     fs::write(&file.path, [0xff, 0xfe]).expect("written");
-    assert_eq!(file.load(), ListAge::Unknown);
+    assert_eq!(file.load(DISCOVERY), ListAge::Unknown);
     fs::remove_dir_all(folder).expect("removed");
 }
 
@@ -39,10 +46,10 @@
 fn a_write_that_fails_leaves_the_older_moment() {
     let folder = folder("failing");
     let file = ListAgeFile::new(&folder);
-    file.save().expect("saved");
+    file.save(DISCOVERY).expect("saved");
     // A folder in the place of the next file makes each write fail.
     fs::create_dir(&file.next).expect("a folder");
-    assert!(file.save().is_err());
-    assert!(matches!(file.load(), ListAge::Known(_)));
+    assert!(file.save(DISCOVERY).is_err());
+    assert!(matches!(file.load(DISCOVERY), ListAge::Known(_)));
     fs::remove_dir_all(folder).expect("removed");
 }
--- a/crates/courier/tests/stale_membership.rs
+++ b/crates/courier/tests/stale_membership.rs
@@ -208,6 +208,36 @@
     fleet.assert_new_is_used();
 }
 
+// Guards against the word of one discovery that counts for another after a restart.
+#[test]
+fn courier_restarted_after_a_reload_sends_nothing_on_the_word_of_the_former_discovery() {
+    let mut fleet = Fleet::start(2, 1);
+    let moved = Discovery::new(list(1, true, vec![endpoint_entry("s-new", &fleet.new, "ready")]));
+    moved.answer_watches(WatchAnswer::RefuseAfter(Duration::ZERO));
+    for (courier, folder) in fleet.couriers.iter().zip(&fleet.folders) {
+        courier.reload(folder, &fleet.config(&moved, 300).to_string());
+    }
+    let reload = Instant::now();
+    thread::sleep(300 * MS);
+    fleet.kill();
+    thread::sleep(600 * MS);
+    fleet.discovery = moved.clone();
+    fleet.start_processes(300);
+    let recovery = thread::spawn(move || {
+        thread::sleep(Duration::from_secs(7));
+        moved.answer_watches(WatchAnswer::Serve);
+    });
+    fleet.hand_in_until(reload + TOLD_AFTER * 2);
+    recovery.join().expect("it recovers");
+    fleet.assert_nothing_old_after(reload + TOLD_AFTER_RELOAD + GRACE);
+    fleet.assert_new_is_used();
+    let asked = fleet.discovery.asked.lock().expect("asked").clone();
+    assert!(
+        asked.iter().all(|call| !call.contains("index=")),
+        "versions of the former mean nothing: {asked:?}"
+    );
+}
+
 // Guards against the backlog of a stopped process that passes for fresh word of discovery.
 #[test]
 fn courier_that_was_stopped_for_seconds_sends_nothing_to_an_endpoint_that_began_to_drain_meanwhile() {
