--- /dev/null
+++ b/crates/courier/src/out/calls_test.rs
@@ -0,0 +1,105 @@
+use super::*;
+use stairshed_decide::interface::DestinationId;
+
+/// A listener, its address, and calls that have one socket between them.
+async fn one_socket() -> (tokio::net::TcpListener, SocketAddr, Calls) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let to = listener.local_addr().expect("its address");
+    let room = Room::new(&stairshed_memory::Caps::none(), 1.0);
+    (listener, to, Calls::new(Duration::from_secs(5), Duration::from_secs(10), 1, room))
+}
+
+fn read(text: &str) -> Option<(f64, f64)> {
+    let mut headers = HeaderMap::new();
+    headers.insert("X-Server-Load", text.parse().expect("a header"));
+    report(&headers).map(|r| (r.left, r.limit))
+}
+
+#[tokio::test]
+async fn a_call_whose_connection_comes_too_late_is_not_written() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let (_listener, to, calls) = one_socket().await;
+            // The only socket is free again when the call has an eighth of its time left.
+            let socket = calls.permit().await.expect("the only one");
+            let time = Duration::from_millis(800);
+            let until = Instant::now() + time;
+            let request = Request::get("/").header(HOST, "h").body(Full::default()).expect("a request");
+            let (endpoint, ask) =
+                (EndpointId(1), calls.ask((EndpointId(1), None), (to, true), request, until));
+            let free = async {
+                tokio::time::sleep_until(until - time / 8).await;
+                drop(socket);
+            };
+            let (answer, ()) = tokio::join!(ask, free);
+            assert_eq!(answer.err(), Some(Lost::Unsent), "written, it would count as one that may have run");
+            assert!(calls.idle.borrow().get(&endpoint).is_none());
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn a_wait_that_is_told_holds_for_a_call_that_still_has_no_connection() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            // One socket: the second call has its connection only when the first has its answer.
+            let (listener, to, calls) = one_socket().await;
+            let until = Instant::now() + Duration::from_secs(20);
+            let ask = |route: u32| {
+                let request = Request::get("/").header(HOST, "h").body(Full::default());
+                let pool = (DestinationId(7), Some(EndpointId(route)));
+                let at = (EndpointId(route), Some(pool));
+                calls.ask(at, (to, true), request.expect("a request"), until)
+            };
+            let server = tokio::task::spawn_local(async move {
+                let full =
+                    "HTTP/1.1 429 No\r\nWait-Ms: 9000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+                for answer in [full, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"] {
+                    loop {
+                        let (mut stream, _) = listener.accept().await.expect("a connection");
+                        // One that is closed unwritten is of no call.
+                        if stream.read(&mut [0; 500]).await.is_ok_and(|n| n > 0) {
+                            stream.write_all(answer.as_bytes()).await.expect("written");
+                            break;
+                        }
+                    }
+                }
+            });
+            let (first, second) = tokio::join!(ask(1), ask(1));
+            assert_eq!(first.map(|a| a.status).ok(), Some(StatusCode::TOO_MANY_REQUESTS));
+            assert_eq!(
+                second.err(),
+                Some(Lost::Withheld("another call was told to wait")),
+                "the pool has told to wait"
+            );
+            let other = ask(2).await;
+            assert_eq!(other.map(|a| a.status).ok(), Some(StatusCode::OK), "a route apart is not bound");
+            server.await.expect("served");
+        })
+        .await;
+}
+
+#[test]
+fn a_connection_that_is_turned_away_is_told_apart_from_a_limit_and_from_an_endpoint_out_of_reach() {
+    let of = |heads: &[(&'static str, &'static str)]| {
+        let heads = heads
+            .iter()
+            .map(|(name, value)| (name.parse().expect("a name"), value.parse().expect("a value")));
+        let (status, at) = (StatusCode::SERVICE_UNAVAILABLE, Instant::now());
+        ended(Ok(Answer { status, headers: heads.collect(), at, whole: true, reusable: false })).outcome
+    };
+    assert_eq!(of(&[("connection", "close")]), Outcome::Crowded);
+    assert_eq!(of(&[]), Outcome::Full { wait: None });
+    assert_eq!(of(&[("slots-taken", "1"), ("connection", "close")]), Outcome::Moot);
+    assert_eq!(ended(Err(Lost::Unsent)).outcome, Outcome::ConnectFailed);
+}
+
+#[test]
+fn reports_are_read_and_nonsense_is_none() {
+    assert_eq!(read("TEXT x0=0.4, x1=25"), Some((0.4, 25.0)));
+    assert_eq!(read("TEXT  x1=2.5 ,x0=0"), Some((0.0, 2.5)));
+    for bad in ["", "TEXT", "TEXT x0=0.4", "TEXT x0=a, x1=2", "TEXT x0=NaN, x1=2", "x0 x1"] {
+        assert_eq!(read(bad), None, "{bad}");
+    }
+}
