The module hears when the list was current, not how long ago

Cause, from the log: the age of discovery's last line was reckoned when the owner heard of it. SIGSTOP fell between that and the module's next turn, 5 ms later; at SIGCONT the line of 8.6 s ago counted as one of that moment, and renewed the lease. Change: the events carry the moment on the courier's clock, which begins a minute before the start, so that also the age that an earlier life left is one.

--- a/crates/courier/src/owner.rs
+++ b/crates/courier/src/owner.rs
@@ -92,7 +92,7 @@
             journal,
             standing,
             news,
-            origin: Instant::now(),
+            origin: lease::clock_origin(),
             events: Vec::new(),
             wake: None,
             taking,
--- a/crates/courier/src/owner/lease.rs
+++ b/crates/courier/src/owner/lease.rs
@@ -15,6 +15,16 @@
 /// Of a pushed list while no watch is open; within the grace that the rule on drains gives.
 const UNWATCHED_TERM: Duration = Duration::from_millis(500);
 
+/// Longer than a list is ever acted on.
+const BEFORE_START: Duration = Duration::from_secs(60);
+
+/// Where the clock of the decision module begins: before the start, so that it can tell how old a list is that an
+/// earlier life has left.
+pub(super) fn clock_origin() -> Instant {
+    let now = Instant::now();
+    now.checked_sub(BEFORE_START).unwrap_or(now)
+}
+
 impl Courier {
     /// The list that the start was given is as old as discovery's last word to an earlier life. Where that is not
     /// known, messages are held until discovery has answered.
@@ -33,7 +43,9 @@
                 return;
             }
         };
-        self.events.push(Event::MembershipCurrent { ago });
+        if let Some(as_of) = Instant::now().checked_sub(ago) {
+            self.list_current_as_of(as_of);
+        }
     }
 
     /// Discovery has written a whole line: what is listed here is all that it had to tell by then.
@@ -41,7 +53,7 @@
         if self.setup.discovery != Some(discovery) {
             return;
         }
-        self.events.push(Event::MembershipCurrent { ago: at.elapsed() });
+        self.list_current_as_of(at);
         if let Some(Err(e)) = self.setup.list_age.as_ref().map(|file| file.save(discovery)) {
             // The next start takes the list for older than it is.
             self.members.report_list_age_error(&e);
@@ -51,7 +63,7 @@
     /// The watch has ended. What is pushed counts as told also while none is open.
     pub(super) fn watch_lost(&mut self, discovery: SocketAddr) {
         if self.setup.discovery == Some(discovery) && self.lists_are_pushed() {
-            self.events.push(Event::MembershipLimited { term: UNWATCHED_TERM });
+            self.limit_list(UNWATCHED_TERM);
         }
     }
 
@@ -63,13 +75,26 @@
     /// Discovery could not be reached since then, and so could not tell of a change.
     pub(super) fn discovery_unreachable(&mut self, discovery: SocketAddr, since: Instant) {
         if self.setup.discovery == Some(discovery) {
-            self.events.push(Event::MembershipCurrent { ago: since.elapsed() });
+            self.list_current_as_of(since);
         }
     }
 
     /// Discovery is elsewhere from now on; the old one's word does not hold for long.
     pub(super) fn discovery_moved(&mut self) {
-        self.events.push(Event::MembershipLimited { term: MOVED_TERM });
+        self.limit_list(MOVED_TERM);
+    }
+
+    /// The module hears of the moment, not of an age: the process may be stopped before its next turn.
+    fn list_current_as_of(&mut self, at: Instant) {
+        // What is older than the clock has run out of date.
+        if let Some(as_of) = at.checked_duration_since(self.origin) {
+            self.events.push(Event::MembershipCurrent { as_of });
+        }
+    }
+
+    fn limit_list(&mut self, term: Duration) {
+        let until = Instant::now().duration_since(self.origin) + term;
+        self.events.push(Event::MembershipLimited { until });
     }
 
     /// Tells the connections, the pages and the log until when the list may be acted on.
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -206,8 +206,8 @@
                 self.ask_at = self.set.must_subscribe.then_some(self.now + ns(pause));
                 self.ask_pause = (self.ask_pause * 2.0).min(LIST_RETRY * 8.0);
             }
-            Event::MembershipCurrent { ago } => self.membership_current(*ago),
-            Event::MembershipLimited { term } => self.membership.limit(self.now + ns(*term)),
+            Event::MembershipCurrent { as_of } => self.membership_current(*as_of),
+            Event::MembershipLimited { until } => self.membership.limit(self.since_origin(*until)),
             Event::Taken(taken) => self.taken(taken, out),
             Event::Answering { .. } | Event::Told { .. } => {}
             Event::Ended(ended) => self.ended(ended, out),
@@ -250,9 +250,9 @@
     }
 
     /// Renews the lease on the list; what was held for want of it may go.
-    fn membership_current(&mut self, ago: Duration) {
+    fn membership_current(&mut self, as_of: Time) {
         let had_run_out = !self.membership.is_valid(self.now);
-        self.membership.renew(self.now - ns(ago));
+        self.membership.renew(self.since_origin(as_of));
         if had_run_out {
             self.touch_occupied();
         }
@@ -269,6 +269,11 @@
         }
     }
 
+    /// A moment of the courier's clock on the module's; negative before the first call.
+    fn since_origin(&self, at: Time) -> Ns {
+        ns(at) - ns(self.origin.unwrap_or_default())
+    }
+
     /// Until when the list of endpoints may be acted on, on the clock of [`Brain::handle`]; None for good.
     pub fn membership_expires_at(&self) -> Option<Time> {
         let expires_at = self.membership.expires_at();
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -239,11 +239,11 @@
     Listed { whole: bool, entries: Vec<Entry> },
     /// A request for the list failed, or the subscription broke.
     ListFailed,
-    /// The list was current so long ago: discovery has written since, or could not have told of a change.
-    MembershipCurrent { ago: Duration },
-    /// Discovery may tell of changes that do not reach this courier: the list may be acted on only so long without a
+    /// The list was current at this moment: discovery has written since, or could not have told of a change.
+    MembershipCurrent { as_of: Time },
+    /// Discovery may tell of changes that do not reach this courier: the list may be acted on until then without a
     /// new word.
-    MembershipLimited { term: Duration },
+    MembershipLimited { until: Time },
     /// A message was taken and is owed one final answer.
     Taken(Taken),
     /// A streamed answer has begun.
--- a/crates/decide/tests/membership.rs
+++ b/crates/decide/tests/membership.rs
@@ -13,8 +13,8 @@
     Settings { membership_term: Some(TERM), ..settings() }
 }
 
-fn current() -> Event {
-    Event::MembershipCurrent { ago: Duration::ZERO }
+fn current(drive: &Drive) -> Event {
+    Event::MembershipCurrent { as_of: drive.now }
 }
 
 #[test]
@@ -24,7 +24,7 @@
     actions.extend(drive.pass(MS * 1000));
     assert!(sends(&actions).is_empty());
     assert_eq!(
-        sends(&drive.feed(&[current()])),
+        sends(&drive.feed(&[current(&drive)])),
         [(1, 0)],
         "it goes as soon as the list is known to be current"
     );
@@ -32,8 +32,8 @@
 
 #[test]
 fn no_attempt_begins_after_the_term_of_the_list() {
-    let mut drive = Drive::new(leased(), vec![entry(0, 1, 0, 0)]);
-    drive.feed(&[Event::MembershipCurrent { ago: MS * 2000 }]);
+    let mut drive = Drive::begun(leased(), vec![entry(0, 1, 0, 0)], 11, MS * 10_000);
+    drive.feed(&[Event::MembershipCurrent { as_of: MS * 8000 }]);
     drive.pass(MS * 3990);
     assert_eq!(sends(&drive.feed(&[taken(1, 0, 1, MS * 8000)])), [(1, 0)]);
     drive.feed(&[ended(1, 0, Outcome::Delivered, 10)]);
@@ -60,7 +60,7 @@
     let asked = (0..FLEET).map(|seed| {
         let mut drive = Drive::seeded(set.clone(), vec![entry(0, 1, 0, 0)], seed);
         let begun = drive.now;
-        drive.feed(&[Event::MembershipCurrent { ago: MS * 1000 }]);
+        drive.feed(&[Event::MembershipCurrent { as_of: begun - MS * 1000 }]);
         drive.pass(MS * 4900);
         let ask = drive.log.iter().find(|(_, action)| matches!(action, Action::Subscribe { .. }));
         ask.expect("it asks while its list may still be acted on").0 - begun
@@ -73,10 +73,11 @@
 #[test]
 fn a_moved_discovery_shortens_the_term_until_it_answers() {
     let mut drive = Drive::new(leased(), vec![entry(0, 1, 0, 0)]);
-    drive.feed(&[current(), Event::MembershipLimited { term: MS * 1000 }]);
+    let until = drive.now + MS * 1000;
+    drive.feed(&[current(&drive), Event::MembershipLimited { until }]);
     drive.pass(MS * 1000);
     assert!(sends(&drive.feed(&[taken(1, 0, 1, MS * 8000)])).is_empty());
-    assert_eq!(sends(&drive.feed(&[current()])), [(1, 0)]);
+    assert_eq!(sends(&drive.feed(&[current(&drive)])), [(1, 0)]);
 }
 
 #[test]
@@ -88,9 +89,9 @@
         for message in 0..200 {
             let mut actions = drive.pass(MS * rng.random_range(5..400));
             if rng.random_bool(0.05) {
-                let ago = MS * rng.random_range(0..4000);
-                last_current = last_current.max(Some(drive.now - ago.min(drive.now)));
-                actions.extend(drive.feed(&[Event::MembershipCurrent { ago }]));
+                let as_of = drive.now.saturating_sub(MS * rng.random_range(0..4000));
+                last_current = last_current.max(Some(as_of));
+                actions.extend(drive.feed(&[Event::MembershipCurrent { as_of }]));
             }
             let class = rng.random_range(0..3);
             actions.extend(drive.feed(&[taken(message, class, 1, MS * rng.random_range(100..9000))]));
