An operator's courier acts on what discovery lists only while it hears from it

Change: an entry says whether discovery lists it; only such an endpoint is bound by the lease, in the module and where a call is written. Endpoints of the file and of names are not.

--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -213,6 +213,7 @@
                 other => return Err(format!("unknown state {other}")),
             },
             weight: e.rating,
+            leased: true,
         })
     }
 }
--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -884,7 +884,7 @@
         may_probe: false,
         may_cancel: true,
         must_subscribe: false,
-        membership_term: None,
+        membership_term: file.discovery.as_ref().map(|_| decide::LIST_TERM),
         tick: TICK,
         drain_grace: Duration::from_secs(1),
         cold_from: l.cold_from,
--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -248,6 +248,13 @@
     /// For an MQTT broker: the topic that is published to.
     #[serde(skip)]
     pub topic: Option<String>,
+    /// It is sent to only while the list may be acted on, as what discovery writes is.
+    #[serde(skip, default = "from_discovery")]
+    pub leased: bool,
+}
+
+fn from_discovery() -> bool {
+    true
 }
 
 /// What differs from `before` to `now`, both by name: what is gone first.
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -12,7 +12,7 @@
 use stairshed_journal::Letter;
 use stairshed_memory::{Charge, Purpose};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -133,8 +133,9 @@
     parted: Rc<RefCell<HashMap<EndpointId, Instant>>>,
     /// Until when nothing may be written to a pool, as it has told.
     waits: Rc<RefCell<HashMap<PoolId, Instant>>>,
-    /// Until when the list of endpoints may be acted on; None for good.
+    /// Until when the list of endpoints may be acted on; None for good. Endpoints that it does not bind.
     list_valid_until: Rc<Cell<Option<Instant>>>,
+    unleased: Rc<RefCell<HashSet<EndpointId>>>,
     sockets: Arc<Semaphore>,
     /// By endpoint, not by address: a new endpoint at the address of one that is gone must not inherit links
     /// to that one.
@@ -162,8 +163,8 @@
         });
         let (connect, sockets) = (Rc::new(Cell::new(connect)), Arc::new(Semaphore::new(sockets)));
         let (parted, waits, fates) = (Rc::default(), Rc::default(), Rc::default());
-        let list_valid_until = Rc::default();
-        Calls { connect, keep, parted, waits, list_valid_until, sockets, idle, fates, room }
+        let (list_valid_until, unleased) = (Rc::default(), Rc::default());
+        Calls { connect, keep, parted, waits, list_valid_until, unleased, sockets, idle, fates, room }
     }
 
     /// How long connections are kept here: the module reckons with that.
@@ -192,8 +193,24 @@
         self.list_valid_until.set(until);
     }
 
+    /// Whether an endpoint is written to only while the list may be acted on.
+    pub fn set_leased(&self, endpoint: EndpointId, leased: bool) {
+        let mut unleased = self.unleased.borrow_mut();
+        match leased {
+            true => unleased.remove(&endpoint),
+            false => unleased.insert(endpoint),
+        };
+    }
+
+    /// Whether the list that an endpoint is known by is out of date, later than a call may be written on it.
+    fn is_out_of_date(&self, endpoint: EndpointId) -> bool {
+        let expired = self.list_valid_until.get().is_some_and(|until| Instant::now() > until + LATE_WRITE);
+        expired && !self.unleased.borrow().contains(&endpoint)
+    }
+
     /// The endpoint is known no more.
     pub fn forget(&self, endpoint: EndpointId) {
+        self.unleased.borrow_mut().remove(&endpoint);
         self.close(endpoint);
         self.parted.borrow_mut().remove(&endpoint);
     }
@@ -304,7 +321,7 @@
             return Err(Lost::Withheld("the endpoint drains or is gone"));
         }
         // Nor on a list that ran out of date while it waited.
-        if self.list_valid_until.get().is_some_and(|until| Instant::now() > until + LATE_WRITE) {
+        if self.is_out_of_date(endpoint) {
             return Err(Lost::Withheld("the list of endpoints may be out of date"));
         }
         // Nor may it break a wait that was told to another call meanwhile: the module knew of none when it let this
--- a/crates/courier/src/owner/lease.rs
+++ b/crates/courier/src/owner/lease.rs
@@ -102,7 +102,8 @@
         let expires = self.brain.membership_expires_at().map(|at| self.origin + at);
         self.out.calls.set_list_valid_until(expires);
         self.setup.watch_status.set_lease(expires);
-        let stale = expires.is_some_and(|at| at <= now) && !self.out.held.is_empty();
+        let expired = expires.is_some_and(|at| at <= now);
+        let stale = expired && !self.out.held.is_empty() && self.members.has_listed();
         match (self.members.list_stale_since, stale) {
             (None, true) => {
                 eprintln!(
--- a/crates/courier/src/owner/members.rs
+++ b/crates/courier/src/owner/members.rs
@@ -29,6 +29,8 @@
     pub(super) zone: usize,
     /// As the list has it: elsewhere no connection to it is kept.
     pub(super) ready: bool,
+    /// Discovery lists it.
+    leased: bool,
     pub(super) destination: u64,
     /// For an MQTT broker: the topic that is published to.
     pub(super) topic: Option<String>,
@@ -62,6 +64,11 @@
 }
 
 impl Members {
+    /// Whether discovery has listed any endpoint.
+    pub(super) fn has_listed(&self) -> bool {
+        self.endpoints.values().any(|e| e.leased)
+    }
+
     /// Says once in a while that the age of the list cannot be kept.
     pub(super) fn report_list_age_error(&mut self, error: &io::Error) {
         let now = Instant::now();
@@ -223,7 +230,15 @@
         let id = EndpointId(self.members.numbered);
         self.members.numbered += 1;
         let (host, name) = (host.to_owned(), host.to_owned());
-        let fresh = Endpoint { host, address: None, zone: 0, ready: false, destination: 0, topic: None };
+        let fresh = Endpoint {
+            host,
+            address: None,
+            zone: 0,
+            ready: false,
+            leased: false,
+            destination: 0,
+            topic: None,
+        };
         self.members.endpoints.insert(id, fresh);
         self.members.numbers.insert(name, id);
         id
@@ -247,6 +262,8 @@
             let kind = kinds.iter().position(|k| *k == host.class).unwrap_or(kinds.len());
             let Some(e) = self.members.endpoints.get_mut(&endpoint) else { continue };
             (e.zone, e.destination, e.topic) = (zone, host.block, host.topic.clone());
+            e.leased = host.leased;
+            let leased = host.leased;
             let address = host.dial.parse().ok().or(e.address);
             if std::mem::replace(&mut e.address, address) != address {
                 self.out.calls.close(endpoint);
@@ -260,10 +277,11 @@
             e.ready = standing == interface::Standing::Ready;
             let ready = e.ready;
             self.out.calls.admit(endpoint, ready);
+            self.out.calls.set_leased(endpoint, host.leased);
             self.broker_stands(endpoint, ready);
             self.members.destinations.insert(host.block);
             let (destination, weight) = (DestinationId(host.block), host.share);
-            entries.push(Entry { endpoint, destination, zone, kind, standing, weight });
+            entries.push(Entry { endpoint, destination, zone, kind, standing, weight, leased });
         }
         self.events.push(Event::Listed { whole: list.whole, entries });
         for endpoint in before {
--- a/crates/courier/src/place/dns.rs
+++ b/crates/courier/src/place/dns.rs
@@ -202,6 +202,7 @@
                     health: Health::Ready,
                     share: w.limit.unwrap_or_default(),
                     topic: w.topic.clone(),
+                    leased: false,
                 };
                 now.insert(host.host.clone(), host);
             }
--- a/crates/courier/src/place/hosts.rs
+++ b/crates/courier/src/place/hosts.rs
@@ -26,6 +26,7 @@
             health: if change.gone { Health::Gone } else { Health::Ready },
             share: change.limit.unwrap_or_default(),
             topic: change.member.topic.clone(),
+            leased: false,
         });
         limits.extend(change.limit.filter(|_| !change.gone).map(|l| (change.member.host.clone(), l)));
     }
--- a/crates/courier/src/start/platform.rs
+++ b/crates/courier/src/start/platform.rs
@@ -12,6 +12,7 @@
 use crate::owner::Courier;
 use crate::room::Room;
 use stairshed_decide::brain::Brain;
+use stairshed_decide::interface::LIST_TERM;
 use stairshed_journal::Journal;
 use stairshed_memory::{ByPurpose, Caps, Purpose};
 use std::path::PathBuf;
@@ -21,11 +22,6 @@
 use tokio::signal::unix::{Signal, SignalKind};
 use tokio::sync::mpsc;
 
-/// How long a list is acted on: what discovery has counts as told after 6 s, whether or not it arrived (protocol page),
-/// and nothing may go to an endpoint that drains 1 s later. The rest is for lines that are read and calls that are
-/// written late.
-const LIST_TERM: Duration = Duration::from_millis(6200);
-
 /// Reads the configuration again at each SIGHUP. A file that cannot be read changes nothing.
 async fn reload(mut hangup: Signal, file: PathBuf, news: mpsc::Sender<News>) {
     while hangup.recv().await.is_some() {
--- a/crates/courier/tests/stale_membership.rs
+++ b/crates/courier/tests/stale_membership.rs
@@ -268,6 +268,50 @@
     assert!(old.calls().is_empty(), "what the agent had from the start counts as told");
 }
 
+// Guards against a pool from discovery that is served on a list out of date, and one from the file that is held for it.
+#[test]
+fn operators_courier_holds_what_is_for_listed_endpoints_and_serves_its_own_without_a_word_of_discovery() {
+    let [old, new, own] = [(); 3].map(|()| Endpoint::new(|_| Act::Answer(OK)));
+    let discovery = Discovery::new(list(1, true, vec![endpoint_entry("s-old", &old, "ready")]));
+    let file = format!(
+        "[listen]\nhttp = \"127.0.0.1:0\"\n[discovery]\naddress = \"{}\"\n\
+         [classes.status]\neffect = \"repeatable\"\ndeadline = \"4s\"\n\
+         [pools.listed]\ndestination = 7\ndiscovery = true\n\
+         [pools.own]\nendpoints = [{{ address = \"{}\" }}]\n\
+         [routes.listed]\nprefix = \"/listed\"\npool = \"listed\"\nclass = \"status\"\n\
+         [routes.own]\nprefix = \"/own\"\npool = \"own\"\nclass = \"status\"\n",
+        discovery.address, own.address
+    );
+    let folder = Folder::new();
+    let courier = Courier::serve(&folder, &file);
+    until("the first delivery", || {
+        courier.post("/listed", "first", "", "x");
+        !old.calls().is_empty()
+    });
+    discovery.answer_watches(WatchAnswer::RefuseAfter(Duration::ZERO));
+    discovery.cut_watches();
+    let entries = vec![endpoint_entry("s-old", &old, "draining"), endpoint_entry("s-new", &new, "ready")];
+    discovery.tell(list(2, false, entries));
+    let change = Instant::now();
+    let latest = change + TOLD_AFTER + GRACE;
+    for number in 0.. {
+        if Instant::now() > latest + Duration::from_secs(2) {
+            break;
+        }
+        courier.post("/listed", &format!("l-{number}"), "", "x");
+        courier.post("/own", &format!("o-{number}"), "", "x");
+        thread::sleep(100 * MS);
+    }
+    let late = |endpoint: &Endpoint| endpoint.calls().iter().filter(|call| call.at > latest).count();
+    assert_eq!(late(&old), 0, "requests to a draining endpoint after the grace");
+    assert!(late(&own) >= 15, "{} requests to the file's own endpoint in 2 s", late(&own));
+    discovery.answer_watches(WatchAnswer::Serve);
+    until("the list", || {
+        courier.post("/listed", "last", "", "x");
+        !new.calls().is_empty()
+    });
+}
+
 /// The share of what was handed in that is delivered from the eighth second of an outage of discovery on, longer than
 /// a list is good without any word.
 fn share_served_in_outage(siblings: u64) -> f64 {
--- a/crates/decide/examples/embed.rs
+++ b/crates/decide/examples/embed.rs
@@ -42,7 +42,15 @@
     };
     let mut brain = Brain::new(settings, 7)?;
     let (endpoint, destination) = (EndpointId(0), DestinationId(0));
-    let entry = Entry { endpoint, destination, zone: 0, kind: 0, standing: Standing::Ready, weight: 0.0 };
+    let entry = Entry {
+        endpoint,
+        destination,
+        zone: 0,
+        kind: 0,
+        standing: Standing::Ready,
+        weight: 0.0,
+        leased: false,
+    };
     let mut events = vec![
         Event::Listed { whole: true, entries: vec![entry] },
         Event::Taken(Taken {
--- a/crates/decide/src/brain.rs
+++ b/crates/decide/src/brain.rs
@@ -231,6 +231,7 @@
             let fresh = || Endpoint { dest, zone, kind, lean, ..Endpoint::default() };
             let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
             e.stand(entry.standing, self.now);
+            e.leased = entry.leased;
             self.dest(entry.destination).endpoints.insert(entry.endpoint);
             let id = self.pool_id(entry.endpoint);
             let pool = self.pools.entry(id).or_insert_with(|| Pool { tokens: 1.0, ..Pool::default() });
@@ -671,10 +672,6 @@
 
     /// The cheapest endpoint that may take this message now. Each rule on sends is kept here.
     fn choose(&mut self, id: MessageId, joined: &Joined) -> Option<EndpointId> {
-        // Rule: nothing to an endpoint that may drain or be gone without this courier's knowing it.
-        if !self.membership.is_valid(self.now) {
-            return None;
-        }
         let m = &self.messages[&id];
         let d = &self.dests[&m.dest];
         let room = self.room(d);
@@ -687,6 +684,10 @@
             if !e.ready || !self.in_scope(m, *id, e) {
                 continue;
             }
+            // Rule: nor to one that may drain or be gone without this courier's knowing it.
+            if e.leased && !self.membership.is_valid(self.now) {
+                continue;
+            }
             if let Some(at) = self.healthy_for(m, e) {
                 later = later.min(at);
                 continue;
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -89,6 +89,11 @@
     Rough,
 }
 
+/// How long a list is acted on: what discovery has counts as told after 6 s, whether or not it arrived (protocol page),
+/// and nothing may go to an endpoint that drains 1 s later. The rest is for lines that are read and calls that are
+/// written late.
+pub const LIST_TERM: Duration = Duration::from_millis(6200);
+
 /// What the courier knows when it starts.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -153,6 +158,8 @@
     pub kind: usize,
     pub standing: Standing,
     pub weight: f64,
+    /// Discovery lists it: it is sent to only while the list may be acted on.
+    pub leased: bool,
 }
 
 /// How an attempt or a probe ended.
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -87,6 +87,8 @@
     pub(crate) zone: usize,
     pub(crate) kind: usize,
     pub(crate) ready: bool,
+    /// Nothing is sent there while the lease on the list has run out.
+    pub(crate) leased: bool,
     /// Since when the list has it no more.
     pub(crate) gone: Option<Ns>,
     pub(crate) latency: f64,
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -71,6 +71,7 @@
         kind,
         standing: Standing::Ready,
         weight: 0.0,
+        leased: true,
     }
 }
 
--- a/crates/decide/tests/membership.rs
+++ b/crates/decide/tests/membership.rs
@@ -41,6 +41,13 @@
     assert!(sends(&drive.feed(&[taken(2, 0, 1, MS * 8000)])).is_empty());
 }
 
+#[test]
+fn an_endpoint_that_discovery_does_not_list_is_sent_to_whatever_the_age_of_the_list() {
+    let own = Entry { leased: false, ..entry(1, 1, 0, 0) };
+    let mut drive = Drive::new(leased(), vec![entry(0, 1, 0, 0), own]);
+    assert_eq!(sends(&drive.feed(&[taken(1, 0, 1, MS * 8000)])), [(1, 1)]);
+}
+
 #[test]
 fn what_is_held_for_want_of_a_list_ends_once_and_in_time() {
     let mut drive = Drive::new(leased(), vec![entry(0, 1, 0, 0)]);
