--- a/crates/courier/src/front/admin.rs
+++ b/crates/courier/src/front/admin.rs
@@ -2,6 +2,7 @@
 //! their own, off unless configured, loopback only.
 
 use crate::front::intake::Standing;
+use crate::out::connection_status::ConnectionStatus;
 use crate::place::control::View;
 use crate::place::watch_status::WatchStatus;
 use crate::room::Room;
@@ -25,7 +26,8 @@
 /// An operator asks seldom: nobody holds a connection for longer, and few are open at once.
 const CONNECTION_TIME: Duration = Duration::from_secs(10);
 const CONNECTIONS: usize = 16;
-const PAGES: [&str; 5] = ["/-/config", "/-/config/values", "/-/discovery", "/-/memory", "/-/ready"];
+const PAGES: [&str; 6] =
+    ["/-/config", "/-/config/values", "/-/connections", "/-/discovery", "/-/memory", "/-/ready"];
 
 /// What the pages show.
 #[derive(Clone)]
@@ -34,6 +36,7 @@
     pub standing: Rc<Standing>,
     pub room: Room,
     pub watch: Rc<WatchStatus>,
+    pub connections: Rc<ConnectionStatus>,
 }
 
 /// Answers until the process ends.
@@ -62,6 +65,7 @@
     let page = match (request.method(), request.uri().path()) {
         (&Method::GET, "/-/config") => Some(pages.view.status.json()),
         (&Method::GET, "/-/config/values") => Some(values(&pages.view).await),
+        (&Method::GET, "/-/connections") => Some(pages.connections.page()),
         (&Method::GET, "/-/discovery") => Some(pages.watch.page()),
         (&Method::GET, "/-/memory") => Some(pages.room.page()),
         (&Method::GET, "/-/ready") => Some(json!({"ready": pages.standing.ready.get()})),
--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -1,6 +1,7 @@
 //! What crosses between the courier's parts: the news that its owner of the decision module hears, and
 //! what they carry. It stands below all of them, so that no part imports the owner.
 
+use crate::out::exchange::Exchange;
 use crate::room::NoRoom;
 use serde::Deserialize;
 use stairshed_config::Installation;
@@ -219,6 +220,8 @@
     pub at: Instant,
     /// What the outcome rests on, for those who follow the message.
     pub proof: &'static str,
+    /// The exchange on a connection; None where there was none.
+    pub exchange: Option<Exchange>,
 }
 
 /// A list, or its changes, as discovery writes it.
--- a/crates/courier/src/out.rs
+++ b/crates/courier/src/out.rs
@@ -1,6 +1,10 @@
 //! What goes out: calls to endpoints, the connections kept for them, brokers, and notices of outcomes.
 
+mod break_rate;
 pub mod broker;
 pub mod calls;
+mod connection_pool;
+pub mod connection_status;
+pub mod exchange;
 pub mod link;
 pub mod outcomes;
--- a/crates/courier/src/out/broker.rs
+++ b/crates/courier/src/out/broker.rs
@@ -369,5 +369,6 @@
         report: None,
         at: Instant::now(),
         proof: "the broker's word",
+        exchange: None,
     }
 }
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -2,7 +2,10 @@
 //! may have run is told apart from what never did.
 
 use crate::news::{CallEnd, News};
-use crate::out::link::{Answer, Link, Lost};
+use crate::out::connection_pool::{ConnectionPool, PooledConnection};
+use crate::out::connection_status::ConnectionStatus;
+use crate::out::exchange::Exchange;
+use crate::out::link::{Answer, Lost};
 use crate::room::Room;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -10,24 +13,15 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use stairshed_decide::interface::{EndpointId, Outcome, PoolId, Report};
 use stairshed_journal::Letter;
-use stairshed_memory::{Charge, Purpose};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
-use tokio::time::{Instant, sleep};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
 
-/// What a connection to an endpoint takes, with the call on it: hyper's buffers, the driver, the task. Measured with
-/// 40 that were kept.
-const LINK_BYTES: u64 = 28_000;
-/// How often idle connections are looked through.
-const SWEEP: Duration = Duration::from_millis(500);
-/// Share of the endpoints' limit for which a connection may stand idle here.
-const KEEP_SHARE: f64 = 0.75;
 /// Share of a call's time that must be left for its answer when it is written.
 const ANSWER_SHARE: f64 = 0.25;
 /// Nothing new goes to an endpoint this long after news that it drains or is gone; a rule says 1 s. The news may be read,
@@ -62,73 +56,9 @@
     Broker(u16),
 }
 
-/// How calls fared on connections by the time for which these had stood idle: some endpoints, or what lies
-/// between, drop them long before the limit and say so only to the next request, which then may have run.
-#[derive(Default)]
-struct Fates {
-    fresh: Fate,
-    idle: [Fate; 8],
-}
-
-/// The share of calls that broke, smoothed, as it was when last noted.
-#[derive(Clone, Copy, Default)]
-struct Fate {
-    share: f64,
-    at: Option<Instant>,
-}
-
-const FATE_GAIN: f64 = 0.05;
-/// An old share loses half its weight in this time, s: what is shunned is tried again.
-const FATE_HALVES: f64 = 10.0;
-/// More breaks than on fresh connections that a message bears which may be sent again, and one that may not:
-/// what breaks is lost then, which weighs many times a new connection.
-const BREAKS_MOST: f64 = 0.1;
-const BREAKS_ONCE: f64 = 0.03;
-
-impl Fate {
-    fn now(&self) -> f64 {
-        let age = self.at.map_or(0.0, |at| at.elapsed().as_secs_f64());
-        self.share * 0.5f64.powf(age / FATE_HALVES)
-    }
-
-    fn note(&mut self, broke: bool) {
-        let share = self.now();
-        let seen = if broke { 1.0 } else { 0.0 };
-        *self = Fate { share: share + FATE_GAIN * (seen - share), at: Some(Instant::now()) };
-    }
-}
-
-impl Fates {
-    /// Rows double in span, from 50 ms.
-    fn row(idle: Duration) -> usize {
-        (idle.as_millis() as u64 / 25).max(1).ilog2().min(7) as usize
-    }
-
-    fn note(&mut self, idle: Option<Duration>, broke: bool) {
-        match idle {
-            Some(idle) => self.idle[Self::row(idle)].note(broke),
-            None => self.fresh.note(broke),
-        }
-    }
-
-    /// Breaks beyond those on fresh connections. What has been dropped after a time is not there after a
-    /// longer one either; only a close right behind an answer, the first row, says nothing of later.
-    fn excess(&self, idle: Duration) -> f64 {
-        let row = Self::row(idle);
-        let rows = self.idle[row.min(1)..=row].iter();
-        rows.map(Fate::now).fold(0.0, f64::max) - self.fresh.now()
-    }
-}
-
-struct Kept {
-    link: Link,
-    since: Instant,
-}
-
 #[derive(Clone)]
 pub struct Calls {
-    connect: Rc<Cell<Duration>>,
-    keep: Rc<Cell<Duration>>,
+    pool: Rc<ConnectionPool>,
     /// Endpoints to which nothing new goes, since when.
     parted: Rc<RefCell<HashMap<EndpointId, Instant>>>,
     /// Until when nothing may be written to a pool, as it has told.
@@ -136,47 +66,30 @@
     /// Until when the list of endpoints may be acted on; None for good. Endpoints that it does not bind.
     list_valid_until: Rc<Cell<Option<Instant>>>,
     unleased: Rc<RefCell<HashSet<EndpointId>>>,
-    sockets: Arc<Semaphore>,
-    /// By endpoint, not by address: a new endpoint at the address of one that is gone must not inherit links
-    /// to that one.
-    idle: Rc<RefCell<HashMap<EndpointId, Vec<Kept>>>>,
-    fates: Rc<RefCell<Fates>>,
-    room: Room,
 }
 
 impl Calls {
     /// `keepalive` is when endpoints close an idle connection; none is kept for as long here.
     pub fn new(connect: Duration, keepalive: Duration, sockets: usize, room: Room) -> Self {
-        let keep = Rc::new(Cell::new(keepalive.mul_f64(KEEP_SHARE)));
-        let sweep = keep.clone();
-        let idle = Rc::new(RefCell::new(HashMap::<EndpointId, Vec<Kept>>::new()));
-        let swept = Rc::downgrade(&idle);
-        tokio::task::spawn_local(async move {
-            while let Some(idle) = swept.upgrade() {
-                idle.borrow_mut().retain(|_, kept| {
-                    kept.retain_mut(|k| k.since.elapsed() < sweep.get() && k.link.sound());
-                    !kept.is_empty()
-                });
-                drop(idle);
-                sleep(SWEEP).await;
-            }
-        });
-        let (connect, sockets) = (Rc::new(Cell::new(connect)), Arc::new(Semaphore::new(sockets)));
-        let (parted, waits, fates) = (Rc::default(), Rc::default(), Rc::default());
+        let pool = ConnectionPool::start(connect, keepalive, sockets, room);
+        let (parted, waits) = (Rc::default(), Rc::default());
         let (list_valid_until, unleased) = (Rc::default(), Rc::default());
-        Calls { connect, keep, parted, waits, list_valid_until, unleased, sockets, idle, fates, room }
+        Calls { pool, parted, waits, list_valid_until, unleased }
     }
 
     /// How long connections are kept here: the module reckons with that.
     pub fn keep_time(&self) -> Duration {
-        self.keep.get()
+        self.pool.keep_time()
     }
 
     /// Other times from now on; how long connections are kept.
     pub fn retime(&self, connect: Duration, keepalive: Duration) -> Duration {
-        self.connect.set(connect);
-        self.keep.set(keepalive.mul_f64(KEEP_SHARE));
-        self.keep.get()
+        self.pool.retime(connect, keepalive)
+    }
+
+    /// Counters of the connections, for the operator's pages.
+    pub fn connection_status(&self) -> Rc<ConnectionStatus> {
+        self.pool.status()
     }
 
     /// Whether anything new may go to an endpoint.
@@ -217,100 +130,59 @@
 
     /// Closes the idle connections to an endpoint.
     pub fn close(&self, endpoint: EndpointId) {
-        self.idle.borrow_mut().remove(&endpoint);
-    }
-
-    /// A kept connection and how long it stood idle.
-    fn take(&self, endpoint: EndpointId, once: bool) -> Option<(Link, Duration)> {
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(&endpoint)?;
-        while let Some(mut k) = kept.pop() {
-            // A request on a connection that the peer has closed, or is about to, would end as a reset and
-            // count as one that may have run.
-            let age = k.since.elapsed();
-            if age >= self.keep.get() || !k.link.sound() {
-                continue;
-            }
-            // So would one on a connection that has stood for as long as those that broke of late.
-            let excess = self.fates.borrow().excess(age);
-            if excess <= if once { BREAKS_ONCE } else { BREAKS_MOST } {
-                return Some((k.link, age));
-            }
-            if excess <= BREAKS_MOST {
-                kept.push(k);
-                return None;
-            }
-        }
-        None
-    }
-
-    fn keep(&self, endpoint: EndpointId, link: Link) {
-        self.idle.borrow_mut().entry(endpoint).or_default().push(Kept { link, since: Instant::now() });
-    }
-
-    /// Memory for one more connection. Kept ones give way to it; a call on behalf of an accepted message is made all the
-    /// same where none can, since what is accepted is not failed for memory. Calls are few: slots bound them.
-    fn room_for_link(&self) -> Charge {
-        let ledger = &self.room.ledger;
-        while ledger.room(Purpose::Endpoints) < LINK_BYTES && self.close_oldest() {}
-        ledger.force(Purpose::Endpoints, LINK_BYTES)
-    }
-
-    /// Closes the connection that has been idle for longest. False if there is none.
-    fn close_oldest(&self) -> bool {
-        let mut idle = self.idle.borrow_mut();
-        let oldest = idle.iter().filter_map(|(a, k)| Some((k.first()?.since, *a))).min();
-        let Some((_, endpoint)) = oldest else { return false };
-        let Some(kept) = idle.get_mut(&endpoint) else { return false };
-        kept.remove(0);
-        if kept.is_empty() {
-            idle.remove(&endpoint);
-        }
-        true
+        self.pool.close(endpoint);
     }
 
     /// Closes every second idle connection, the older ones of each endpoint: memory is tight.
     pub fn close_half(&self) {
-        self.idle.borrow_mut().retain(|_, kept| {
-            kept.drain(..kept.len().div_ceil(2));
-            !kept.is_empty()
-        });
-    }
-
-    /// Room for one more socket; an idle connection elsewhere gives way to it.
-    async fn permit(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(permit) = self.sockets.clone().try_acquire_owned() {
-            return Some(permit);
-        }
-        self.close_oldest();
-        tokio::time::timeout(self.connect.get(), self.sockets.clone().acquire_owned()).await.ok()?.ok()
-    }
-
-    async fn link(
-        &self,
-        endpoint: EndpointId,
-        address: SocketAddr,
-        once: bool,
-    ) -> Option<(Link, Option<Duration>)> {
-        if let Some((link, idle)) = self.take(endpoint, once) {
-            return Some((link, Some(idle)));
-        }
-        let permit = self.permit().await?;
-        let room = self.room_for_link();
-        Link::open(address, self.connect.get(), Some((permit, room))).await.ok().map(|link| (link, None))
+        self.pool.close_half();
     }
 
+    /// One exchange on a connection to an endpoint, and what the log says of it.
     async fn ask(
         &self,
         (endpoint, pool): (EndpointId, Option<PoolId>),
         (to, once): (SocketAddr, bool),
         request: Request<Full<Bytes>>,
         until: Instant,
-    ) -> Result<Answer, Lost> {
+    ) -> (Result<Answer, Lost>, Option<Exchange>) {
         let latest = until - until.saturating_duration_since(Instant::now()).mul_f64(ANSWER_SHARE);
         // A call whose time is up while it still has no connection was never sent.
-        let link = tokio::time::timeout_at(until, self.link(endpoint, to, once)).await.ok().flatten();
-        let (mut link, idle) = link.ok_or(Lost::Unsent)?;
+        let acquired = tokio::time::timeout_at(until, self.pool.acquire(endpoint, to, once)).await;
+        let Some(PooledConnection { mut link, idle }) = acquired.ok().flatten() else {
+            return (Err(Lost::Unsent), None);
+        };
+        if let Err(lost) = self.may_be_written(endpoint, pool, latest) {
+            self.pool.discard();
+            return (Err(lost), None);
+        }
+        let started = Instant::now();
+        let answer = link.ask(request, until).await;
+        let exchange = Exchange {
+            connection: link.number(),
+            sequence: link.exchanges(),
+            idle: idle.unwrap_or_default(),
+            took: started.elapsed(),
+            digest: answer.as_ref().ok().and_then(|a| a.digest),
+        };
+        self.pool.note_exchange(idle, matches!(answer, Err(Lost::Broken)));
+        match &answer {
+            Ok(answer) => {
+                self.note_wait(pool, answer);
+                self.pool.release(endpoint, link, answer.reusable);
+            }
+            Err(_) => self.pool.discard(),
+        }
+        (answer, Some(exchange))
+    }
+
+    /// Whether a request may still be written, now that its connection is there.
+    fn may_be_written(
+        &self,
+        endpoint: EndpointId,
+        pool: Option<PoolId>,
+        latest: Instant,
+    ) -> Result<(), Lost> {
         // One that came only now leaves no time for an answer: written all the same, the call would have run, or
         // may have, for nothing. Unwritten it never ran.
         if Instant::now() >= latest {
@@ -329,19 +201,17 @@
         if pool.is_some_and(|p| self.waits.borrow().get(&p).is_some_and(|until| Instant::now() < *until)) {
             return Err(Lost::Withheld("another call was told to wait"));
         }
-        let answer = link.ask(request, until).await;
-        self.fates.borrow_mut().note(idle, matches!(answer, Err(Lost::Broken)));
-        let answer = answer?;
-        if let Some((pool, wait)) = pool.zip(told_wait(&answer)) {
+        Ok(())
+    }
+
+    /// Keeps the wait that an answer tells, for calls that still have no connection.
+    fn note_wait(&self, pool: Option<PoolId>, answer: &Answer) {
+        if let Some((pool, wait)) = pool.zip(told_wait(answer)) {
             let mut waits = self.waits.borrow_mut();
             waits.retain(|_, until| *until > answer.at);
             let until = waits.entry(pool).or_insert(answer.at);
             *until = (*until).max(answer.at + wait);
         }
-        if answer.reusable {
-            self.keep(endpoint, link);
-        }
-        Ok(answer)
     }
 
     /// Makes one attempt and reports its end. The connection is closed before a time-out or a cancel is
@@ -372,16 +242,12 @@
         let end = match request.body(Full::new(letter.body.clone())) {
             Ok(request) => tokio::select! {
                 biased;
-                answer = self.ask((endpoint, Some(pool)), (address, once), request, until) => ended(answer),
-                _ = cancel => CallEnd { outcome: Outcome::Cancelled, over: false, report: None, at: Instant::now(), proof: "called off" },
-            },
-            Err(_) => CallEnd {
-                outcome: Outcome::Moot,
-                over: false,
-                report: None,
-                at: Instant::now(),
-                proof: "no request can be made of it",
+                (answer, exchange) = self.ask((endpoint, Some(pool)), (address, once), request, until) => {
+                    CallEnd { exchange, ..ended(answer) }
+                }
+                _ = cancel => unanswered(Outcome::Cancelled, "called off"),
             },
+            Err(_) => unanswered(Outcome::Moot, "no request can be made of it"),
         };
         let _ = news.send(News::Called { message, attempt, endpoint, end }).await;
     }
@@ -396,11 +262,11 @@
     ) {
         let sent = Instant::now();
         let request = Request::get("/-/load").header(HOST, address.to_string()).body(Full::default());
-        let answer = match request {
+        let (answer, exchange) = match request {
             Ok(request) => self.ask((endpoint, None), (address, false), request, sent + timeout).await,
-            Err(_) => Err(Lost::Unsent),
+            Err(_) => (Err(Lost::Unsent), None),
         };
-        let _ = news.send(News::Probed { endpoint, sent, end: ended(answer) }).await;
+        let _ = news.send(News::Probed { endpoint, sent, end: CallEnd { exchange, ..ended(answer) } }).await;
     }
 }
 
@@ -411,6 +277,11 @@
     (ms > 0.0 && ms < 1e9).then(|| Duration::from_secs_f64(ms / 1000.0))
 }
 
+/// The end of a call that has no answer to tell of.
+fn unanswered(outcome: Outcome, proof: &'static str) -> CallEnd {
+    CallEnd { outcome, over: false, report: None, at: Instant::now(), proof, exchange: None }
+}
+
 /// What PROTOCOL says of an answer. Only what it calls 'never' counts as not run.
 fn ended(answer: Result<Answer, Lost>) -> CallEnd {
     let answer = match answer {
@@ -423,13 +294,12 @@
                 Lost::Broken => (Outcome::Reset, "connection broke under it"),
                 Lost::Silent => (Outcome::TimedOut, "no answer in time"),
             };
-            return CallEnd { outcome, over: false, report: None, at: Instant::now(), proof };
+            return unanswered(outcome, proof);
         }
     };
     // A spoilt answer proves nothing but a first line with 200: the request has run, or may have.
     if !answer.whole && answer.status != StatusCode::OK {
-        let (outcome, at, proof) = (Outcome::Reset, answer.at, "spoilt answer");
-        return CallEnd { outcome, over: false, report: None, at, proof };
+        return CallEnd { at: answer.at, ..unanswered(Outcome::Reset, "spoilt answer") };
     }
     let head = |name| answer.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let outcome = match answer.status {
@@ -450,7 +320,7 @@
         Outcome::Crowded => "503 and close",
         _ => answer.status.canonical_reason().unwrap_or("an answer"),
     };
-    CallEnd { outcome, over, report: report(&answer.headers), at: answer.at, proof }
+    CallEnd { outcome, over, report: report(&answer.headers), at: answer.at, proof, exchange: None }
 }
 
 /// Whether the connection ends with this answer.
--- a/crates/courier/src/out/calls_test.rs
+++ b/crates/courier/src/out/calls_test.rs
@@ -21,7 +21,7 @@
         .run_until(async {
             let (_listener, to, calls) = one_socket().await;
             // The only socket is free again when the call has an eighth of its time left.
-            let socket = calls.permit().await.expect("the only one");
+            let socket = calls.pool.permit().await.expect("the only one");
             let time = Duration::from_millis(800);
             let until = Instant::now() + time;
             let request = Request::get("/").header(HOST, "h").body(Full::default()).expect("a request");
@@ -31,9 +31,9 @@
                 tokio::time::sleep_until(until - time / 8).await;
                 drop(socket);
             };
-            let (answer, ()) = tokio::join!(ask, free);
+            let ((answer, _), ()) = tokio::join!(ask, free);
             assert_eq!(answer.err(), Some(Lost::Unsent), "written, it would count as one that may have run");
-            assert!(calls.idle.borrow().get(&endpoint).is_none());
+            assert_eq!(calls.pool.idle_count(endpoint), 0);
         })
         .await;
 }
@@ -43,7 +43,7 @@
     tokio::task::LocalSet::new()
         .run_until(async {
             let (_listener, to, calls) = one_socket().await;
-            let socket = calls.permit().await.expect("the only one");
+            let socket = calls.pool.permit().await.expect("the only one");
             let request = Request::get("/").header(HOST, "h").body(Full::default()).expect("a request");
             calls.admit(EndpointId(1), false);
             let until = Instant::now() + after + Duration::from_millis(400);
@@ -52,7 +52,7 @@
                 tokio::time::sleep(after).await;
                 drop(socket);
             };
-            let (answer, ()) = tokio::join!(ask, free);
+            let ((answer, _), ()) = tokio::join!(ask, free);
             answer.err()
         })
         .await
@@ -99,14 +99,14 @@
                     }
                 }
             });
-            let (first, second) = tokio::join!(ask(1), ask(1));
+            let ((first, _), (second, _)) = tokio::join!(ask(1), ask(1));
             assert_eq!(first.map(|a| a.status).ok(), Some(StatusCode::TOO_MANY_REQUESTS));
             assert_eq!(
                 second.err(),
                 Some(Lost::Withheld("another call was told to wait")),
                 "the pool has told to wait"
             );
-            let other = ask(2).await;
+            let (other, _) = ask(2).await;
             assert_eq!(other.map(|a| a.status).ok(), Some(StatusCode::OK), "a route apart is not bound");
             server.await.expect("served");
         })
@@ -120,7 +120,15 @@
             .iter()
             .map(|(name, value)| (name.parse().expect("a name"), value.parse().expect("a value")));
         let (status, at) = (StatusCode::SERVICE_UNAVAILABLE, Instant::now());
-        ended(Ok(Answer { status, headers: heads.collect(), at, whole: true, reusable: false })).outcome
+        ended(Ok(Answer {
+            status,
+            headers: heads.collect(),
+            at,
+            whole: true,
+            reusable: Ok(()),
+            digest: None,
+        }))
+        .outcome
     };
     assert_eq!(of(&[("connection", "close")]), Outcome::Crowded);
     assert_eq!(of(&[]), Outcome::Full { wait: None });
--- /dev/null
+++ b/crates/courier/src/out/connection_status.rs
@@ -0,0 +1,102 @@
+//! Counters of the connections to endpoints and of why they were closed, for the log and the page `/-/connections`.
+
+use serde_json::{Value, json};
+use stairshed_decide::interface::EndpointId;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Between two log lines on unsolicited bytes.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Why a connection that could have been kept was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CloseReason {
+    /// The endpoint closed it, reset it, or its answer said that it would.
+    ClosedByPeer,
+    /// The endpoint sent bytes that no request asked for.
+    UnsolicitedBytes,
+    /// It stood idle for as long as connections are kept.
+    IdleLimit,
+    /// Connections that stood idle for as long broke of late when they were used.
+    BreakRisk,
+    /// The endpoint drains, is gone or has another address.
+    EndpointLeft,
+    /// Its memory or its socket was needed.
+    Pressure,
+    /// The exchange on it did not end with a whole answer.
+    AttemptFailed,
+}
+
+impl CloseReason {
+    /// As the page has it.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::ClosedByPeer => "closed by the endpoint",
+            CloseReason::UnsolicitedBytes => "unsolicited bytes",
+            CloseReason::IdleLimit => "idle limit",
+            CloseReason::BreakRisk => "risk of a break",
+            CloseReason::EndpointLeft => "endpoint left",
+            CloseReason::Pressure => "memory or sockets needed",
+            CloseReason::AttemptFailed => "attempt failed",
+        }
+    }
+}
+
+/// Shared by all calls.
+#[derive(Default)]
+pub struct ConnectionStatus {
+    opened: Cell<u64>,
+    reused: Cell<u64>,
+    closed: RefCell<BTreeMap<CloseReason, u64>>,
+    last_report: Cell<Option<Instant>>,
+}
+
+impl ConnectionStatus {
+    /// A new connection carries its first exchange.
+    pub fn opened(&self) {
+        self.opened.set(self.opened.get() + 1);
+    }
+
+    /// A kept connection carries another exchange.
+    pub fn reused(&self) {
+        self.reused.set(self.reused.get() + 1);
+    }
+
+    /// `number` connections were closed.
+    pub fn closed(&self, reason: CloseReason, number: usize) {
+        if number > 0 {
+            *self.closed.borrow_mut().entry(reason).or_default() += number as u64;
+        }
+    }
+
+    /// An endpoint sent bytes that no request asked for, found `idle` after its last answer. Written to the log, but not
+    /// more often than once in 10 s.
+    pub fn unsolicited(&self, endpoint: EndpointId, connection: u64, idle: Duration) {
+        self.closed(CloseReason::UnsolicitedBytes, 1);
+        let now = Instant::now();
+        if self.last_report.get().is_some_and(|at| now - at < REPORT_INTERVAL) {
+            return;
+        }
+        self.last_report.set(Some(now));
+        let number = self.count(CloseReason::UnsolicitedBytes);
+        eprintln!(
+            "connections: endpoint {} sent bytes that no request asked for, found {:.3} s after its last answer; \
+             connection {connection} is closed ({number} so far)",
+            endpoint.0,
+            idle.as_secs_f64()
+        );
+    }
+
+    fn count(&self, reason: CloseReason) -> u64 {
+        self.closed.borrow().get(&reason).copied().unwrap_or(0)
+    }
+
+    /// The page `/-/connections`.
+    pub fn page(&self) -> Value {
+        let closed: BTreeMap<_, _> =
+            self.closed.borrow().iter().map(|(reason, number)| (reason.name(), *number)).collect();
+        json!({"opened": self.opened.get(), "reused": self.reused.get(), "closed": closed})
+    }
+}
--- /dev/null
+++ b/crates/courier/src/out/exchange.rs
@@ -0,0 +1,30 @@
+//! What the log says of one exchange: a request on a connection to an endpoint, and the answer that was read for it.
+
+use std::fmt;
+use std::time::Duration;
+
+/// One exchange, as far as it came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exchange {
+    /// The connection's number in this process, from 1.
+    pub connection: u64,
+    /// Which exchange of its connection it is, from 1.
+    pub sequence: u32,
+    /// How long the connection had stood idle; zero for a new one.
+    pub idle: Duration,
+    /// From the begin of the request to the end of the answer or of the attempt.
+    pub took: Duration,
+    /// A hash of status, header fields and body of the answer: equal answers have equal ones.
+    pub digest: Option<u64>,
+}
+
+impl fmt::Display for Exchange {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Exchange { connection, sequence, idle, took, digest } = self;
+        write!(f, "connection={connection} exchange={sequence} idle={idle:?} took={took:?}")?;
+        match digest {
+            Some(digest) => write!(f, " answer={digest:016x}"),
+            None => write!(f, " answer=none"),
+        }
+    }
+}
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -1,6 +1,7 @@
 //! One connection to another machine, driven by whoever holds it. There is no task behind it: dropping a
 //! link closes its socket at once, and what became of a request is known.
 
+use crate::out::connection_status::CloseReason;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -10,12 +11,15 @@
 use socket2::SockRef;
 use stairshed_memory::Charge;
 use std::cell::{Cell, RefCell};
+use std::error::Error;
 use std::future::{Future, poll_fn};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -166,12 +170,44 @@
     }
 }
 
-type Driver = Pin<Box<http1::Connection<TokioIo<Tap>, Full<Bytes>>>>;
+type Connection = Pin<Box<http1::Connection<TokioIo<Tap>, Full<Bytes>>>>;
+
+/// What reads and writes the connection while its holder waits for something on it.
+enum Driver {
+    Running(Connection),
+    Ended(CloseReason),
+}
+
+impl Driver {
+    fn poll(&mut self, cx: &mut Context) {
+        if let Driver::Running(connection) = self
+            && let Poll::Ready(end) = connection.as_mut().poll(cx)
+        {
+            *self = Driver::Ended(end_of(&end));
+        }
+    }
+}
+
+/// Why a connection ended: hyper names no source for bytes that come out of turn.
+fn end_of(end: &Result<(), hyper::Error>) -> CloseReason {
+    match end {
+        Err(e) if e.source().is_none() && !e.is_closed() && !e.is_incomplete_message() => {
+            CloseReason::UnsolicitedBytes
+        }
+        _ => CloseReason::ClosedByPeer,
+    }
+}
+
+/// Numbers the connections of this process.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
 
 pub struct Link {
     wire: Rc<Wire>,
     sender: SendRequest<Full<Bytes>>,
-    driver: Option<Driver>,
+    driver: Driver,
+    number: u64,
+    /// Requests that were begun on it.
+    exchanges: u32,
     _room: Option<(OwnedSemaphorePermit, Charge)>,
 }
 
@@ -221,16 +257,30 @@
     pub at: Instant,
     /// All of it came as its head says. One that did not is spoilt, whatever its status.
     pub whole: bool,
-    /// Whether the link can carry another request.
-    pub reusable: bool,
+    /// Whether the link can carry another request, or why not.
+    pub reusable: Result<(), CloseReason>,
+    /// A hash of status, header fields and body; None where not all of it came.
+    pub digest: Option<u64>,
 }
 
 impl Answer {
     /// Its first line says 200, and the rest cannot be read.
     fn spoilt(at: Instant) -> Self {
         let (status, headers) = (StatusCode::OK, HeaderMap::new());
-        Answer { status, headers, at, whole: false, reusable: false }
+        let reusable = Err(CloseReason::AttemptFailed);
+        Answer { status, headers, at, whole: false, reusable, digest: None }
+    }
+}
+
+/// Equal for answers that are equal.
+fn digest(status: StatusCode, headers: &HeaderMap, body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    status.hash(&mut hasher);
+    for (name, value) in headers {
+        (name, value).hash(&mut hasher);
     }
+    body.hash(&mut hasher);
+    hasher.finish()
 }
 
 /// Waits for the head of an answer: till `until`, or a short while from its first byte.
@@ -250,14 +300,10 @@
 }
 
 /// Polls a future together with the connection it needs.
-async fn drive<F: Future>(driver: &mut Option<Driver>, work: F) -> F::Output {
+async fn drive<F: Future>(driver: &mut Driver, work: F) -> F::Output {
     let mut work = pin!(work);
     poll_fn(|cx| {
-        if let Some(d) = driver
-            && d.as_mut().poll(cx).is_ready()
-        {
-            *driver = None;
-        }
+        driver.poll(cx);
         work.as_mut().poll(cx)
     })
     .await
@@ -276,23 +322,45 @@
         let wire = Rc::new(Wire { stream, written: Cell::new(0), first: RefCell::default() });
         let io = TokioIo::new(Tap(wire.clone()));
         let (sender, driver) = http1::Builder::new().max_buf_size(BODY_MOST).handshake(io).await?;
-        Ok(Link { wire, sender, driver: Some(Box::pin(driver)), _room: room })
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+        Ok(Link {
+            wire,
+            sender,
+            driver: Driver::Running(Box::pin(driver)),
+            number,
+            exchanges: 0,
+            _room: room,
+        })
+    }
+
+    /// Its number in this process, from 1.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Requests that were begun on it.
+    pub fn exchanges(&self) -> u32 {
+        self.exchanges
     }
 
     /// Whether the peer has left it open and said nothing out of turn. Asks the kernel: the runtime may not
     /// have heard of a close yet, and a request written then would count as one that may have run. The driver
     /// is asked too: it ends if bytes are left that it has read already, a second copy of an answer, say,
     /// which the next call would take for its own.
-    pub fn sound(&mut self) -> bool {
-        if let Some(d) = &mut self.driver
-            && d.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
-        {
-            self.driver = None;
+    ///
+    /// # Errors
+    /// Why it cannot be used.
+    pub fn check(&mut self) -> Result<(), CloseReason> {
+        self.driver.poll(&mut Context::from_waker(Waker::noop()));
+        if let Driver::Ended(reason) = self.driver {
+            return Err(reason);
         }
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.wire.stream).peek(&mut byte);
-        let quiet = peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
-        quiet && self.driver.is_some() && !self.sender.is_closed()
+        match SockRef::from(&self.wire.stream).peek(&mut byte) {
+            Ok(1..) => Err(CloseReason::UnsolicitedBytes),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock && !self.sender.is_closed() => Ok(()),
+            _ => Err(CloseReason::ClosedByPeer),
+        }
     }
 
     async fn start(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Lost> {
@@ -310,6 +378,7 @@
     /// Sends a request and waits for the answer until then. After an error the link is of no more use.
     pub async fn ask(&mut self, request: Request<Full<Bytes>>, until: Instant) -> Result<Answer, Lost> {
         let (before, wire) = (self.wire.written.get(), self.wire.clone());
+        self.exchanges += 1;
         *wire.first.borrow_mut() = FirstLine::default();
         let started = in_time(&wire, until, self.start(request)).await;
         let at = Instant::now();
@@ -333,12 +402,19 @@
         // Of a body that does not end, or not as its head says, no more than this is read.
         let body = http_body_util::Limited::new(body, BODY_MOST).collect();
         let body = timeout(BODY_TIME, drive(&mut self.driver, body)).await;
-        let whole = body.is_ok_and(|b| b.is_ok());
-        let reusable = whole && {
-            let ready = drive(&mut self.driver, self.sender.ready());
-            timeout(BODY_TIME, ready).await.is_ok_and(|r| r.is_ok()) && self.sound()
-        };
-        Ok(Answer { status: parts.status, headers: parts.headers, at, whole, reusable })
+        let body = body.ok().and_then(Result::ok).map(|b| b.to_bytes());
+        let reusable = if body.is_some() { self.settle().await } else { Err(CloseReason::AttemptFailed) };
+        let answer_digest = body.as_ref().map(|body| digest(parts.status, &parts.headers, body));
+        let (status, headers) = (parts.status, parts.headers);
+        Ok(Answer { status, headers, at, whole: body.is_some(), reusable, digest: answer_digest })
+    }
+
+    /// Whether the link can carry another request, once an answer has been read whole.
+    async fn settle(&mut self) -> Result<(), CloseReason> {
+        let ready = drive(&mut self.driver, self.sender.ready());
+        // The check names the reason where the wait ended with an error.
+        timeout(BODY_TIME, ready).await.map_err(|_| CloseReason::AttemptFailed)?.ok();
+        self.check()
     }
 
     /// Sends a request whose answer has no end; its pieces come from [`Link::piece`].
--- a/crates/courier/src/out/outcomes.rs
+++ b/crates/courier/src/out/outcomes.rs
@@ -195,7 +195,7 @@
     async fn once(&self, batch: &[Notice]) -> Option<StatusCode> {
         let to = self.address.get();
         let kept = self.kept.borrow_mut().take().filter(|(_, at)| at.elapsed() < KEEP);
-        let mut link = match kept.and_then(|(mut link, _)| link.sound().then_some(link)) {
+        let mut link = match kept.and_then(|(mut link, _)| link.check().is_ok().then_some(link)) {
             Some(link) => link,
             None => Link::open(to, CONNECT, None).await.ok()?,
         };
@@ -207,7 +207,7 @@
             .ok()?;
         let answer = link.ask(request, Instant::now() + ANSWER).await.ok()?;
         // After a reload the next batch would go to the old address on it.
-        if answer.reusable && to == self.address.get() {
+        if answer.reusable.is_ok() && to == self.address.get() {
             *self.kept.borrow_mut() = Some((link, Instant::now()));
         }
         Some(answer.status)
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -54,8 +54,11 @@
             follow::step(
                 &m.letter.id,
                 format_args!(
-                    "attempt={attempt} ended outcome={:?} ran={ran} over={} proof={:?}",
-                    end.outcome, end.over, end.proof
+                    "attempt={attempt} ended outcome={:?} ran={ran} over={} proof={:?} {}",
+                    end.outcome,
+                    end.over,
+                    end.proof,
+                    end.exchange.map_or("connection=none".to_owned(), |e| e.to_string())
                 ),
             );
         }
--- a/crates/courier/src/place/control.rs
+++ b/crates/courier/src/place/control.rs
@@ -615,7 +615,7 @@
         answer["in_effect"] = json!(*held.borrow());
         let mut backoff = BACKOFF_FIRST;
         loop {
-            let kept = link.take().and_then(|mut l| l.sound().then_some(l));
+            let kept = link.take().and_then(|mut l| l.check().is_ok().then_some(l));
             let open = match kept {
                 Some(link) => Some(link),
                 None => Link::open(url.address, CONNECT, None).await.ok(),
@@ -627,7 +627,7 @@
             if let (Some(mut open), Ok(request)) = (open, request)
                 && let Ok(told) = open.ask(request, Instant::now() + ANSWER).await
             {
-                if told.reusable {
+                if told.reusable.is_ok() {
                     link = Some(open);
                 }
                 // What it does not want it will not want the next time either.
--- a/crates/courier/src/start/serve.rs
+++ b/crates/courier/src/start/serve.rs
@@ -177,6 +177,7 @@
     let mut setup = setup(&installation, &effective, &room, &beside);
     let calls = Calls::new(setup.settings.connect_timeout, setup.settings.keepalive, for_calls, room.clone());
     setup.settings.keepalive = calls.keep_time();
+    let connections = calls.connection_status();
     let brain = Brain::new(setup.settings.clone(), setup.seed).map_err(|e| bad("configuration", e))?;
     let (news, inbox) = mpsc::channel(INBOX);
     let standing = Rc::new(Standing::default());
@@ -235,7 +236,7 @@
         let at = listener.local_addr().map_err(|e| bad("listen.admin", e))?;
         eprintln!("the operator's pages are at {at}");
         let (view, standing, room) = (configurator.view(), standing.clone(), room.clone());
-        let pages = Pages { view, standing, room, watch: watch_status };
+        let pages = Pages { view, standing, room, watch: watch_status, connections };
         tokio::task::spawn_local(admin::run(listener, pages));
     }
     if installation_mqtt.is_none() && topics {
