Failing tests: endpoints that send an answer twice break four rules

A courier as a process on loopback with six endpoints that answer after 10 to 60 ms, refuse a tenth of the calls and send three tenths of their answers a second time, 1 to 15 ms later as in the report, or 20 to 400 ms later.

--- /dev/null
+++ b/crates/courier/tests/second_copies.rs
@@ -0,0 +1,227 @@
+//! An answer of an earlier call is never taken for that of a later one on the same connection: couriers as processes on
+//! loopback, and endpoints that send some of their answers twice. `SEED=n` plays one seed of the random load again.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use stairshed_rig::repeating::{CallLog, RepeatingEndpoint, Script, ServedCall};
+use stairshed_rig::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Each with an endpoint in either zone.
+const DESTINATIONS: u64 = 3;
+/// Calls that a courier has out at once: few, so that a connection is used again as soon as it has its answer.
+const SLOTS: usize = 6;
+/// Messages that one client hands in, one after the other.
+const MESSAGES: usize = 40;
+/// Between two of its messages.
+const PAUSE: Duration = Duration::from_millis(80);
+/// Of each class.
+const CLIENTS: usize = 4;
+const TIME_MS: u64 = 5_000;
+/// A message that has not ended so long after its time is lost (protocol page: 300 ms, and 50 ms on sockets).
+const LATE: Duration = Duration::from_millis(350);
+/// Shares of the calls that are refused, and of the answers that are sent twice.
+const REFUSED_SHARE: f64 = 0.1;
+const COPIED_SHARE: f64 = 0.3;
+/// Fewer calls show nothing.
+const MIN_CALLS: usize = 200;
+const CLASSES: [&str; 3] = ["payment", "notice", "status"];
+
+/// When second copies come, after their answer.
+#[derive(Clone, Copy)]
+struct Copies {
+    earliest_ms: u64,
+    latest_ms: u64,
+}
+
+/// As in the incident: once the next call is out.
+const AS_REPORTED: Copies = Copies { earliest_ms: 1, latest_ms: 15 };
+/// Later than any pause between two calls.
+const LATER: Copies = Copies { earliest_ms: 20, latest_ms: 400 };
+
+struct Played {
+    calls: Vec<ServedCall>,
+    /// Messages that were taken on.
+    taken: BTreeSet<String>,
+    notices: BTreeMap<String, String>,
+    log: Vec<String>,
+}
+
+fn answer(rng: &mut SmallRng, refusals: f64) -> String {
+    let report = format!("X-Server-Load: TEXT x0={:.3}, x1=900", rng.random_range(0.5..1.0));
+    if rng.random_bool(refusals) {
+        return format!("HTTP/1.1 503 Service Unavailable\r\n{report}\r\nContent-Length: 0\r\n\r\n");
+    }
+    format!("HTTP/1.1 200 OK\r\n{report}\r\nContent-Length: 16\r\n\r\n{:016x}", rng.random::<u64>())
+}
+
+fn endpoint(name: &'static str, log: &CallLog, copies: Copies, seed: u64) -> RepeatingEndpoint {
+    let rng = Mutex::new(SmallRng::seed_from_u64(seed));
+    RepeatingEndpoint::start(name, log, move |_, _| {
+        let mut rng = rng.lock().expect("the generator");
+        let copied = rng.random_bool(COPIED_SHARE);
+        let after = rng.random_range(copies.earliest_ms..=copies.latest_ms);
+        Script {
+            answer: answer(&mut rng, REFUSED_SHARE),
+            delay: Duration::from_millis(rng.random_range(10..=60)),
+            copy_after: copied.then(|| Duration::from_millis(after)),
+        }
+    })
+}
+
+/// The two endpoints of a destination, in discovery's form.
+fn entries(destination: u64, log: &CallLog, copies: Copies, seed: u64) -> Vec<Value> {
+    let zones = [("a", "zone-a"), ("b", "zone-b")];
+    let entry = |(site, name): (&str, &'static str)| {
+        let endpoint = endpoint(name, log, copies, seed + destination);
+        json!({"host": format!("s-{site}{destination}"), "dial": endpoint.address.to_string(), "site": site,
+            "class": "shops", "block": destination, "health": "ready", "share": 900.0, "born_ms": 0})
+    };
+    zones.into_iter().map(entry).collect()
+}
+
+/// One courier between clients and two endpoints in different zones; all messages have ended when it returns.
+fn play(copies: Copies) -> Played {
+    let seed = figure("SEED", 1);
+    println!("seed {seed}");
+    let log = CallLog::default();
+    let hosts = (0..DESTINATIONS).flat_map(|d| entries(d, &log, copies, seed * 100)).collect();
+    let known = list(1, true, hosts);
+    let discovery = Discovery::new(known.clone());
+    let mut config = config(&discovery, known);
+    config["settings"]["family-info"]["slots"] = json!(SLOTS);
+    config["seed"] = json!(format!("{seed:x}"));
+    let folder = Folder::new();
+    let courier = Courier::spawn(command(&folder, &discovery, &config).args(["--follow", "1/1"]));
+    let address = courier.address;
+    let clients: Vec<_> = CLASSES
+        .iter()
+        .flat_map(|class| (0..CLIENTS).map(move |client| (*class, client)))
+        .map(|(class, client)| thread::spawn(move || hand_in_all(address, class, client)))
+        .collect();
+    let taken: BTreeSet<_> = clients.into_iter().flat_map(|c| c.join().expect("a client")).collect();
+    let end = Instant::now() + Duration::from_millis(TIME_MS) + LATE;
+    while Instant::now() < end && !unended(&taken, &log, &discovery).is_empty() {
+        thread::sleep(20 * MS);
+    }
+    let notices = taken.iter().filter_map(|id| Some((id.clone(), discovery.results(id).first()?.clone())));
+    let notices = notices.collect();
+    let calls = log.lock().expect("the log").clone();
+    println!("{} taken, {} calls", taken.len(), calls.len());
+    assert!(calls.len() > MIN_CALLS, "too few calls to show a fault");
+    Played { calls, taken, notices, log: courier.logged() }
+}
+
+fn hand_in_all(courier: SocketAddr, class: &str, client: usize) -> Vec<String> {
+    let ids = (0..MESSAGES).map(|n| format!("{class}-{client}-{n}"));
+    let hand_in = |id: &String| {
+        thread::sleep(PAUSE);
+        raw(courier, message(id, class, destination_of(id), TIME_MS).as_bytes())
+    };
+    ids.filter(|id| hand_in(id).is_some_and(|answer| answer.status() == 202)).collect()
+}
+
+fn destination_of(id: &str) -> u64 {
+    id.bytes().map(u64::from).sum::<u64>() % DESTINATIONS
+}
+
+/// Messages that were taken on and have neither been delivered nor ended by a notice.
+fn unended(taken: &BTreeSet<String>, log: &CallLog, discovery: &Discovery) -> Vec<String> {
+    let calls = log.lock().expect("the log");
+    let delivered: BTreeSet<_> = calls.iter().filter(|c| c.status == Some(200)).map(|c| &c.id).collect();
+    let open = taken.iter().filter(|id| !delivered.contains(id) && discovery.results(id).is_empty());
+    open.cloned().collect()
+}
+
+impl Played {
+    /// The calls of each message of a class, in order of arrival.
+    fn of(&self, class: &str) -> BTreeMap<&str, Vec<&ServedCall>> {
+        let mut all: BTreeMap<&str, Vec<&ServedCall>> = BTreeMap::new();
+        for call in self.calls.iter().filter(|c| c.id.starts_with(class)) {
+            all.entry(&call.id).or_default().push(call);
+        }
+        all
+    }
+
+    /// What the courier says of a message, and what its endpoints saw.
+    fn account(&self, id: &str) -> String {
+        let log = self.log.iter().filter(|line| line.contains(&format!(" {id} ")));
+        let calls = self.calls.iter().filter(|c| c.id == id);
+        let calls = calls.map(|c| {
+            let took = c.ended.map(|end| end - c.arrived);
+            format!("{} connection {}: {:?} after {took:?}", c.endpoint, c.connection, c.status)
+        });
+        log.cloned().chain(calls).collect::<Vec<_>>().join("\n")
+    }
+
+    fn assert_payments_run_once(&self) {
+        for (id, calls) in self.of("payment") {
+            // A call may have run unless it was really refused.
+            let ran = calls.iter().position(|c| c.status != Some(503));
+            assert!(ran.is_none_or(|n| n + 1 == calls.len()), "{id} was sent again:\n{}", self.account(id));
+        }
+    }
+
+    fn assert_one_attempt_at_once(&self) {
+        let overlap = self.calls.iter().find(|call| call.overlaps);
+        assert!(overlap.is_none(), "two attempts were out at once:\n{}", self.account(&overlap.unwrap().id));
+    }
+
+    fn assert_keyed_repeats_stay_in_their_zone(&self) {
+        for (id, calls) in self.of("notice") {
+            let after: Vec<_> = calls.iter().skip_while(|c| c.status == Some(503)).collect();
+            let strayed = after.iter().any(|c| c.endpoint != after[0].endpoint);
+            assert!(!strayed, "{id} may have run in one zone and went to the other:\n{}", self.account(id));
+        }
+    }
+
+    fn assert_none_lost(&self) {
+        let delivered: BTreeSet<_> =
+            self.calls.iter().filter(|c| c.status == Some(200)).map(|c| &c.id).collect();
+        let ended = |id: &String| delivered.contains(id) || self.notices.contains_key(id);
+        let lost: Vec<_> = self.taken.iter().filter(|id| !ended(id)).collect();
+        let first = lost.first().map(|id| self.account(id)).unwrap_or_default();
+        assert!(lost.is_empty(), "{} were lost; the first:\n{first}", lost.len());
+    }
+}
+
+// Guards against a copy of a 503 that is taken for the answer to a payment which runs (incident fde2a4).
+#[test]
+fn payment_runs_once_where_endpoints_send_an_answer_twice() {
+    for copies in [AS_REPORTED, LATER] {
+        let played = play(copies);
+        played.assert_payments_run_once();
+    }
+}
+
+// Guards against a message that is sent again while its first attempt is still out (incident fde2a4).
+#[test]
+fn one_attempt_at_once_where_endpoints_send_an_answer_twice() {
+    for copies in [AS_REPORTED, LATER] {
+        let played = play(copies);
+        played.assert_one_attempt_at_once();
+    }
+}
+
+// Guards against a keyed message that runs in one zone and is sent to the other (incident fde2a4).
+#[test]
+fn keyed_repeat_stays_in_its_zone_where_endpoints_send_an_answer_twice() {
+    for copies in [AS_REPORTED, LATER] {
+        let played = play(copies);
+        played.assert_keyed_repeats_stay_in_their_zone();
+    }
+}
+
+// Guards against a copy of a 200 that is taken for the delivery of a message which was refused (incident fde2a4).
+#[test]
+fn no_message_is_lost_where_endpoints_send_an_answer_twice() {
+    for copies in [AS_REPORTED, LATER] {
+        let played = play(copies);
+        played.assert_none_lost();
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod figures;
 pub mod names;
 pub mod publisher;
+pub mod repeating;
 pub mod soak;
 
 use serde_json::{Value, json};
@@ -549,6 +550,11 @@
         panic!("never said: {words}");
     }
 
+    /// What it has logged and nobody has read yet.
+    pub fn logged(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
     /// Replaces its configuration and tells it to read it again.
     pub fn reload(&self, folder: &Folder, text: &str) {
         fs::write(folder.0.join("config.next"), text).expect("a config");
