Each post of notices has a connection of its own

What callers saw: the notice of a dead message could be lost where the platform sends an answer twice. Cause: posts went over a kept connection, and answers name no request, so a second copy of the 204 for one post that comes while the next is out was taken for the answer to that, which was then refused. No post reuses a connection, so nothing of an earlier exchange can be on it.

--- a/crates/courier/src/out/outcomes.rs
+++ b/crates/courier/src/out/outcomes.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use stairshed_config::installation::Url;
 use stairshed_journal::Verdict;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::fs::OpenOptions;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -24,8 +24,6 @@
 const ANSWER: Duration = Duration::from_millis(1000);
 const BACKOFF_FIRST: Duration = Duration::from_millis(20);
 const BACKOFF_MOST: Duration = Duration::from_millis(500);
-/// A kept connection is used again within this time only.
-const KEEP: Duration = Duration::from_secs(2);
 
 /// One message that has ended undelivered.
 #[derive(Clone, Debug)]
@@ -75,8 +73,6 @@
     /// Shared by all batches on their way: it moves at a reload.
     address: Rc<Cell<SocketAddr>>,
     path: Rc<str>,
-    /// A connection that stands idle, if there is one.
-    kept: Rc<RefCell<Option<(Link, Instant)>>>,
 }
 
 /// A file that lines are appended to.
@@ -125,19 +121,14 @@
 impl Outcomes {
     /// The platform's.
     pub fn platform(address: SocketAddr) -> Self {
-        let post =
-            Post { address: Rc::new(Cell::new(address)), path: "/v1/outcomes".into(), kept: Rc::default() };
+        let post = Post { address: Rc::new(Cell::new(address)), path: "/v1/outcomes".into() };
         Outcomes { post: Some(post), file: None, unread: None }
     }
 
     /// An operator's: posted to `url`, appended to `file`, or both. What the other side cannot read is appended
     /// to `unread`. With `sync` lines are on the device before their messages count as ended.
     pub fn operator(url: Option<&Url>, file: Option<PathBuf>, unread: PathBuf, sync: bool) -> Self {
-        let post = url.map(|u| Post {
-            address: Rc::new(Cell::new(u.address)),
-            path: u.path.as_str().into(),
-            kept: Rc::default(),
-        });
+        let post = url.map(|u| Post { address: Rc::new(Cell::new(u.address)), path: u.path.as_str().into() });
         let sink = |path| Arc::new(Mutex::new(Sink { path, sync }));
         Outcomes { post, file: file.map(sink), unread: Some(sink(unread)) }
     }
@@ -146,7 +137,6 @@
     pub fn move_to(&self, address: SocketAddr) {
         if let Some(post) = &self.post {
             post.address.set(address);
-            post.kept.borrow_mut().take();
         }
     }
 
@@ -192,13 +182,11 @@
         told
     }
 
+    /// Posts once, on a connection of its own: an answer names no request, and on a used connection it could be a second
+    /// copy of the one before.
     async fn once(&self, batch: &[Notice]) -> Option<StatusCode> {
         let to = self.address.get();
-        let kept = self.kept.borrow_mut().take().filter(|(_, at)| at.elapsed() < KEEP);
-        let mut link = match kept.and_then(|(mut link, _)| link.check().is_ok().then_some(link)) {
-            Some(link) => link,
-            None => Link::open(to, CONNECT, None).await.ok()?,
-        };
+        let mut link = Link::open(to, CONNECT, None).await.ok()?;
         let text: String = batch.iter().map(Notice::line).collect();
         let request = Request::post(&*self.path)
             .header(header::HOST, to.to_string())
@@ -206,10 +194,6 @@
             .body(Full::new(Bytes::from(text)))
             .ok()?;
         let answer = link.ask(request, Instant::now() + ANSWER).await.ok()?;
-        // After a reload the next batch would go to the old address on it.
-        if answer.reusable.is_ok() && to == self.address.get() {
-            *self.kept.borrow_mut() = Some((link, Instant::now()));
-        }
         Some(answer.status)
     }
 }
--- a/crates/courier/tests/second_copies.rs
+++ b/crates/courier/tests/second_copies.rs
@@ -225,3 +225,17 @@
         played.assert_none_lost();
     }
 }
+
+// Guards against a copy of the 204 for one post of notices that is taken for the answer to the next.
+#[test]
+fn notice_is_posted_again_where_the_platform_sends_an_answer_twice() {
+    let endpoint = Endpoint::new(|_| Act::Break);
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    let folder = Folder::new();
+    let courier = Courier::start(&folder, &discovery);
+    discovery.post_scripts.lock().expect("scripts").extend(PostScript::COPIED_THEN_REFUSED);
+    courier.take("first", "payment", 7, TIME_MS);
+    until("the first notice", || discovery.results("first") == ["dead"]);
+    courier.take("second", "payment", 7, TIME_MS);
+    until("the second notice", || discovery.results("second") == ["dead"]);
+}
--- a/crates/rig/src/control.rs
+++ b/crates/rig/src/control.rs
@@ -1,7 +1,8 @@
 //! A stand-in control service: sends what a test tells it, also half of it, and keeps every answer.
 
-use crate::Page;
+use crate::{Page, PostScript};
 use serde_json::{Value, json};
+use std::collections::VecDeque;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -23,6 +24,8 @@
     /// What each stream asked for.
     asked: Vec<String>,
     answers: Vec<Answer>,
+    /// For the next answers, one each.
+    scripts: VecDeque<PostScript>,
 }
 
 #[derive(Clone)]
@@ -70,19 +73,36 @@
                 return;
             }
             assert!(page.first.starts_with("POST /v1/config/answers "), "{}", page.first);
-            let answer: Value = serde_json::from_slice(&page.body).expect("an answer");
-            self.inner.lock().expect("the service").answers.push(Answer {
-                version: answer["version"].as_u64(),
-                accepted: answer["accepted"].as_bool().expect("a verdict"),
-                reasons: answer["reasons"].to_string(),
-                at: Instant::now(),
-            });
-            if out.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_err() {
+            let script = self.inner.lock().expect("the service").scripts.pop_front();
+            if script.is_none_or(|script| script.takes()) {
+                self.note(&page);
+            }
+            let answered = match script {
+                Some(script) => script.answer(&out),
+                None => out.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_ok(),
+            };
+            if !answered {
                 return;
             }
         }
     }
 
+    /// Takes an answer.
+    fn note(&self, page: &Page) {
+        let answer: Value = serde_json::from_slice(&page.body).expect("an answer");
+        self.inner.lock().expect("the service").answers.push(Answer {
+            version: answer["version"].as_u64(),
+            accepted: answer["accepted"].as_bool().expect("a verdict"),
+            reasons: answer["reasons"].to_string(),
+            at: Instant::now(),
+        });
+    }
+
+    /// What the next posts of answers meet, one script each.
+    pub fn script_answers(&self, scripts: impl IntoIterator<Item = PostScript>) {
+        self.inner.lock().expect("the service").scripts.extend(scripts);
+    }
+
     /// Whether a courier listens.
     pub fn is_open(&self) -> bool {
         self.inner.lock().expect("the service").stream.is_some()
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod soak;
 
 use serde_json::{Value, json};
+use std::collections::VecDeque;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -199,6 +200,44 @@
     NeverALine,
 }
 
+/// What a fake platform or control service does with one post.
+#[derive(Clone, Copy, Debug)]
+pub struct PostScript {
+    /// 204 takes what is posted.
+    pub status: u16,
+    pub delay: Duration,
+    /// A second copy of the answer follows it by so much.
+    pub copy_after: Option<Duration>,
+}
+
+impl PostScript {
+    /// Taken at once, and a second copy of that comes while the next post is out; the next is refused after it.
+    pub const COPIED_THEN_REFUSED: [PostScript; 2] = [
+        PostScript { status: 204, delay: Duration::ZERO, copy_after: Some(Duration::from_millis(400)) },
+        PostScript { status: 503, delay: Duration::from_millis(900), copy_after: None },
+    ];
+
+    /// Whether what is posted is taken.
+    pub fn takes(&self) -> bool {
+        self.status == 204
+    }
+
+    /// Answers as the script says. False once the connection is closed.
+    pub fn answer(self, out: &TcpStream) -> bool {
+        let text = format!("HTTP/1.1 {} Scripted\r\nContent-Length: 0\r\n\r\n", self.status);
+        let mut out = out.try_clone().expect("a handle");
+        thread::sleep(self.delay);
+        let written = out.write_all(text.as_bytes()).is_ok();
+        if let Some(after) = self.copy_after {
+            thread::spawn(move || {
+                thread::sleep(after);
+                out.write_all(text.as_bytes())
+            });
+        }
+        written
+    }
+}
+
 /// Discovery and the platform in one.
 #[derive(Clone)]
 pub struct Discovery {
@@ -214,6 +253,8 @@
     /// How many posts are answered 503 first.
     pub refuse_posts: Arc<AtomicUsize>,
     pub posts: Arc<AtomicUsize>,
+    /// For the next posts, one each.
+    pub post_scripts: Arc<Mutex<VecDeque<PostScript>>>,
     /// Posts with more than one notice are answered 400.
     pub picky: Arc<AtomicBool>,
     /// Watches with a lower number fall silent after their first line, and stay open.
@@ -234,6 +275,7 @@
             cut: Arc::default(),
             refuse_posts: Arc::default(),
             posts: Arc::default(),
+            post_scripts: Arc::default(),
             picky: Arc::default(),
             mute: Arc::default(),
             watch_answer: Arc::new(Mutex::new(WatchAnswer::Serve)),
@@ -266,6 +308,16 @@
                     }
                 }
             }
+            let script = self.post_scripts.lock().expect("scripts").pop_front();
+            if let Some(script) = script {
+                if script.takes() {
+                    self.note(&page);
+                }
+                if !script.answer(&out) {
+                    return;
+                }
+                continue;
+            }
             let none = self
                 .refuse_posts
                 .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1))
@@ -276,15 +328,20 @@
                 continue;
             }
             if none {
-                let text = String::from_utf8_lossy(&page.body).into_owned();
-                let lines = text.lines().map(|l| serde_json::from_str(l).expect("a notice"));
-                self.notices.lock().expect("notices").extend(lines);
+                self.note(&page);
             }
             let status = if none { "204 No Content" } else { "503 Service Unavailable" };
             let _ = write!(out, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
         }
     }
 
+    /// Takes the notices of a post.
+    fn note(&self, page: &Page) {
+        let text = String::from_utf8_lossy(&page.body).into_owned();
+        let lines = text.lines().map(|l| serde_json::from_str(l).expect("a notice"));
+        self.notices.lock().expect("notices").extend(lines);
+    }
+
     fn watch(&self, out: &mut TcpStream) {
         let number = self.watches.fetch_add(1, Ordering::SeqCst);
         let _ = out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
