Each answer to a configuration version has a connection of its own

What operators saw: an answer to a version (accepted or refused) could be lost where the control service sends an answer twice. Cause: as with notices, answers went over a kept connection, and a second copy of the 204 for one was taken for the acknowledgement of the next, which the service then refused. Test: before the change the answer to version 2 never came (60 s); now it does.

--- a/crates/courier/src/place/control.rs
+++ b/crates/courier/src/place/control.rs
@@ -606,7 +606,6 @@
 
 /// Posts answers in order until each is taken.
 async fn answering(url: Url, node: String, mut queue: Receiver<Value>, held: Rc<RefCell<Option<u64>>>) {
-    let mut link: Option<Link> = None;
     while let Some(mut answer) = queue.recv().await {
         if answer["accepted"] == true {
             *held.borrow_mut() = answer["version"].as_u64();
@@ -614,33 +613,26 @@
         answer["node"] = json!(node);
         answer["in_effect"] = json!(*held.borrow());
         let mut backoff = BACKOFF_FIRST;
-        loop {
-            let kept = link.take().and_then(|mut l| l.check().is_ok().then_some(l));
-            let open = match kept {
-                Some(link) => Some(link),
-                None => Link::open(url.address, CONNECT, None).await.ok(),
-            };
-            let request = Request::post(format!("{}/answers", url.path.trim_end_matches('/')))
-                .header(header::HOST, url.address.to_string())
-                .header(header::CONTENT_TYPE, "application/json")
-                .body(Full::new(Bytes::from(answer.to_string())));
-            if let (Some(mut open), Ok(request)) = (open, request)
-                && let Ok(told) = open.ask(request, Instant::now() + ANSWER).await
-            {
-                if told.reusable.is_ok() {
-                    link = Some(open);
-                }
-                // What it does not want it will not want the next time either.
-                if told.status.is_success() || told.status.is_client_error() {
-                    break;
-                }
-            }
+        // What it does not want it will not want the next time either.
+        while !post_answer(&url, &answer).await.is_some_and(|s| s.is_success() || s.is_client_error()) {
             sleep(backoff).await;
             backoff = (backoff * 2).min(BACKOFF_MOST);
         }
     }
 }
 
+/// Posts one answer to a version, on a connection of its own: on a used one a second copy of the acknowledgement before
+/// could be taken for its own.
+async fn post_answer(url: &Url, answer: &Value) -> Option<StatusCode> {
+    let mut link = Link::open(url.address, CONNECT, None).await.ok()?;
+    let request = Request::post(format!("{}/answers", url.path.trim_end_matches('/')))
+        .header(header::HOST, url.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(answer.to_string())))
+        .ok()?;
+    Some(link.ask(request, Instant::now() + ANSWER).await.ok()?.status)
+}
+
 impl From<io::Error> for Fault {
     fn from(e: io::Error) -> Self {
         Fault::Bad("configuration", e.to_string())
--- a/crates/courier/tests/second_copies.rs
+++ b/crates/courier/tests/second_copies.rs
@@ -4,6 +4,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
+use stairshed_rig::control::Control;
 use stairshed_rig::repeating::{CallLog, RepeatingEndpoint, Script, ServedCall};
 use stairshed_rig::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -239,3 +240,29 @@
     courier.take("second", "payment", 7, TIME_MS);
     until("the second notice", || discovery.results("second") == ["dead"]);
 }
+
+// Guards against a copy of the 204 for one answer to a version that is taken for the answer to the next.
+#[test]
+fn answer_to_a_version_is_posted_again_where_the_service_sends_an_answer_twice() {
+    let control = Control::new();
+    let folder = Folder::new();
+    control.script_answers(PostScript::COPIED_THEN_REFUSED);
+    let _courier = Courier::serve(&folder, &file_with_control(&control));
+    until("the courier listens", || control.is_open());
+    let config = json!({"limits": {"pool_wait": "500ms"}});
+    control.whole(1, &config);
+    control.answer(1);
+    control.whole(2, &config);
+    control.answer(2);
+}
+
+fn file_with_control(control: &Control) -> String {
+    let url = control.url();
+    format!(
+        "name = \"c1\"\n[listen]\nhttp = \"127.0.0.1:0\"\n\
+         [control]\nurl = \"{url}\"\nheartbeat = \"60s\"\nfirst_wait = \"1s\"\n\
+         [classes.status]\neffect = \"repeatable\"\n\
+         [pools.p]\nendpoints = [{{ address = \"127.0.0.1:9\" }}]\n\
+         [routes.r]\nprefix = \"/\"\npool = \"p\"\nclass = \"status\"\n"
+    )
+}
