--- a/crates/courier/src/out/answer_identity.rs
+++ b/crates/courier/src/out/answer_identity.rs
@@ -9,8 +9,10 @@
 use std::collections::{HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// Answers that are remembered of each endpoint, and of all, to see whether they differ.
+/// Answers that are remembered of each status, of each endpoint and of all, to see whether they differ.
 const HISTORY: usize = 16;
+/// Statuses that are remembered. Of further ones nothing is known.
+const MAX_STATUSES: usize = 8;
 /// Where the endpoint may name the request that it answers.
 const REQUEST_ID: &str = "X-Request-ID";
 
@@ -77,19 +79,25 @@
     }
 }
 
+/// The latest answers of each status, so that many of one do not push out the few of another.
 #[derive(Default)]
-struct AnswerHistory(VecDeque<AnswerIdentity>);
+struct AnswerHistory(Vec<(StatusCode, VecDeque<u64>)>);
 
 impl AnswerHistory {
     /// Adds an answer. Whether it differs from the others of its status; None if there is none.
     fn add(&mut self, answer: AnswerIdentity) -> Option<bool> {
-        let mut others = self.0.iter().filter(|other| other.status == answer.status).peekable();
-        let differs = others.peek().is_some().then(|| others.all(|other| *other != answer));
-        if self.0.len() == HISTORY {
-            self.0.pop_front();
+        let Some((_, hashes)) = self.0.iter_mut().find(|(status, _)| *status == answer.status) else {
+            if self.0.len() < MAX_STATUSES {
+                self.0.push((answer.status, VecDeque::from([answer.hash])));
+            }
+            return None;
+        };
+        let differs = !hashes.contains(&answer.hash);
+        if hashes.len() == HISTORY {
+            hashes.pop_front();
         }
-        self.0.push_back(answer);
-        differs
+        hashes.push_back(answer.hash);
+        Some(differs)
     }
 }
 
--- a/crates/courier/src/out/answer_identity_test.rs
+++ b/crates/courier/src/out/answer_identity_test.rs
@@ -56,12 +56,26 @@
 }
 
 #[test]
-fn history_forgets_what_is_old() {
+fn history_forgets_what_is_old_but_not_for_answers_of_another_status() {
     let mut histories = AnswerHistories::default();
     histories.add(FIRST, body("first"));
+    histories.add(FIRST, identity(503, &[], "full"));
     for n in 0..HISTORY {
         histories.add(FIRST, body(&n.to_string()));
     }
-    assert_eq!(histories.all.0.len(), HISTORY);
     assert_eq!(histories.add(FIRST, body("first")), Expectation::Differs);
+    assert_eq!(histories.add(FIRST, identity(503, &[], "full")), Expectation::Alike);
+    assert_eq!(histories.add(FIRST, identity(503, &[], "shut")), Expectation::Differs);
+}
+
+#[test]
+fn nothing_is_expected_of_more_statuses_than_are_remembered() {
+    let mut histories = AnswerHistories::default();
+    for status in 200..200 + MAX_STATUSES as u16 {
+        histories.add(FIRST, identity(status, &[], "a"));
+    }
+    for text in ["a", "b", "c"] {
+        assert_eq!(histories.add(FIRST, identity(599, &[], text)), Expectation::Alike);
+    }
+    assert_eq!(histories.add(FIRST, body("b")), Expectation::Differs);
 }
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -159,21 +159,18 @@
         }
         let started = Instant::now();
         let answer = link.ask(request, until).await;
-        let exchange = Exchange {
-            connection: link.number(),
-            sequence: link.exchanges(),
-            idle: idle.unwrap_or_default(),
-            took: started.elapsed(),
-            digest: answer.as_ref().ok().and_then(|a| a.identity).map(AnswerIdentity::hash),
-        };
+        let (connection, sequence, took) = (link.number(), link.exchanges(), started.elapsed());
+        let digest = answer.as_ref().ok().and_then(|a| a.identity).map(AnswerIdentity::hash);
         self.pool.note_exchange(idle, matches!(answer, Err(Lost::Broken | Lost::Repeated)));
-        match &answer {
+        let kept = match &answer {
             Ok(answer) => {
                 self.note_wait(pool, answer);
-                self.pool.release(endpoint, link, answer);
+                self.pool.release(endpoint, link, answer)
             }
-            Err(_) => self.pool.discard(),
-        }
+            Err(_) => Err(self.pool.discard()),
+        };
+        let idle = idle.unwrap_or_default();
+        let exchange = Exchange { connection, sequence, idle, took, digest, closed: kept.err() };
         (answer, Some(exchange))
     }
 
--- a/crates/courier/src/out/connection_pool.rs
+++ b/crates/courier/src/out/connection_pool.rs
@@ -228,30 +228,44 @@
     }
 
     /// Counts a connection whose exchange did not end with an answer, or had no time left; dropping it closes it.
-    pub fn discard(&self) {
+    pub fn discard(&self) -> CloseReason {
         self.status.closed(CloseReason::AttemptFailed, 1);
+        CloseReason::AttemptFailed
     }
 
-    /// Takes a connection back whose exchange has ended with this answer, if it can carry another.
-    pub fn release(&self, endpoint: EndpointId, link: Link, answer: &Answer) {
+    /// Takes a connection back whose exchange has ended with this answer; why it is closed, if it cannot carry another.
+    pub fn release(&self, endpoint: EndpointId, link: Link, answer: &Answer) -> Result<(), CloseReason> {
+        let presumed =
+            self.expect_other_answer(endpoint, &link, answer).inspect_err(|reason| match reason {
+                CloseReason::UnsolicitedBytes => {
+                    self.status.unsolicited(endpoint, link.number(), Duration::ZERO)
+                }
+                reason => self.status.closed(*reason, 1),
+            })?;
+        let connection = Idle { link, since: Instant::now(), presumed };
+        self.idle.borrow_mut().entry(endpoint).or_default().push(connection);
+        Ok(())
+    }
+
+    /// Whether a connection can carry another exchange after this answer, and if that is only presumed.
+    fn expect_other_answer(
+        &self,
+        endpoint: EndpointId,
+        link: &Link,
+        answer: &Answer,
+    ) -> Result<bool, CloseReason> {
         let expectation = match answer.identity {
             Some(identity) => self.histories.borrow_mut().add(endpoint, identity),
             None => Expectation::Alike,
         };
-        let closed = match answer.reusable {
-            Err(reason) => reason,
-            Ok(()) if expectation == Expectation::Alike => CloseReason::AnswersAlike,
-            Ok(()) if link.exchanges() >= MAX_EXCHANGES => CloseReason::ExchangeLimit,
-            Ok(()) => {
-                let presumed = expectation == Expectation::Presumed;
-                let connection = Idle { link, since: Instant::now(), presumed };
-                self.idle.borrow_mut().entry(endpoint).or_default().push(connection);
-                return;
-            }
-        };
-        match closed {
-            CloseReason::UnsolicitedBytes => self.status.unsolicited(endpoint, link.number(), Duration::ZERO),
-            reason => self.status.closed(reason, 1),
+        answer.reusable?;
+        if link.exchanges() >= MAX_EXCHANGES {
+            return Err(CloseReason::ExchangeLimit);
+        }
+        match expectation {
+            Expectation::Differs => Ok(false),
+            Expectation::Presumed => Ok(true),
+            Expectation::Alike => Err(CloseReason::AnswersAlike),
         }
     }
 
--- a/crates/courier/src/out/exchange.rs
+++ b/crates/courier/src/out/exchange.rs
@@ -1,5 +1,6 @@
 //! What the log says of one exchange: a request on a connection to an endpoint, and the answer that was read for it.
 
+use crate::out::connection_status::CloseReason;
 use std::fmt;
 use std::time::Duration;
 
@@ -16,15 +17,21 @@
     pub took: Duration,
     /// A hash of status, header fields and body of the answer: equal answers have equal ones.
     pub digest: Option<u64>,
+    /// Why the connection was closed after it; None if it is kept.
+    pub closed: Option<CloseReason>,
 }
 
 impl fmt::Display for Exchange {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Exchange { connection, sequence, idle, took, digest } = self;
+        let Exchange { connection, sequence, idle, took, digest, closed } = self;
         write!(f, "connection={connection} exchange={sequence} idle={idle:?} took={took:?}")?;
         match digest {
-            Some(digest) => write!(f, " answer={digest:016x}"),
-            None => write!(f, " answer=none"),
+            Some(digest) => write!(f, " answer={digest:016x}")?,
+            None => write!(f, " answer=none")?,
+        }
+        match closed {
+            Some(reason) => write!(f, " closed={:?}", reason.name()),
+            None => write!(f, " kept"),
         }
     }
 }
