--- a/crates/courier/tests/second_copies.rs
+++ b/crates/courier/tests/second_copies.rs
@@ -5,9 +5,10 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use stairshed_rig::control::Control;
-use stairshed_rig::repeating::{CallLog, RepeatingEndpoint, Script, ServedCall};
+use stairshed_rig::repeating::{CallLog, RepeatingEndpoint, Script};
+use stairshed_rig::rules::{CLASSES, Played, unended};
 use stairshed_rig::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::thread;
@@ -31,7 +32,6 @@
 const COPIED_SHARE: f64 = 0.3;
 /// Fewer calls show nothing.
 const MIN_CALLS: usize = 200;
-const CLASSES: [&str; 3] = ["payment", "notice", "status"];
 
 /// When second copies come, after their answer.
 #[derive(Clone, Copy)]
@@ -45,14 +45,6 @@
 /// Later than any pause between two calls.
 const LATER: Copies = Copies { earliest_ms: 20, latest_ms: 400 };
 
-struct Played {
-    calls: Vec<ServedCall>,
-    /// Messages that were taken on.
-    taken: BTreeSet<String>,
-    notices: BTreeMap<String, String>,
-    log: Vec<String>,
-}
-
 fn answer(rng: &mut SmallRng, refusals: f64) -> String {
     let report = format!("X-Server-Load: TEXT x0={:.3}, x1=900", rng.random_range(0.5..1.0));
     if rng.random_bool(refusals) {
@@ -68,7 +60,7 @@
         let copied = rng.random_bool(COPIED_SHARE);
         let after = rng.random_range(copies.earliest_ms..=copies.latest_ms);
         Script {
-            answer: answer(&mut rng, REFUSED_SHARE),
+            answer: Some(answer(&mut rng, REFUSED_SHARE)),
             delay: Duration::from_millis(rng.random_range(10..=60)),
             copy_after: copied.then(|| Duration::from_millis(after)),
         }
@@ -110,14 +102,10 @@
     while Instant::now() < end && !unended(&taken, &log, &discovery).is_empty() {
         thread::sleep(20 * MS);
     }
-    let notices = taken.iter().filter_map(|id| Some((id.clone(), discovery.results(id).first()?.clone())));
-    let notices = notices.collect();
-    let calls = log.lock().expect("the log").clone();
-    let log_lines = courier.logged();
-    let repeated = log_lines.iter().filter(|line| line.contains("repeats an earlier one")).count();
-    println!("{} taken, {} calls, {} repeated answers", taken.len(), calls.len(), repeated);
-    assert!(calls.len() > MIN_CALLS, "too few calls to show a fault");
-    Played { calls, taken, notices, log: log_lines }
+    let played = Played::new(taken, &log, &discovery, courier.logged());
+    println!("{}", played.summary());
+    assert!(played.calls.len() > MIN_CALLS, "too few calls to show a fault");
+    played
 }
 
 fn hand_in_all(courier: SocketAddr, class: &str, client: usize) -> Vec<String> {
@@ -133,66 +121,6 @@
     id.bytes().map(u64::from).sum::<u64>() % DESTINATIONS
 }
 
-/// Messages that were taken on and have neither been delivered nor ended by a notice.
-fn unended(taken: &BTreeSet<String>, log: &CallLog, discovery: &Discovery) -> Vec<String> {
-    let calls = log.lock().expect("the log");
-    let delivered: BTreeSet<_> = calls.iter().filter(|c| c.status == Some(200)).map(|c| &c.id).collect();
-    let open = taken.iter().filter(|id| !delivered.contains(id) && discovery.results(id).is_empty());
-    open.cloned().collect()
-}
-
-impl Played {
-    /// The calls of each message of a class, in order of arrival.
-    fn of(&self, class: &str) -> BTreeMap<&str, Vec<&ServedCall>> {
-        let mut all: BTreeMap<&str, Vec<&ServedCall>> = BTreeMap::new();
-        for call in self.calls.iter().filter(|c| c.id.starts_with(class)) {
-            all.entry(&call.id).or_default().push(call);
-        }
-        all
-    }
-
-    /// What the courier says of a message, and what its endpoints saw.
-    fn account(&self, id: &str) -> String {
-        let log = self.log.iter().filter(|line| line.contains(&format!(" {id} ")));
-        let calls = self.calls.iter().filter(|c| c.id == id);
-        let calls = calls.map(|c| {
-            let took = c.ended.map(|end| end - c.arrived);
-            format!("{} connection {}: {:?} after {took:?}", c.endpoint, c.connection, c.status)
-        });
-        log.cloned().chain(calls).collect::<Vec<_>>().join("\n")
-    }
-
-    fn assert_payments_run_once(&self) {
-        for (id, calls) in self.of("payment") {
-            // A call may have run unless it was really refused.
-            let ran = calls.iter().position(|c| c.status != Some(503));
-            assert!(ran.is_none_or(|n| n + 1 == calls.len()), "{id} was sent again:\n{}", self.account(id));
-        }
-    }
-
-    fn assert_one_attempt_at_once(&self) {
-        let overlap = self.calls.iter().find(|call| call.overlaps);
-        assert!(overlap.is_none(), "two attempts were out at once:\n{}", self.account(&overlap.unwrap().id));
-    }
-
-    fn assert_keyed_repeats_stay_in_their_zone(&self) {
-        for (id, calls) in self.of("notice") {
-            let after: Vec<_> = calls.iter().skip_while(|c| c.status == Some(503)).collect();
-            let strayed = after.iter().any(|c| c.endpoint != after[0].endpoint);
-            assert!(!strayed, "{id} may have run in one zone and went to the other:\n{}", self.account(id));
-        }
-    }
-
-    fn assert_none_lost(&self) {
-        let delivered: BTreeSet<_> =
-            self.calls.iter().filter(|c| c.status == Some(200)).map(|c| &c.id).collect();
-        let ended = |id: &String| delivered.contains(id) || self.notices.contains_key(id);
-        let lost: Vec<_> = self.taken.iter().filter(|id| !ended(id)).collect();
-        let first = lost.first().map(|id| self.account(id)).unwrap_or_default();
-        assert!(lost.is_empty(), "{} were lost; the first:\n{first}", lost.len());
-    }
-}
-
 // Guards against a copy of a 503 that is taken for the answer to a payment which runs (incident fde2a4).
 #[test]
 fn payment_runs_once_where_endpoints_send_an_answer_twice() {
--- /dev/null
+++ b/crates/courier/tests/soak.rs
@@ -0,0 +1,211 @@
+//! Seeded soaks of a courier as a process: endpoints that refuse, break connections, answer twice and hang, signals in
+//! series, clients that use their connections until the kill, and in some seeds a crowd of idle connections.
+//! `SEED=n` plays from that seed on, `SEEDS=m` so many; the test that runs in CI plays two.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use stairshed_rig::repeating::{CallLog, RepeatingEndpoint, Script};
+use stairshed_rig::rules::{CLASSES, Played, unended};
+use stairshed_rig::*;
+use std::collections::BTreeSet;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const DEFAULT_SEEDS: u64 = 2;
+/// Seeds that are played side by side.
+const SIDE_BY_SIDE: u64 = 4;
+const DESTINATIONS: u64 = 3;
+const SLOTS: usize = 6;
+const TIME_MS: u64 = 6_000;
+/// A message that has not ended so long after its time is lost; restarts allow 1.5 s more (protocol page).
+const LATE: Duration = Duration::from_millis(1_850);
+/// Clients of each class, and their pause between two messages.
+const CLIENTS: usize = 3;
+const PAUSE: Duration = Duration::from_millis(60);
+/// A client waits so long for its answer (protocol page).
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// From SIGTERM to SIGKILL at the earliest, and from there to the next start (protocol page).
+const TERM_TO_KILL: Duration = Duration::from_millis(3_700);
+const DOWN: Duration = Duration::from_millis(600);
+/// Signals of one seed, and the time before each.
+const SIGNALS: usize = 2;
+const UP_MS: std::ops::Range<u64> = 300..2_500;
+/// One seed in so many has a crowd of idle connections, of this size.
+const CROWD_EVERY: u64 = 3;
+const CROWD: usize = 200;
+
+/// How one seed's endpoints behave.
+#[derive(Clone, Copy)]
+struct Faults {
+    refused: f64,
+    broken: f64,
+    hung: f64,
+    copied: f64,
+    latest_copy_ms: u64,
+}
+
+impl Faults {
+    fn of(rng: &mut SmallRng) -> Self {
+        Faults {
+            refused: rng.random_range(0.0..0.15),
+            broken: rng.random_range(0.0..0.05),
+            hung: rng.random_range(0.0..0.01),
+            copied: rng.random_range(0.0..0.4),
+            latest_copy_ms: *[5, 20, 100, 600].get(rng.random_range(0..4)).expect("one of four"),
+        }
+    }
+
+    fn script(&self, rng: &mut SmallRng) -> Script {
+        let report = format!("X-Server-Load: TEXT x0={:.3}, x1=900", rng.random_range(0.5..1.0));
+        let answer = if rng.random_bool(self.refused) {
+            format!("HTTP/1.1 503 Service Unavailable\r\n{report}\r\nContent-Length: 0\r\n\r\n")
+        } else {
+            format!("HTTP/1.1 200 OK\r\n{report}\r\nContent-Length: 16\r\n\r\n{:016x}", rng.random::<u64>())
+        };
+        let answer = Some(answer).filter(|_| !rng.random_bool(self.broken));
+        let hangs = rng.random_bool(self.hung);
+        let delay = if hangs { 10_000 } else { rng.random_range(5..=80) };
+        let copy = Duration::from_millis(rng.random_range(0..=self.latest_copy_ms));
+        let copied = rng.random_bool(self.copied);
+        Script { answer, delay: Duration::from_millis(delay), copy_after: copied.then_some(copy) }
+    }
+}
+
+/// Where the courier serves, and what its clients know.
+struct Clients {
+    courier: Mutex<SocketAddr>,
+    stop: AtomicBool,
+    next: AtomicUsize,
+    taken: Mutex<BTreeSet<String>>,
+}
+
+impl Clients {
+    /// Hands messages in, one after the other, on one connection for as long as that stays open.
+    fn run(&self, class: &str) {
+        let mut open: Option<BufReader<TcpStream>> = None;
+        while !self.stop.load(Ordering::SeqCst) {
+            thread::sleep(PAUSE);
+            let n = self.next.fetch_add(1, Ordering::SeqCst);
+            let id = format!("{class}-{n}");
+            let Some(mut connection) = open.take().or_else(|| self.connect()) else { continue };
+            let text = message(&id, class, n as u64 % DESTINATIONS, TIME_MS);
+            if connection.get_mut().write_all(text.as_bytes()).is_err() {
+                continue;
+            }
+            let Some(answer) = Page::read(&mut connection) else { continue };
+            if answer.status() == 202 {
+                self.taken.lock().expect("taken").insert(id);
+            }
+            open = Some(connection).filter(|_| answer.head("connection") != Some("close"));
+        }
+    }
+
+    fn connect(&self) -> Option<BufReader<TcpStream>> {
+        let stream = TcpStream::connect(*self.courier.lock().expect("the address")).ok()?;
+        stream.set_read_timeout(Some(ANSWER_TIME)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(BufReader::new(stream))
+    }
+}
+
+/// The list of the endpoints, two of each destination, in different zones.
+fn endpoints(log: &CallLog, faults: Faults, seed: u64) -> Vec<Value> {
+    let zones = [("a", "zone-a"), ("b", "zone-b")];
+    let all = (0..DESTINATIONS).flat_map(|destination| zones.map(|zone| (destination, zone)));
+    all.map(|(destination, (site, name))| {
+        let rng = Mutex::new(SmallRng::seed_from_u64(seed * 100 + destination));
+        let endpoint = RepeatingEndpoint::start(name, log, move |_, _| {
+            faults.script(&mut rng.lock().expect("the generator"))
+        });
+        json!({"host": format!("s-{site}{destination}"), "dial": endpoint.address.to_string(), "site": site,
+            "class": "shops", "block": destination, "health": "ready", "share": 900.0, "born_ms": 0})
+    })
+    .collect()
+}
+
+fn start(folder: &Folder, discovery: &Discovery, config: &Value) -> Courier {
+    Courier::spawn(command(folder, discovery, config).args(["--follow", "1/1"]))
+}
+
+/// Ends the courier: told first and killed at the page's earliest, or killed at once.
+fn end(courier: Courier, told: bool) -> Vec<String> {
+    if told {
+        courier.signal("-TERM");
+        thread::sleep(TERM_TO_KILL);
+    }
+    let log = courier.logged();
+    courier.kill();
+    log
+}
+
+fn play(seed: u64) -> Played {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let log = CallLog::default();
+    let known = list(1, true, endpoints(&log, Faults::of(&mut rng), seed));
+    let discovery = Discovery::new(known.clone());
+    let mut config = config(&discovery, known);
+    config["settings"]["family-info"]["slots"] = json!(SLOTS);
+    let folder = Folder::new();
+    let mut courier = start(&folder, &discovery, &config);
+    let clients = Arc::new(Clients {
+        courier: Mutex::new(courier.address),
+        stop: AtomicBool::new(false),
+        next: AtomicUsize::new(0),
+        taken: Mutex::default(),
+    });
+    let running: Vec<_> = (0..CLIENTS)
+        .flat_map(|_| CLASSES)
+        .map(|class| {
+            let clients = clients.clone();
+            thread::spawn(move || clients.run(class))
+        })
+        .collect();
+    let mut lines = Vec::new();
+    for life in 1..=SIGNALS as u64 {
+        let crowd = if seed.is_multiple_of(CROWD_EVERY) { CROWD } else { 0 };
+        let idle: Vec<_> = (0..crowd).filter_map(|_| TcpStream::connect(courier.address).ok()).collect();
+        thread::sleep(Duration::from_millis(rng.random_range(UP_MS)));
+        lines.extend(end(courier, rng.random_bool(0.5)));
+        drop(idle);
+        thread::sleep(DOWN);
+        config["seed"] = json!(format!("{:x}", seed * 10 + life));
+        courier = start(&folder, &discovery, &config);
+        *clients.courier.lock().expect("the address") = courier.address;
+    }
+    thread::sleep(Duration::from_millis(rng.random_range(UP_MS)));
+    clients.stop.store(true, Ordering::SeqCst);
+    running.into_iter().for_each(|client| client.join().expect("a client"));
+    let taken = clients.taken.lock().expect("taken").clone();
+    let deadline = Instant::now() + Duration::from_millis(TIME_MS) + LATE;
+    while Instant::now() < deadline && !unended(&taken, &log, &discovery).is_empty() {
+        thread::sleep(20 * MS);
+    }
+    lines.extend(courier.logged());
+    Played::new(taken, &log, &discovery, lines)
+}
+
+// Guards against broken rules on lost requests and duplicates where restarts and faults of endpoints meet.
+#[test]
+fn rules_hold_over_restarts_with_endpoints_that_fail_and_answer_twice() {
+    let (first, number) = (figure("SEED", 1), figure("SEEDS", DEFAULT_SEEDS));
+    let next = Arc::new(Mutex::new(first..first + number));
+    let workers: Vec<_> = (0..SIDE_BY_SIDE.min(number))
+        .map(|_| {
+            let next = next.clone();
+            thread::spawn(move || {
+                let seed = || next.lock().expect("the seeds").next();
+                while let Some(seed) = seed() {
+                    let played = play(seed);
+                    println!("seed {seed}: {}", played.summary());
+                    played.assert_rules();
+                }
+            })
+        })
+        .collect();
+    workers.into_iter().for_each(|worker| worker.join().expect("a seed failed: its account is above"));
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod names;
 pub mod publisher;
 pub mod repeating;
+pub mod rules;
 pub mod soak;
 
 use serde_json::{Value, json};
@@ -197,7 +198,8 @@
             }
             Act::Distinct(time) => {
                 thread::sleep(time);
-                let body = format!("{n:08}");
+                let port = out.local_addr().map_or(0, |own| own.port());
+                let body = format!("{port}-{n:08}");
                 write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
             }
             Act::Hang => {
--- a/crates/rig/src/repeating.rs
+++ b/crates/rig/src/repeating.rs
@@ -10,7 +10,8 @@
 
 /// What the endpoint does with one call.
 pub struct Script {
-    pub answer: String,
+    /// None closes the connection in place of an answer.
+    pub answer: Option<String>,
     /// From the call's last byte to the answer.
     pub delay: Duration,
     /// A second copy follows the answer by so much, whatever has come on the connection by then.
@@ -98,17 +99,20 @@
             if !stays_open(from.get_ref(), script.delay) {
                 return self.ended(entry, None);
             }
-            let status = script.answer.split(' ').nth(1).and_then(|s| s.parse().ok());
+            let Some(answer) = script.answer else {
+                return self.ended(entry, None);
+            };
+            let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok());
             // Ended first: a courier that acts on the answer must not be seen to act before it.
             self.ended(entry, status);
-            if !write(&out, &script.answer) {
+            if !write(&out, &answer) {
                 return;
             }
             if let Some(after) = script.copy_after {
                 let out = out.clone();
                 thread::spawn(move || {
                     thread::sleep(after);
-                    write(&out, &script.answer);
+                    write(&out, &answer);
                 });
             }
         }
