--- a/crates/courier/src/out/connection_pool.rs
+++ b/crates/courier/src/out/connection_pool.rs
@@ -167,9 +167,10 @@
                 continue;
             }
             // An answer like the one before would leave it open whether the message has run.
+            // Closed, not left: the endpoint may hold no other beside it.
             if once && connection.presumed {
-                idle.push(connection);
-                return None;
+                self.status.closed(CloseReason::AnswersAlike, 1);
+                continue;
             }
             // A request on a connection that has stood for as long as those that broke of late would end as a reset, too.
             let age = connection.since.elapsed();
--- a/crates/courier/tests/rough.rs
+++ b/crates/courier/tests/rough.rs
@@ -384,6 +384,27 @@
     assert!(away <= ALL / 2, "{away} calls were turned away");
 }
 
+// Guards against a payment that is turned away because its own courier holds the endpoint's last connection idle.
+#[test]
+fn payment_does_not_wait_for_a_connection_that_its_courier_holds_idle() {
+    let (folder, scarce, discovery) = holds(1);
+    let other = Endpoint::new(|_| Act::Distinct(Duration::ZERO));
+    let hosts = vec![host("s-1", &scarce, 7, "ready"), host("s-2", &other, 9, "ready")];
+    discovery.lines.lock().expect("lines")[0] = list(1, true, hosts);
+    let courier = Courier::start(&folder, &discovery);
+    // The other endpoint's answers differ, so that of the scarce one is presumed to.
+    for n in 0..2 {
+        courier.take(&format!("other{n}"), "status", 9, 20_000);
+        until("a call", || other.calls().len() == n + 1);
+    }
+    courier.take("first", "status", 7, 20_000);
+    until("the first call", || scarce.calls().len() == 1);
+    courier.take("pay", "payment", 7, 3_000);
+    let admitted = || scarce.calls().into_iter().filter(|c| c.admitted).map(|c| c.id).collect::<Vec<_>>();
+    until("its end", || admitted().len() == 2 || !discovery.results("pay").is_empty());
+    assert_eq!(admitted(), ["first", "pay"]);
+}
+
 // ---- more than a destination takes ----------------------------------------------------------------------
 
 #[test]
