The decision module's time stands below its state and the membership lease

membership_lease.rs and state.rs imported each other; the types of time moved to time.rs, below both. No behaviour changes; the module's tests pass.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,6 +10,7 @@
 mod membership_lease;
 pub mod settings;
 mod state;
+mod time;
 pub mod weigh;
 
 #[cfg(test)]
--- a/crates/decide/src/membership_lease.rs
+++ b/crates/decide/src/membership_lease.rs
@@ -4,7 +4,7 @@
 //! lease runs from the latest moment at which the list is known to have been current, and only such a moment renews
 //! it. While it has run out, messages are held and no attempt begins.
 
-use crate::state::{NEVER, Ns, ns};
+use crate::time::{NEVER, Ns, ns};
 use std::time::Duration;
 
 /// The state of the lease. Without a term it never runs out: the list is the configuration's own.
--- a/crates/decide/src/membership_lease_test.rs
+++ b/crates/decide/src/membership_lease_test.rs
@@ -1,5 +1,5 @@
 use crate::membership_lease::MembershipLease;
-use crate::state::{NEVER, sec};
+use crate::time::{NEVER, sec};
 use std::time::Duration;
 
 fn lease() -> MembershipLease {
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -3,29 +3,11 @@
 
 use crate::interface::*;
 use crate::membership_lease::MembershipLease;
+pub(crate) use crate::time::*;
 use rand::{SeedableRng, rngs::SmallRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// Nanoseconds since the first call.
-pub(crate) type Ns = i64;
-
-pub(crate) fn ns(d: Duration) -> Ns {
-    d.as_nanos().min(1 << 61) as Ns
-}
-
-pub(crate) fn sec(s: f64) -> Ns {
-    (s * 1e9).min(2f64.powi(61)) as Ns
-}
-
-pub(crate) fn secs(n: Ns) -> f64 {
-    n as f64 / 1e9
-}
-
-pub(crate) fn span(n: Ns) -> Duration {
-    Duration::from_nanos(n.max(0) as u64)
-}
-
 pub(crate) struct Flight {
     pub(crate) endpoint: EndpointId,
     pub(crate) call: u64,
@@ -173,9 +155,6 @@
     pub(crate) stale: bool,
 }
 
-/// Far away.
-pub(crate) const NEVER: Ns = Ns::MAX;
-
 /// The decisions of one courier.
 pub struct Brain {
     pub(crate) set: Settings,
