--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -6,7 +6,6 @@
 pub(crate) use crate::time::*;
 use rand::{SeedableRng, rngs::SmallRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::time::Duration;
 
 pub(crate) struct Flight {
     pub(crate) endpoint: EndpointId,
