--- a/crates/rig/src/repeating.rs
+++ b/crates/rig/src/repeating.rs
@@ -32,14 +32,15 @@
     pub ended: Option<Instant>,
     /// None if its connection was closed before the answer.
     pub status: Option<u16>,
-    stream: Arc<TcpStream>,
+    /// A handle on its connection, as long as it is out.
+    stream: Option<Arc<TcpStream>>,
 }
 
 impl ServedCall {
     /// Whether the courier still waits for its answer. Asks the kernel: the thread that serves the call may not have
     /// seen a close yet.
     fn is_out(&self) -> bool {
-        self.ended.is_none() && !is_closed(&self.stream)
+        self.stream.as_ref().is_some_and(|stream| !is_closed(stream))
     }
 }
 
@@ -121,7 +122,7 @@
     /// Notes a call; its place in the log.
     fn arrived(&self, call: &Page, connection: usize, stream: &TcpStream) -> usize {
         let id = call.head("x-request-id").unwrap_or_default().to_owned();
-        let stream = Arc::new(stream.try_clone().expect("a handle"));
+        let stream = Some(Arc::new(stream.try_clone().expect("a handle")));
         let mut log = self.log.lock().expect("the log");
         let overlaps = log.iter().any(|other| other.id == id && other.is_out());
         log.push(ServedCall {
@@ -139,7 +140,8 @@
 
     fn ended(&self, entry: usize, status: Option<u16>) {
         let mut log = self.log.lock().expect("the log");
-        (log[entry].ended, log[entry].status) = (Some(Instant::now()), status);
+        let call = &mut log[entry];
+        (call.ended, call.status, call.stream) = (Some(Instant::now()), status, None);
     }
 }
 
