A wait is heeded also if the answer that tells it repeats an earlier one

Whatever request such an answer belongs to, its endpoint has told to wait, so the wait is heeded and only the outcome stays open.

--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -222,6 +222,8 @@
     pub proof: &'static str,
     /// The exchange on a connection; None where there was none.
     pub exchange: Option<Exchange>,
+    /// A wait that is heeded although the outcome does not tell it, from `at` on.
+    pub retry_after: Option<Duration>,
 }
 
 /// A list, or its changes, as discovery writes it.
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -161,7 +161,8 @@
         let answer = link.ask(request, until).await;
         let (connection, sequence, took) = (link.number(), link.exchanges(), started.elapsed());
         let digest = answer.as_ref().ok().and_then(|a| a.identity).map(AnswerIdentity::hash);
-        self.pool.note_exchange(idle, matches!(answer, Err(Lost::Broken | Lost::Repeated)));
+        let broke = answer.as_ref().map_or_else(|lost| *lost == Lost::Broken, |answer| answer.repeats);
+        self.pool.note_exchange(idle, broke);
         let kept = match &answer {
             Ok(answer) => {
                 self.note_wait(pool, answer);
@@ -277,7 +278,15 @@
 
 /// The end of a call that has no answer to tell of.
 fn unanswered(outcome: Outcome, proof: &'static str) -> CallEnd {
-    CallEnd { outcome, over: false, report: None, at: Instant::now(), proof, exchange: None }
+    CallEnd {
+        outcome,
+        over: false,
+        report: None,
+        at: Instant::now(),
+        proof,
+        exchange: None,
+        retry_after: None,
+    }
 }
 
 /// What PROTOCOL says of an answer. Only what it calls 'never' counts as not run.
@@ -291,7 +300,6 @@
                 Lost::Withheld(why) => (Outcome::Moot, why),
                 Lost::Broken => (Outcome::Reset, "connection broke under it"),
                 Lost::Silent => (Outcome::TimedOut, "no answer in time"),
-                Lost::Repeated => (Outcome::Reset, "the answer repeats an earlier one on its connection"),
             };
             return unanswered(outcome, proof);
         }
@@ -300,6 +308,12 @@
     if !answer.whole && answer.status != StatusCode::OK {
         return CallEnd { at: answer.at, ..unanswered(Outcome::Reset, "spoilt answer") };
     }
+    if answer.repeats {
+        let proof = "the answer repeats an earlier one on its connection";
+        // Whatever request it answers, the endpoint has told to wait.
+        let retry_after = told_wait(&answer);
+        return CallEnd { at: answer.at, retry_after, ..unanswered(Outcome::Reset, proof) };
+    }
     let head = |name| answer.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let outcome = match answer.status {
         StatusCode::OK => Outcome::Delivered,
@@ -319,7 +333,8 @@
         Outcome::Crowded => "503 and close",
         _ => answer.status.canonical_reason().unwrap_or("an answer"),
     };
-    CallEnd { outcome, over, report: report(&answer.headers), at: answer.at, proof, exchange: None }
+    let report = report(&answer.headers);
+    CallEnd { outcome, over, report, at: answer.at, proof, exchange: None, retry_after: None }
 }
 
 /// Whether the connection ends with this answer.
--- a/crates/courier/src/out/connection_status.rs
+++ b/crates/courier/src/out/connection_status.rs
@@ -29,6 +29,8 @@
     AttemptFailed,
     /// A second copy of its last answer could not be told from the next one.
     AnswersAlike,
+    /// Its last answer may be a second copy of an earlier one.
+    AnswerRepeated,
     /// It carried as many exchanges as a connection may.
     ExchangeLimit,
 }
@@ -45,6 +47,7 @@
             CloseReason::Pressure => "memory or sockets needed",
             CloseReason::AttemptFailed => "attempt failed",
             CloseReason::AnswersAlike => "answers alike",
+            CloseReason::AnswerRepeated => "answer repeated",
             CloseReason::ExchangeLimit => "exchange limit",
         }
     }
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -239,9 +239,6 @@
     /// Time was up with the request out.
     #[error("no answer in time")]
     Silent,
-    /// What came with the request out may be a second copy of an earlier answer.
-    #[error("the answer repeats an earlier one on its connection")]
-    Repeated,
 }
 
 /// Why a body without an end has no next piece.
@@ -266,6 +263,8 @@
     pub reusable: Result<(), CloseReason>,
     /// What tells it from other answers; None where not all of it came.
     pub identity: Option<AnswerIdentity>,
+    /// It equals an earlier one on its connection, and may be a second copy of that: it proves nothing of its request.
+    pub repeats: bool,
 }
 
 impl Answer {
@@ -273,7 +272,7 @@
     fn spoilt(at: Instant) -> Self {
         let (status, headers) = (StatusCode::OK, HeaderMap::new());
         let reusable = Err(CloseReason::AttemptFailed);
-        Answer { status, headers, at, whole: false, reusable, identity: None }
+        Answer { status, headers, at, whole: false, reusable, identity: None, repeats: false }
     }
 }
 
@@ -403,17 +402,17 @@
         let Some(body) = body else {
             let reusable = Err(CloseReason::AttemptFailed);
             return match self.exchanges {
-                1 => Ok(Answer { status, headers, at, whole: false, reusable, identity: None }),
+                1 => {
+                    Ok(Answer { status, headers, at, whole: false, reusable, identity: None, repeats: false })
+                }
                 _ => Err(Lost::Broken),
             };
         };
         let identity = AnswerIdentity::of(status, &headers, &body);
-        if self.answers.contains(&identity) {
-            return Err(Lost::Repeated);
-        }
+        let repeats = self.answers.contains(&identity);
+        let reusable = if repeats { Err(CloseReason::AnswerRepeated) } else { self.settle().await };
         self.answers.push(identity);
-        let reusable = self.settle().await;
-        Ok(Answer { status, headers, at, whole: true, reusable, identity: Some(identity) })
+        Ok(Answer { status, headers, at, whole: true, reusable, identity: Some(identity), repeats })
     }
 
     /// Whether the link can carry another request, once an answer has been read whole.
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -27,6 +27,11 @@
 
 impl Courier {
     pub(super) fn called(&mut self, message: u64, attempt: u32, endpoint: EndpointId, end: CallEnd) {
+        if let Some(wait) = end.retry_after {
+            let outcome = aged(Outcome::Full { wait: Some(wait) }, end.at);
+            // As from a check: it concerns the endpoint, not this message.
+            self.events.push(Event::Probed { endpoint, outcome, took: Duration::ZERO, report: None });
+        }
         // What proves that it never ran; all else may have.
         let never = matches!(
             end.outcome,
--- a/crates/courier/tests/second_copies.rs
+++ b/crates/courier/tests/second_copies.rs
@@ -212,3 +212,35 @@
          [routes.r]\nprefix = \"/\"\npool = \"p\"\nclass = \"status\"\n"
     )
 }
+
+// Guards against a wait that is not heeded because the answer that tells it equals an earlier one.
+#[test]
+fn wait_is_heeded_also_if_the_answer_that_tells_it_repeats_an_earlier_one() {
+    const WAIT: Duration = Duration::from_millis(800);
+    let full = |left: &str| {
+        format!(
+            "HTTP/1.1 429 Too Many Requests\r\nWait-Ms: {}\r\nX-Server-Load: TEXT x0={left}, x1=900\r\n\
+             Content-Length: 0\r\n\r\n",
+            WAIT.as_millis()
+        )
+    };
+    // The second differs from the first, so its connection is kept; the third is the second once more.
+    let [first, second] = ["0.1", "0.2"].map(|left| &*full(left).leak());
+    let answers = [first, second, second];
+    let endpoint = Endpoint::new(move |n| Act::Answer(answers.get(n).copied().unwrap_or(OK)));
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    let folder = Folder::new();
+    let courier = Courier::start(&folder, &discovery);
+    courier.take("m", "status", 7, 20_000);
+    until("the third call", || endpoint.calls().len() == 3);
+    thread::sleep(50 * MS);
+    courier.take("n", "notice", 7, 20_000);
+    until("the fourth call", || endpoint.calls().len() >= 4);
+    let calls = endpoint.calls();
+    assert_eq!(
+        calls[2].connection, calls[1].connection,
+        "the third answer is not the first on its connection"
+    );
+    let gap = calls[3].at - calls[2].at;
+    assert!(gap >= WAIT, "called again after {gap:?}");
+}
