Change read again: state derived, one account of closes, one set of fake endpoints

Behaviour stays. The text of an exchange was made for each attempt also while nobody follows messages: it is made when it is written now. Link counted its exchanges beside the answers that tell the same; Answer.repeats said what its close reason says. The fake endpoint's script had two arguments that nobody used.

--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -157,11 +157,11 @@
             self.pool.discard();
             return (Err(lost), None);
         }
-        let started = Instant::now();
+        let (connection, sequence, started) = (link.number(), link.answered() + 1, Instant::now());
         let answer = link.ask(request, until).await;
-        let (connection, sequence, took) = (link.number(), link.exchanges(), started.elapsed());
+        let took = started.elapsed();
         let digest = answer.as_ref().ok().and_then(|a| a.identity).map(AnswerIdentity::hash);
-        let broke = answer.as_ref().map_or_else(|lost| *lost == Lost::Broken, |answer| answer.repeats);
+        let broke = answer.as_ref().map_or_else(|lost| *lost == Lost::Broken, Answer::repeats);
         self.pool.note_exchange(idle, broke);
         let kept = match &answer {
             Ok(answer) => {
@@ -308,7 +308,7 @@
     if !answer.whole && answer.status != StatusCode::OK {
         return CallEnd { at: answer.at, ..unanswered(Outcome::Reset, "spoilt answer") };
     }
-    if answer.repeats {
+    if answer.repeats() {
         let proof = "the answer repeats an earlier one on its connection";
         // Whatever request it answers, the endpoint has told to wait.
         let retry_after = told_wait(&answer);
--- a/crates/courier/src/out/calls_test.rs
+++ b/crates/courier/src/out/calls_test.rs
@@ -127,7 +127,6 @@
             whole: true,
             reusable: Ok(()),
             identity: None,
-            repeats: false,
         }))
         .outcome
     };
--- a/crates/courier/src/out/connection_pool.rs
+++ b/crates/courier/src/out/connection_pool.rs
@@ -28,7 +28,7 @@
 const MAX_BREAK_RATE_ONCE: f64 = 0.03;
 
 /// Exchanges that one connection carries: it remembers each answer.
-const MAX_EXCHANGES: u32 = 256;
+const MAX_EXCHANGES: usize = 256;
 
 struct Idle {
     link: Link,
@@ -116,15 +116,19 @@
     /// Whether a kept connection can carry another exchange; if not, the reason is counted.
     fn is_usable(&self, endpoint: EndpointId, connection: &mut Idle) -> bool {
         let age = connection.since.elapsed();
-        match connection.link.check() {
-            Ok(()) if age < self.keep_time.get() => return true,
-            Ok(()) => self.status.closed(CloseReason::IdleLimit, 1),
-            Err(CloseReason::UnsolicitedBytes) => {
-                self.status.unsolicited(endpoint, connection.link.number(), age);
-            }
-            Err(reason) => self.status.closed(reason, 1),
+        let usable = connection.link.check().and_then(|()| match age < self.keep_time.get() {
+            true => Ok(()),
+            false => Err(CloseReason::IdleLimit),
+        });
+        usable.inspect_err(|reason| self.note_close(endpoint, &connection.link, age, *reason)).is_ok()
+    }
+
+    /// Counts a connection that is closed `idle` after its last answer.
+    fn note_close(&self, endpoint: EndpointId, link: &Link, idle: Duration, reason: CloseReason) {
+        match reason {
+            CloseReason::UnsolicitedBytes => self.status.unsolicited(endpoint, link.number(), idle),
+            reason => self.status.closed(reason, 1),
         }
-        false
     }
 
     /// Closes the idle connections to an endpoint.
@@ -236,13 +240,9 @@
 
     /// Takes a connection back whose exchange has ended with this answer; why it is closed, if it cannot carry another.
     pub fn release(&self, endpoint: EndpointId, link: Link, answer: &Answer) -> Result<(), CloseReason> {
-        let presumed =
-            self.expect_other_answer(endpoint, &link, answer).inspect_err(|reason| match reason {
-                CloseReason::UnsolicitedBytes => {
-                    self.status.unsolicited(endpoint, link.number(), Duration::ZERO)
-                }
-                reason => self.status.closed(*reason, 1),
-            })?;
+        let presumed = self
+            .expect_other_answer(endpoint, &link, answer)
+            .inspect_err(|reason| self.note_close(endpoint, &link, Duration::ZERO, *reason))?;
         let connection = Idle { link, since: Instant::now(), presumed };
         self.idle.borrow_mut().entry(endpoint).or_default().push(connection);
         Ok(())
@@ -260,7 +260,7 @@
             None => Expectation::Alike,
         };
         answer.reusable?;
-        if link.exchanges() >= MAX_EXCHANGES {
+        if link.answered() >= MAX_EXCHANGES {
             return Err(CloseReason::ExchangeLimit);
         }
         match expectation {
--- a/crates/courier/src/out/exchange.rs
+++ b/crates/courier/src/out/exchange.rs
@@ -10,7 +10,7 @@
     /// The connection's number in this process, from 1.
     pub connection: u64,
     /// Which exchange of its connection it is, from 1.
-    pub sequence: u32,
+    pub sequence: usize,
     /// How long the connection had stood idle; zero for a new one.
     pub idle: Duration,
     /// From the begin of the request to the end of the answer or of the attempt.
@@ -35,3 +35,15 @@
         }
     }
 }
+
+/// The exchange of an attempt, which may have had none, as the log has it.
+pub struct Logged(pub Option<Exchange>);
+
+impl fmt::Display for Logged {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match &self.0 {
+            Some(exchange) => exchange.fmt(f),
+            None => f.write_str("connection=none"),
+        }
+    }
+}
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -206,8 +206,6 @@
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
     number: u64,
-    /// Requests that were begun on it.
-    exchanges: u32,
     /// The answers that were read on it.
     answers: Vec<AnswerIdentity>,
     _room: Option<(OwnedSemaphorePermit, Charge)>,
@@ -263,16 +261,19 @@
     pub reusable: Result<(), CloseReason>,
     /// What tells it from other answers; None where not all of it came.
     pub identity: Option<AnswerIdentity>,
-    /// It equals an earlier one on its connection, and may be a second copy of that: it proves nothing of its request.
-    pub repeats: bool,
 }
 
 impl Answer {
+    /// It equals an earlier one on its connection, and may be a second copy of that: it proves nothing of its request.
+    pub fn repeats(&self) -> bool {
+        self.reusable == Err(CloseReason::AnswerRepeated)
+    }
+
     /// Its first line says 200, and the rest cannot be read.
     fn spoilt(at: Instant) -> Self {
         let (status, headers) = (StatusCode::OK, HeaderMap::new());
         let reusable = Err(CloseReason::AttemptFailed);
-        Answer { status, headers, at, whole: false, reusable, identity: None, repeats: false }
+        Answer { status, headers, at, whole: false, reusable, identity: None }
     }
 }
 
@@ -321,7 +322,6 @@
             sender,
             driver: Driver::Running(Box::pin(driver)),
             number,
-            exchanges: 0,
             answers: Vec::new(),
             _room: room,
         })
@@ -332,9 +332,9 @@
         self.number
     }
 
-    /// Requests that were begun on it.
-    pub fn exchanges(&self) -> u32 {
-        self.exchanges
+    /// Answers that were read whole on it.
+    pub fn answered(&self) -> usize {
+        self.answers.len()
     }
 
     /// Whether the peer has left it open and said nothing out of turn. Asks the kernel: the runtime may not
@@ -372,7 +372,6 @@
     /// Sends a request and waits for the answer until then. After an error the link is of no more use.
     pub async fn ask(&mut self, request: Request<Full<Bytes>>, until: Instant) -> Result<Answer, Lost> {
         let (before, wire) = (self.wire.written.get(), self.wire.clone());
-        self.exchanges += 1;
         *wire.first.borrow_mut() = FirstLine::default();
         let started = in_time(&wire, until, self.start(request)).await;
         let at = Instant::now();
@@ -386,7 +385,7 @@
                 return match lost {
                     Some(Err(Lost::Unsent)) => Err(Lost::Unsent),
                     // On a used connection it may be what is left of a second copy of an earlier answer.
-                    _ if first.status == Some(200) && self.exchanges == 1 => Ok(Answer::spoilt(at)),
+                    _ if first.status == Some(200) && self.answers.is_empty() => Ok(Answer::spoilt(at)),
                     Some(Err(lost)) => Err(lost),
                     None if wire.written.get() == before => Err(Lost::Unsent),
                     None if first.begun.is_none() => Err(Lost::Silent),
@@ -401,18 +400,19 @@
         let (status, headers) = (parts.status, parts.headers);
         let Some(body) = body else {
             let reusable = Err(CloseReason::AttemptFailed);
-            return match self.exchanges {
-                1 => {
-                    Ok(Answer { status, headers, at, whole: false, reusable, identity: None, repeats: false })
-                }
-                _ => Err(Lost::Broken),
-            };
+            // On a used connection it may be what is left of a second copy, too.
+            if !self.answers.is_empty() {
+                return Err(Lost::Broken);
+            }
+            return Ok(Answer { status, headers, at, whole: false, reusable, identity: None });
         };
         let identity = AnswerIdentity::of(status, &headers, &body);
-        let repeats = self.answers.contains(&identity);
-        let reusable = if repeats { Err(CloseReason::AnswerRepeated) } else { self.settle().await };
+        let reusable = match self.answers.contains(&identity) {
+            true => Err(CloseReason::AnswerRepeated),
+            false => self.settle().await,
+        };
         self.answers.push(identity);
-        Ok(Answer { status, headers, at, whole: true, reusable, identity: Some(identity), repeats })
+        Ok(Answer { status, headers, at, whole: true, reusable, identity: Some(identity) })
     }
 
     /// Whether the link can carry another request, once an answer has been read whole.
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -7,6 +7,7 @@
 use crate::follow;
 use crate::news::CallEnd;
 use crate::out::calls::{Call, Calls, To};
+use crate::out::exchange::Logged;
 use stairshed_decide::interface::*;
 use stairshed_journal::{Attempt, Verdict};
 use std::collections::BTreeMap;
@@ -63,7 +64,7 @@
                     end.outcome,
                     end.over,
                     end.proof,
-                    end.exchange.map_or("connection=none".to_owned(), |e| e.to_string())
+                    Logged(end.exchange)
                 ),
             );
         }
--- a/crates/courier/tests/second_copies.rs
+++ b/crates/courier/tests/second_copies.rs
@@ -1,18 +1,17 @@
 //! An answer of an earlier call is never taken for that of a later one on the same connection: couriers as processes on
 //! loopback, and endpoints that send some of their answers twice. `SEED=n` plays one seed of the random load again.
 
+use rand::Rng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
-use serde_json::{Value, json};
+use serde_json::json;
 use stairshed_rig::control::Control;
-use stairshed_rig::repeating::{CallLog, RepeatingEndpoint, Script};
-use stairshed_rig::rules::{CLASSES, Played, unended};
+use stairshed_rig::repeating::{CallLog, Script, distinct_answer, start_in_two_zones};
+use stairshed_rig::rules::{CLASSES, Played, await_ends};
 use stairshed_rig::*;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Each with an endpoint in either zone.
 const DESTINATIONS: u64 = 3;
@@ -45,37 +44,14 @@
 /// Later than any pause between two calls.
 const LATER: Copies = Copies { earliest_ms: 20, latest_ms: 400 };
 
-fn answer(rng: &mut SmallRng, refusals: f64) -> String {
-    let report = format!("X-Server-Load: TEXT x0={:.3}, x1=900", rng.random_range(0.5..1.0));
-    if rng.random_bool(refusals) {
-        return format!("HTTP/1.1 503 Service Unavailable\r\n{report}\r\nContent-Length: 0\r\n\r\n");
+fn script(rng: &mut SmallRng, copies: Copies) -> Script {
+    let copied = rng.random_bool(COPIED_SHARE);
+    let after = rng.random_range(copies.earliest_ms..=copies.latest_ms);
+    Script {
+        answer: Some(distinct_answer(rng, REFUSED_SHARE)),
+        delay: Duration::from_millis(rng.random_range(10..=60)),
+        copy_after: copied.then(|| Duration::from_millis(after)),
     }
-    format!("HTTP/1.1 200 OK\r\n{report}\r\nContent-Length: 16\r\n\r\n{:016x}", rng.random::<u64>())
-}
-
-fn endpoint(name: &'static str, log: &CallLog, copies: Copies, seed: u64) -> RepeatingEndpoint {
-    let rng = Mutex::new(SmallRng::seed_from_u64(seed));
-    RepeatingEndpoint::start(name, log, move |_, _| {
-        let mut rng = rng.lock().expect("the generator");
-        let copied = rng.random_bool(COPIED_SHARE);
-        let after = rng.random_range(copies.earliest_ms..=copies.latest_ms);
-        Script {
-            answer: Some(answer(&mut rng, REFUSED_SHARE)),
-            delay: Duration::from_millis(rng.random_range(10..=60)),
-            copy_after: copied.then(|| Duration::from_millis(after)),
-        }
-    })
-}
-
-/// The two endpoints of a destination, in discovery's form.
-fn entries(destination: u64, log: &CallLog, copies: Copies, seed: u64) -> Vec<Value> {
-    let zones = [("a", "zone-a"), ("b", "zone-b")];
-    let entry = |(site, name): (&str, &'static str)| {
-        let endpoint = endpoint(name, log, copies, seed + destination);
-        json!({"host": format!("s-{site}{destination}"), "dial": endpoint.address.to_string(), "site": site,
-            "class": "shops", "block": destination, "health": "ready", "share": 900.0, "born_ms": 0})
-    };
-    zones.into_iter().map(entry).collect()
 }
 
 /// One courier between clients and two endpoints in different zones; all messages have ended when it returns.
@@ -83,7 +59,7 @@
     let seed = figure("SEED", 1);
     println!("seed {seed}");
     let log = CallLog::default();
-    let hosts = (0..DESTINATIONS).flat_map(|d| entries(d, &log, copies, seed * 100)).collect();
+    let hosts = start_in_two_zones(DESTINATIONS, &log, seed, move |rng| script(rng, copies));
     let known = list(1, true, hosts);
     let discovery = Discovery::new(known.clone());
     let mut config = config(&discovery, known);
@@ -98,10 +74,7 @@
         .map(|(class, client)| thread::spawn(move || hand_in_all(address, class, client)))
         .collect();
     let taken: BTreeSet<_> = clients.into_iter().flat_map(|c| c.join().expect("a client")).collect();
-    let end = Instant::now() + Duration::from_millis(TIME_MS) + LATE;
-    while Instant::now() < end && !unended(&taken, &log, &discovery).is_empty() {
-        thread::sleep(20 * MS);
-    }
+    await_ends(&taken, &log, &discovery, Duration::from_millis(TIME_MS) + LATE);
     let played = Played::new(taken, &log, &discovery, courier.logged());
     println!("{}", played.summary());
     assert!(played.calls.len() > MIN_CALLS, "too few calls to show a fault");
--- a/crates/courier/tests/soak.rs
+++ b/crates/courier/tests/soak.rs
@@ -5,8 +5,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
-use stairshed_rig::repeating::{CallLog, RepeatingEndpoint, Script};
-use stairshed_rig::rules::{CLASSES, Played, unended};
+use stairshed_rig::repeating::{CallLog, Script, distinct_answer, start_in_two_zones};
+use stairshed_rig::rules::{CLASSES, Played, await_ends};
 use stairshed_rig::*;
 use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const DEFAULT_SEEDS: u64 = 2;
 /// Seeds that are played side by side.
@@ -61,12 +61,7 @@
     }
 
     fn script(&self, rng: &mut SmallRng) -> Script {
-        let report = format!("X-Server-Load: TEXT x0={:.3}, x1=900", rng.random_range(0.5..1.0));
-        let answer = if rng.random_bool(self.refused) {
-            format!("HTTP/1.1 503 Service Unavailable\r\n{report}\r\nContent-Length: 0\r\n\r\n")
-        } else {
-            format!("HTTP/1.1 200 OK\r\n{report}\r\nContent-Length: 16\r\n\r\n{:016x}", rng.random::<u64>())
-        };
+        let answer = distinct_answer(rng, self.refused);
         let answer = Some(answer).filter(|_| !rng.random_bool(self.broken));
         let hangs = rng.random_bool(self.hung);
         let delay = if hangs { 10_000 } else { rng.random_range(5..=80) };
@@ -113,21 +108,6 @@
     }
 }
 
-/// The list of the endpoints, two of each destination, in different zones.
-fn endpoints(log: &CallLog, faults: Faults, seed: u64) -> Vec<Value> {
-    let zones = [("a", "zone-a"), ("b", "zone-b")];
-    let all = (0..DESTINATIONS).flat_map(|destination| zones.map(|zone| (destination, zone)));
-    all.map(|(destination, (site, name))| {
-        let rng = Mutex::new(SmallRng::seed_from_u64(seed * 100 + destination));
-        let endpoint = RepeatingEndpoint::start(name, log, move |_, _| {
-            faults.script(&mut rng.lock().expect("the generator"))
-        });
-        json!({"host": format!("s-{site}{destination}"), "dial": endpoint.address.to_string(), "site": site,
-            "class": "shops", "block": destination, "health": "ready", "share": 900.0, "born_ms": 0})
-    })
-    .collect()
-}
-
 fn start(folder: &Folder, discovery: &Discovery, config: &Value) -> Courier {
     Courier::spawn(command(folder, discovery, config).args(["--follow", "1/1"]))
 }
@@ -146,7 +126,9 @@
 fn play(seed: u64) -> Played {
     let mut rng = SmallRng::seed_from_u64(seed);
     let log = CallLog::default();
-    let known = list(1, true, endpoints(&log, Faults::of(&mut rng), seed));
+    let faults = Faults::of(&mut rng);
+    let hosts = start_in_two_zones(DESTINATIONS, &log, seed, move |rng| faults.script(rng));
+    let known = list(1, true, hosts);
     let discovery = Discovery::new(known.clone());
     let mut config = config(&discovery, known);
     config["settings"]["family-info"]["slots"] = json!(SLOTS);
@@ -181,10 +163,7 @@
     clients.stop.store(true, Ordering::SeqCst);
     running.into_iter().for_each(|client| client.join().expect("a client"));
     let taken = clients.taken.lock().expect("taken").clone();
-    let deadline = Instant::now() + Duration::from_millis(TIME_MS) + LATE;
-    while Instant::now() < deadline && !unended(&taken, &log, &discovery).is_empty() {
-        thread::sleep(20 * MS);
-    }
+    await_ends(&taken, &log, &discovery, Duration::from_millis(TIME_MS) + LATE);
     lines.extend(courier.logged());
     Played::new(taken, &log, &discovery, lines)
 }
--- a/crates/rig/src/repeating.rs
+++ b/crates/rig/src/repeating.rs
@@ -1,9 +1,11 @@
 //! A fake endpoint that sends second copies of its answers, and an account of what it did with each call.
 
 use crate::{MS, Page};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -63,15 +65,15 @@
 }
 
 impl RepeatingEndpoint {
-    /// `script` is asked for each call, with its number at this endpoint from 0.
+    /// `script` is asked for each call.
     pub fn start(
         name: &'static str,
         log: &CallLog,
-        script: impl Fn(usize, &Page) -> Script + Send + Sync + 'static,
+        script: impl Fn() -> Script + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let server = Arc::new(Server { name, log: log.clone(), calls: AtomicUsize::new(0), script });
+        let server = Arc::new(Server { name, log: log.clone(), script });
         thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
                 let server = server.clone();
@@ -82,20 +84,49 @@
     }
 }
 
+/// An answer that differs from all others: 503 for a share of `refused` of the calls, else 200.
+pub fn distinct_answer(rng: &mut SmallRng, refused: f64) -> String {
+    let report = format!("X-Server-Load: TEXT x0={:.3}, x1=900", rng.random_range(0.5..1.0));
+    if rng.random_bool(refused) {
+        return format!("HTTP/1.1 503 Service Unavailable\r\n{report}\r\nContent-Length: 0\r\n\r\n");
+    }
+    format!("HTTP/1.1 200 OK\r\n{report}\r\nContent-Length: 16\r\n\r\n{:016x}", rng.random::<u64>())
+}
+
+/// Starts an endpoint of each destination in each of two zones; their list in discovery's form. Each draws its scripts
+/// from a generator of its own.
+pub fn start_in_two_zones(
+    destinations: u64,
+    log: &CallLog,
+    seed: u64,
+    script: impl Fn(&mut SmallRng) -> Script + Clone + Send + Sync + 'static,
+) -> Vec<Value> {
+    let zones = [("a", "zone-a"), ("b", "zone-b")];
+    let all = (0..destinations).flat_map(|destination| zones.map(|zone| (destination, zone)));
+    all.map(|(destination, (site, name))| {
+        let rng = Mutex::new(SmallRng::seed_from_u64(seed * 100 + destination));
+        let script = script.clone();
+        let draw = move || script(&mut rng.lock().expect("the generator"));
+        let endpoint = RepeatingEndpoint::start(name, log, draw);
+        json!({"host": format!("s-{site}{destination}"), "dial": endpoint.address.to_string(), "site": site,
+            "class": "shops", "block": destination, "health": "ready", "share": 900.0, "born_ms": 0})
+    })
+    .collect()
+}
+
 struct Server<F> {
     name: &'static str,
     log: CallLog,
-    calls: AtomicUsize,
     script: F,
 }
 
-impl<F: Fn(usize, &Page) -> Script> Server<F> {
+impl<F: Fn() -> Script> Server<F> {
     fn serve(&self, stream: TcpStream, connection: usize) {
         stream.set_nodelay(true).expect("no delay");
         let out = Arc::new(Mutex::new(stream.try_clone().expect("a handle")));
         let mut from = BufReader::new(stream);
         while let Some(call) = Page::read(&mut from) {
-            let script = (self.script)(self.calls.fetch_add(1, Ordering::SeqCst), &call);
+            let script = (self.script)();
             let entry = self.arrived(&call, connection, from.get_ref());
             if !stays_open(from.get_ref(), script.delay) {
                 return self.ended(entry, None);
--- a/crates/rig/src/rules.rs
+++ b/crates/rig/src/rules.rs
@@ -1,9 +1,11 @@
 //! The rules on lost requests and duplicates, checked on what the endpoints and the platform saw of a play. Messages are
 //! named after their class: `payment` must not be repeated, `notice` is keyed by zone, `status` may be repeated.
 
-use crate::Discovery;
 use crate::repeating::{CallLog, ServedCall};
+use crate::{Discovery, MS};
 use std::collections::{BTreeMap, BTreeSet};
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// The classes of [`crate::settings`].
 pub const CLASSES: [&str; 3] = ["payment", "notice", "status"];
@@ -21,8 +23,16 @@
     pub log: Vec<String>,
 }
 
+/// Waits until all that was taken on has ended, for so long at most.
+pub fn await_ends(taken: &BTreeSet<String>, log: &CallLog, discovery: &Discovery, limit: Duration) {
+    let end = Instant::now() + limit;
+    while Instant::now() < end && !unended(taken, log, discovery).is_empty() {
+        thread::sleep(20 * MS);
+    }
+}
+
 /// Messages that were taken on and have neither been delivered nor ended by a notice.
-pub fn unended(taken: &BTreeSet<String>, log: &CallLog, discovery: &Discovery) -> Vec<String> {
+fn unended(taken: &BTreeSet<String>, log: &CallLog, discovery: &Discovery) -> Vec<String> {
     let calls = log.lock().expect("the log");
     let delivered = delivered(&calls);
     let open = taken.iter().filter(|id| !delivered.contains(id) && discovery.results(id).is_empty());
