--- a/crates/courier/src/out.rs
+++ b/crates/courier/src/out.rs
@@ -1,5 +1,6 @@
 //! What goes out: calls to endpoints, the connections kept for them, brokers, and notices of outcomes.
 
+pub mod answer_head;
 pub mod answer_identity;
 mod break_rate;
 pub mod broker;
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -159,10 +159,13 @@
         }
         let (connection, sequence, started) = (link.number(), link.answered() + 1, Instant::now());
         let answer = link.ask(request, until).await;
-        let took = started.elapsed();
+        let (took, heard) = (started.elapsed(), link.heard());
         let digest = answer.as_ref().ok().and_then(|a| a.identity).map(AnswerIdentity::hash);
         let broke = answer.as_ref().map_or_else(|lost| *lost == Lost::Broken, Answer::repeats);
         self.pool.note_exchange(idle, broke);
+        if broke || answer.as_ref().is_ok_and(|a| !a.whole) {
+            self.pool.status().disbelieved(heard);
+        }
         let kept = match &answer {
             Ok(answer) => {
                 self.note_wait(pool, answer);
@@ -171,7 +174,7 @@
             Err(_) => Err(self.pool.discard()),
         };
         let idle = idle.unwrap_or_default();
-        let exchange = Exchange { connection, sequence, idle, took, digest, closed: kept.err() };
+        let exchange = Exchange { connection, sequence, idle, took, heard, digest, closed: kept.err() };
         (answer, Some(exchange))
     }
 
--- a/crates/courier/src/out/connection_status.rs
+++ b/crates/courier/src/out/connection_status.rs
@@ -1,5 +1,6 @@
 //! Counters of the connections to endpoints and of why they were closed, for the log and the page `/-/connections`.
 
+use crate::out::link::{Heard, SocketFailure};
 use serde_json::{Value, json};
 use stairshed_decide::interface::EndpointId;
 use std::cell::{Cell, RefCell};
@@ -59,6 +60,10 @@
     opened: Cell<u64>,
     reused: Cell<u64>,
     closed: RefCell<BTreeMap<CloseReason, u64>>,
+    /// Answers that were not believed, by the status of their first line; None where there was none.
+    disbelieved: RefCell<BTreeMap<Option<u16>, u64>>,
+    /// Exchanges that ended with an error of the system.
+    failures: RefCell<BTreeMap<SocketFailure, u64>>,
     last_report: Cell<Option<Instant>>,
 }
 
@@ -80,6 +85,14 @@
         }
     }
 
+    /// An exchange ended with an answer that was not believed, or with none though its connection broke.
+    pub fn disbelieved(&self, heard: Heard) {
+        *self.disbelieved.borrow_mut().entry(heard.status).or_default() += 1;
+        if let Some(failure) = heard.failure {
+            *self.failures.borrow_mut().entry(failure).or_default() += 1;
+        }
+    }
+
     /// An endpoint sent bytes that no request asked for, found `idle` after its last answer. Written to the log, but not
     /// more often than once in 10 s.
     pub fn unsolicited(&self, endpoint: EndpointId, connection: u64, idle: Duration) {
@@ -106,6 +119,17 @@
     pub fn page(&self) -> Value {
         let closed: BTreeMap<_, _> =
             self.closed.borrow().iter().map(|(reason, number)| (reason.name(), *number)).collect();
-        json!({"opened": self.opened.get(), "reused": self.reused.get(), "closed": closed})
+        let name = |status: &Option<u16>| status.map_or("none".to_owned(), |status| status.to_string());
+        let disbelieved: BTreeMap<_, _> =
+            self.disbelieved.borrow().iter().map(|(status, number)| (name(status), *number)).collect();
+        let failures: BTreeMap<_, _> =
+            self.failures.borrow().iter().map(|(failure, number)| (failure.to_string(), *number)).collect();
+        json!({
+            "opened": self.opened.get(),
+            "reused": self.reused.get(),
+            "closed": closed,
+            "not_believed": disbelieved,
+            "errors": failures,
+        })
     }
 }
--- a/crates/courier/src/out/exchange.rs
+++ b/crates/courier/src/out/exchange.rs
@@ -1,6 +1,7 @@
 //! What the log says of one exchange: a request on a connection to an endpoint, and the answer that was read for it.
 
 use crate::out::connection_status::CloseReason;
+use crate::out::link::Heard;
 use std::fmt;
 use std::time::Duration;
 
@@ -15,6 +16,8 @@
     pub idle: Duration,
     /// From the begin of the request to the end of the answer or of the attempt.
     pub took: Duration,
+    /// The first line of the answer and the system's error, also where the answer was not believed.
+    pub heard: Heard,
     /// A hash of status, header fields and body of the answer: equal answers have equal ones.
     pub digest: Option<u64>,
     /// Why the connection was closed after it; None if it is kept.
@@ -23,8 +26,14 @@
 
 impl fmt::Display for Exchange {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Exchange { connection, sequence, idle, took, digest, closed } = self;
+        let Exchange { connection, sequence, idle, took, heard, digest, closed } = self;
         write!(f, "connection={connection} exchange={sequence} idle={idle:?} took={took:?}")?;
+        if let Some(status) = heard.status {
+            write!(f, " status={status}")?;
+        }
+        if let Some(failure) = heard.failure {
+            write!(f, " error={:?}", failure.to_string())?;
+        }
         match digest {
             Some(digest) => write!(f, " answer={digest:016x}")?,
             None => write!(f, " answer=none")?,
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -1,6 +1,7 @@
 //! One connection to another machine, driven by whoever holds it. There is no task behind it: dropping a
 //! link closes its socket at once, and what became of a request is known.
 
+use crate::out::answer_head::AnswerHead;
 use crate::out::answer_identity::AnswerIdentity;
 use crate::out::connection_status::CloseReason;
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use stairshed_memory::Charge;
 use std::cell::{Cell, RefCell};
 use std::error::Error;
+use std::fmt;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
@@ -33,74 +35,36 @@
 const BODY_TIME: Duration = Duration::from_millis(200);
 const BODY_MOST: usize = 64 * 1024;
 
-/// The socket, how much has been written to it, and what its answer began with.
+/// The socket, how much has been written to it, what its answer began with, and the last error.
 struct Wire {
     stream: TcpStream,
     written: Cell<u64>,
-    first: RefCell<FirstLine>,
+    head: RefCell<AnswerHead>,
+    failure: Cell<Option<SocketFailure>>,
 }
 
-/// Finds the status in an answer's first line, past 1xx answers ahead. A head that cannot be parsed still
-/// tells by it whether its message was delivered.
-#[derive(Default)]
-struct FirstLine {
-    line: Vec<u8>,
-    /// In the rest of a 1xx answer.
-    passing: bool,
-    /// When the first byte of the answer, or of a 1xx ahead that has not ended, came.
-    begun: Option<Instant>,
-    status: Option<u16>,
-    /// The status is known, or there is none.
-    over: bool,
+/// A read or a write that the system has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SocketFailure {
+    Read(io::ErrorKind),
+    Write(io::ErrorKind),
 }
 
-/// `HTTP/1.1 200` and what ends the number.
-const STATUS_END: usize = 13;
-
-impl FirstLine {
-    fn hear(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            if self.over {
-                return;
-            }
-            self.byte(*byte);
-        }
-    }
-
-    fn byte(&mut self, byte: u8) {
-        let blank = matches!(self.line.as_slice(), b"" | b"\r");
-        if blank && !self.passing && matches!(byte, b'\r' | b'\n') {
-            return;
-        }
-        self.begun.get_or_insert_with(Instant::now);
-        if self.passing {
-            match byte {
-                b'\n' if blank => *self = FirstLine::default(),
-                b'\n' => self.line.clear(),
-                _ => self.line.extend((self.line.len() < STATUS_END).then_some(byte)),
-            }
-            return;
-        }
-        self.line.push(byte);
-        if self.line.len() < STATUS_END && byte != b'\n' {
-            return;
-        }
-        match status(&self.line) {
-            Some(100..=199) => (self.passing, self.line) = (true, vec![b' ']),
-            status => (self.status, self.over) = (status, true),
-        }
-        if byte == b'\n' {
-            self.line.clear();
+impl fmt::Display for SocketFailure {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            SocketFailure::Read(kind) => write!(f, "read: {kind}"),
+            SocketFailure::Write(kind) => write!(f, "write: {kind}"),
         }
     }
 }
 
-fn status(line: &[u8]) -> Option<u16> {
-    let (version, rest) = line.strip_prefix(b"HTTP/1.")?.split_at_checked(1)?;
-    let number = rest.strip_prefix(b" ")?.get(..3)?;
-    let ends = rest.get(4).is_some_and(|b| matches!(b, b' ' | b'\r' | b'\n'));
-    let digits = version[0].is_ascii_digit() && number.iter().all(u8::is_ascii_digit);
-    (ends && digits).then(|| number.iter().fold(0, |n, d| n * 10 + u16::from(d - b'0')))
+/// What an exchange has shown so far, whether or not its answer could be read to its end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// The status in the first line of the answer.
+    pub status: Option<u16>,
+    pub failure: Option<SocketFailure>,
 }
 
 #[derive(Clone)]
@@ -114,16 +78,23 @@
                 Ok(n) => {
                     let before = buf.filled().len();
                     buf.advance(n);
-                    self.0.first.borrow_mut().hear(&buf.filled()[before..]);
+                    self.0.head.borrow_mut().hear(&buf.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
+                Err(e) => return self.0.failed(SocketFailure::Read(e.kind()), e),
             }
         }
     }
 }
 
+impl Wire {
+    fn failed<T>(&self, failure: SocketFailure, error: io::Error) -> Poll<io::Result<T>> {
+        self.failure.set(Some(failure));
+        Poll::Ready(Err(error))
+    }
+}
+
 impl Tap {
     fn write(
         &self,
@@ -138,7 +109,7 @@
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
+                Err(e) => return self.0.failed(SocketFailure::Write(e.kind()), e),
             }
         }
     }
@@ -284,7 +255,7 @@
         if let Poll::Ready(out) = work.as_mut().poll(cx) {
             return Poll::Ready(Some(out));
         }
-        let at = wire.first.borrow().begun.map_or(until, |at| until.min(at + HEAD_TIME));
+        let at = wire.head.borrow().begun().map_or(until, |at| until.min(at + HEAD_TIME));
         if end.deadline() != at {
             end.as_mut().reset(at);
         }
@@ -313,7 +284,12 @@
         let connected = timeout(within, TcpStream::connect(to)).await;
         let stream = connected.map_err(|_| ConnectError::TimedOut(within))??;
         stream.set_nodelay(true)?;
-        let wire = Rc::new(Wire { stream, written: Cell::new(0), first: RefCell::default() });
+        let wire = Rc::new(Wire {
+            stream,
+            written: Cell::new(0),
+            head: RefCell::default(),
+            failure: Cell::default(),
+        });
         let io = TokioIo::new(Tap(wire.clone()));
         let (sender, driver) = http1::Builder::new().max_buf_size(BODY_MOST).handshake(io).await?;
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
@@ -337,6 +313,11 @@
         self.answers.len()
     }
 
+    /// What the latest exchange has shown.
+    pub fn heard(&self) -> Heard {
+        Heard { status: self.wire.head.borrow().status(), failure: self.wire.failure.get() }
+    }
+
     /// Whether the peer has left it open and said nothing out of turn. Asks the kernel: the runtime may not
     /// have heard of a close yet, and a request written then would count as one that may have run. The driver
     /// is asked too: it ends if bytes are left that it has read already, a second copy of an answer, say,
@@ -372,23 +353,23 @@
     /// Sends a request and waits for the answer until then. After an error the link is of no more use.
     pub async fn ask(&mut self, request: Request<Full<Bytes>>, until: Instant) -> Result<Answer, Lost> {
         let (before, wire) = (self.wire.written.get(), self.wire.clone());
-        *wire.first.borrow_mut() = FirstLine::default();
+        *wire.head.borrow_mut() = AnswerHead::default();
         let started = in_time(&wire, until, self.start(request)).await;
         let at = Instant::now();
         let (parts, body) = match started {
             // Another protocol: nobody asked for it, and nothing more is read as an answer.
             Some(Ok(answer)) if !answer.status().is_informational() => answer.into_parts(),
             lost => {
-                let first = wire.first.borrow();
+                let head = wire.head.borrow();
                 // What cannot be read further has still delivered if it began so: taken for a reset, a
                 // message that must not run twice would be reported dead.
                 return match lost {
                     Some(Err(Lost::Unsent)) => Err(Lost::Unsent),
                     // On a used connection it may be what is left of a second copy of an earlier answer.
-                    _ if first.status == Some(200) && self.answers.is_empty() => Ok(Answer::spoilt(at)),
+                    _ if head.status() == Some(200) && self.answers.is_empty() => Ok(Answer::spoilt(at)),
                     Some(Err(lost)) => Err(lost),
                     None if wire.written.get() == before => Err(Lost::Unsent),
-                    None if first.begun.is_none() => Err(Lost::Silent),
+                    None if head.begun().is_none() => Err(Lost::Silent),
                     _ => Err(Lost::Broken),
                 };
             }
@@ -446,34 +427,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_first_line_tells_the_status_also_of_what_cannot_be_read() {
-        for (text, status) in [
-            ("HTTP/1.1 200 OK\r\n", Some(200)),
-            ("HTTP/1.1 200 O", Some(200)),
-            ("HTTP/1.0 503\r\n", Some(503)),
-            ("\r\nHTTP/1.1 200 OK\r\n\0\0: \x01", Some(200)),
-            ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n", Some(200)),
-            ("HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 102\r\n\r\nHTTP/1.1 500 No\r\n", Some(500)),
-            ("HTTP/1.1 103 Hints\r\nX: HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\n", None),
-            ("HTTP/1.1 200", None),
-            ("HTTP/1.1 2000 OK\r\n", None),
-            ("HTTP/2.1 200 OK\r\n", None),
-            ("\x7fjunk 200 OK and more\r\nHTTP/1.1 200 OK\r\n", None),
-        ] {
-            for size in [1, 3, 1000] {
-                let mut first = FirstLine::default();
-                text.as_bytes().chunks(size).for_each(|piece| first.hear(piece));
-                assert_eq!(first.status, status, "{text:?} in pieces of {size}");
-            }
-        }
-        let mut first = FirstLine::default();
-        first.hear(b"HTTP/1.1 100 Continue\r\n\r\n");
-        assert!(first.begun.is_none(), "the answer itself may still take its time");
-    }
-}
--- a/crates/courier/src/owner.rs
+++ b/crates/courier/src/owner.rs
@@ -247,10 +247,7 @@
             News::Released { endpoint, id, message } => self.released(endpoint, id, message),
             News::Resuming { endpoint, begins } => self.resuming(endpoint, begins),
             News::Freed { endpoint, id } => self.unreserve(endpoint, id),
-            News::Stop => {
-                self.standing.stop();
-                self.stopping.since.get_or_insert(Instant::now());
-            }
+            News::Stop => self.stop(),
         }
     }
 
--- a/crates/courier/src/owner/records.rs
+++ b/crates/courier/src/owner/records.rs
@@ -28,10 +28,28 @@
     pub(super) sync_failed: Option<Instant>,
 }
 
+/// Says what an earlier life has left, if it has left anything.
+fn report_resumed(live: &[(u64, Live)]) {
+    if live.is_empty() {
+        return;
+    }
+    let ended = live.iter().filter(|(_, m)| m.verdict.is_some()).count();
+    let open = || live.iter().filter(|(_, m)| m.verdict.is_none());
+    let may_have_run = open().filter(|(_, m)| m.attempts.iter().any(|a| a.may_have_run)).count();
+    let untried = open().filter(|(_, m)| m.attempts.is_empty()).count();
+    let past = open().filter(|(_, m)| m.letter.until <= unix()).count();
+    eprintln!(
+        "resumed {} messages: {ended} ended, their notices not acknowledged; {untried} never called; \
+         {may_have_run} may have run; {past} out of time",
+        live.len()
+    );
+}
+
 impl Courier {
     /// Hands back what the journal holds, with what is known of its attempts.
     pub(super) fn resume(&mut self) {
         let live: Vec<(u64, Live)> = self.journal.live().map(|(n, m)| (n, m.clone())).collect();
+        report_resumed(&live);
         for (message, m) in live {
             let letter = m.letter.clone();
             self.taking.ids.insert(letter.id.clone(), message);
--- a/crates/courier/src/owner/stopping.rs
+++ b/crates/courier/src/owner/stopping.rs
@@ -1,6 +1,7 @@
 //! The end after SIGTERM: how long attempts are begun, and when all is done that can be done.
 
 use super::Courier;
+use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -19,7 +20,54 @@
     pub(super) since: Option<Instant>,
 }
 
+/// What the courier still has to do, for the log.
+struct Workload {
+    held: usize,
+    /// Of those that are held: with a call out.
+    out: usize,
+    offers: usize,
+    /// Notices that wait to be posted, and posts that wait for their answer.
+    notices: usize,
+    posts: usize,
+    /// What waits for its record to be kept.
+    records: usize,
+    disk_fails: bool,
+}
+
+impl fmt::Display for Workload {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Workload { held, out, offers, notices, posts, records, disk_fails } = self;
+        write!(
+            f,
+            "{held} messages held, {out} of them with a call out; {offers} offered; {notices} notices to post, \
+             {posts} posts out; {records} wait for the journal"
+        )?;
+        f.write_str(if *disk_fails { ", which cannot write" } else { "" })
+    }
+}
+
 impl Courier {
+    /// SIGTERM has come.
+    pub(super) fn stop(&mut self) {
+        self.standing.stop();
+        if self.stopping.since.is_none() {
+            self.stopping.since = Some(Instant::now());
+            eprintln!("stopping: {}", self.workload());
+        }
+    }
+
+    fn workload(&self) -> Workload {
+        Workload {
+            held: self.out.held.len(),
+            out: self.out.held.values().filter(|m| m.out.is_some()).count(),
+            offers: self.taking.offers.len(),
+            notices: self.notices.queue.len(),
+            posts: self.notices.posts,
+            records: self.records.waiting.len(),
+            disk_fails: self.records.disk_failed.is_some(),
+        }
+    }
+
     /// Whether all is done that can be done after SIGTERM.
     pub(super) fn stopped(&mut self) -> bool {
         let Some(since) = self.stopping.since else { return false };
@@ -34,6 +82,7 @@
         let done = since >= STOP_ALL || (quiet && told && idle && !calls);
         if done {
             self.settle();
+            eprintln!("stopped after {:.2} s: {}", since.as_secs_f64(), self.workload());
         }
         done
     }
