--- /dev/null
+++ b/crates/courier/tests/gone_answers.rs
@@ -0,0 +1,143 @@
+//! A message whose endpoint has answered 410 is over, and is not sent again, in whatever shape that answer comes:
+//! couriers as processes on loopback, endpoints that break off their answers, and a machine whose reads are interrupted.
+
+use stairshed_rig::faults::MachineFaults;
+use stairshed_rig::*;
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const TIME_MS: u64 = 6_000;
+/// Classes of messages that may be sent again once they may have run.
+const REPEATED: [&str; 2] = ["notice", "status"];
+/// Longer than the pause before another attempt of the same message.
+const SETTLED: Duration = Duration::from_millis(1_500);
+
+/// Answers of 410 that cannot be read to their end.
+const UNREADABLE_GONE: [&str; 7] = [
+    "HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\n",
+    "HTTP/1.1 410 Gone\r\nX-Server-Load: TEXT x0=",
+    "HTTP/1.1 410 Gone\r\nContent-Length: 5, 7\r\n\r\nabcde",
+    "HTTP/1.1 410 Gone\r\nno head at all\r\n\r\n",
+    "HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\nand so on",
+    "HTTP/1.1 410 Gone\r\nTransfer-Encoding: chunked\r\n\r\nnoise",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\n",
+];
+
+/// Two endpoints of one destination. They answer the first call for a message named `gone-...` with `act`, all other calls
+/// well.
+fn two_endpoints(act: impl Fn() -> Act + Clone + Send + Sync + 'static) -> [Endpoint; 2] {
+    let seen: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    [(); 2].map(|()| {
+        let (seen, act) = (seen.clone(), act.clone());
+        Endpoint::by_call(move |call| {
+            let first = seen.lock().expect("ids").insert(call.id.clone());
+            if first && call.id.starts_with("gone") { act() } else { Act::Distinct(Duration::ZERO) }
+        })
+    })
+}
+
+/// One courier between them and its clients.
+struct Play {
+    endpoints: [Endpoint; 2],
+    discovery: Discovery,
+    courier: Courier,
+    faults: MachineFaults,
+    _folder: Folder,
+}
+
+impl Play {
+    fn start(act: impl Fn() -> Act + Clone + Send + Sync + 'static) -> Self {
+        let endpoints = two_endpoints(act);
+        let hosts = [("s-1", &endpoints[0]), ("s-2", &endpoints[1])];
+        let hosts = hosts.map(|(name, endpoint)| host(name, endpoint, 7, "ready"));
+        let discovery = Discovery::new(list(1, true, hosts.to_vec()));
+        let folder = Folder::new();
+        let mut command = command(&folder, &discovery, &config(&discovery, list(1, true, hosts.to_vec())));
+        let faults = MachineFaults::load(&mut command, &folder, "");
+        let courier = Courier::spawn(&mut command);
+        Play { endpoints, discovery, courier, faults, _folder: folder }
+    }
+
+    fn calls_for(&self, id: &str) -> Vec<Seen> {
+        self.endpoints.iter().flat_map(Endpoint::calls).filter(|call| call.id == id).collect()
+    }
+
+    /// Leaves connections to both endpoints that are kept: their answers are known to differ.
+    fn warm(&self) {
+        for n in 0..6 {
+            self.courier.take(&format!("warm-{n}"), "status", 7, TIME_MS);
+            thread::sleep(20 * MS);
+        }
+    }
+
+    /// Hands a message in; how often it was called and how many notices it has, once it has ended and long enough for
+    /// another attempt has passed.
+    fn end_of(&self, id: &str, class: &str) -> (usize, usize) {
+        self.courier.take(id, class, 7, TIME_MS);
+        let end = Instant::now() + Duration::from_millis(TIME_MS) + SETTLED;
+        while Instant::now() < end && self.calls_for(id).len() < 2 && self.discovery.results(id).is_empty() {
+            thread::sleep(5 * MS);
+        }
+        thread::sleep(SETTLED);
+        (self.calls_for(id).len(), self.discovery.results(id).len())
+    }
+}
+
+/// Each answer on a courier of its own: one call for a message of each class, and an end by a notice.
+fn assert_ended_by_each(used: bool, act: fn(&'static str) -> Act) {
+    let plays = UNREADABLE_GONE.map(|text| {
+        thread::spawn(move || {
+            let play = Play::start(move || act(text));
+            REPEATED.map(|class| {
+                if used {
+                    play.warm();
+                }
+                play.end_of(&format!("gone-{class}"), class)
+            })
+        })
+    });
+    let ends = plays.map(|play| play.join().expect("a play"));
+    let told = UNREADABLE_GONE.into_iter().zip(&ends).map(|(text, end)| format!("{end:?} {text:?}\n"));
+    let told: String = told.collect();
+    assert_eq!(ends, [[(1, 1); REPEATED.len()]; UNREADABLE_GONE.len()], "calls and notices of each:\n{told}");
+}
+
+// Guards against a message that is sent again after a 410 which came on a new connection and could not be read to its end
+// (incident 9421da).
+#[test]
+fn message_is_not_sent_again_after_an_unreadable_410_on_a_new_connection() {
+    assert_ended_by_each(false, Act::Answer);
+}
+
+// The same on a connection that has carried other answers (incident 9421da).
+#[test]
+fn message_is_not_sent_again_after_an_unreadable_410_on_a_used_connection() {
+    assert_ended_by_each(true, Act::Answer);
+}
+
+// Guards against a message that is sent again because its connection broke in the middle of a 410 (incident 9421da).
+#[test]
+fn message_is_not_sent_again_after_a_410_that_is_cut_off_by_a_reset() {
+    assert_ended_by_each(false, Act::AnswerAndReset);
+}
+
+// Guards against a message that is sent again because the read of its 410 was interrupted (EINTR, incident 9421da).
+#[test]
+fn message_is_not_sent_again_after_a_410_whose_read_was_interrupted() {
+    const GONE: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+    let play = Play::start(|| Act::Late(60 * MS, GONE));
+    for n in 0..12 {
+        let id = format!("gone-{n}");
+        play.courier.take(&id, REPEATED[n % REPEATED.len()], 7, TIME_MS);
+        until("its call", || !play.calls_for(&id).is_empty());
+        play.faults.set("recv EINTR 2");
+        thread::sleep(150 * MS);
+        play.faults.set("");
+    }
+    thread::sleep(SETTLED);
+    let repeated: Vec<_> =
+        (0..12).map(|n| format!("gone-{n}")).filter(|id| play.calls_for(id).len() > 1).collect();
+    assert!(repeated.is_empty(), "sent again after 410: {repeated:?}");
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod broker;
 pub mod charges;
 pub mod control;
+pub mod faults;
 pub mod figures;
 pub mod names;
 pub mod publisher;
@@ -80,6 +81,8 @@
 pub enum Act {
     Answer(&'static str),
     AnswerAndClose(&'static str),
+    /// Answers, and resets the connection right behind it.
+    AnswerAndReset(&'static str),
     /// Answers once the time has passed.
     Late(Duration, &'static str),
     /// Answers 200 once the time has passed, with a body of its own.
@@ -192,6 +195,12 @@
                 let _ = out.write_all(text.as_bytes());
                 return;
             }
+            Act::AnswerAndReset(text) => {
+                let _ = out.write_all(text.as_bytes());
+                // A close that waits for nothing sends a reset.
+                let _ = socket2::SockRef::from(&out).set_linger(Some(Duration::ZERO));
+                return;
+            }
             Act::Late(time, text) => {
                 thread::sleep(time);
                 out.write_all(text.as_bytes())
