A message whose endpoint has answered 410 is not sent again, whatever follows

Cause: an answer was all or nothing. One that could not be read to its end proved nothing, rightly, but so it forbade nothing either: ended() in calls.rs made it a reset, which may be sent again where the class allows.

Now a first line of 410 ends the message, on whatever connection and however its attempt ends (broken, timed out, called off): no further attempt, and a notice 'dead', since the answer is no proof; nothing that was taken on can be lost by it. So that a second copy of a 410 cannot end the next message, its connection is closed. Why it works: the status is read from the raw bytes beside the HTTP library, before anything of the rest can fail.

--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -214,8 +214,7 @@
 #[derive(Debug)]
 pub struct CallEnd {
     pub outcome: Outcome,
-    /// The message is over, whatever else is tried.
-    pub over: bool,
+    pub after: AfterAttempt,
     pub report: Option<Report>,
     pub at: Instant,
     /// What the outcome rests on, for those who follow the message.
@@ -226,6 +225,17 @@
     pub retry_after: Option<Duration>,
 }
 
+/// What is still owed for a message once an attempt has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterAttempt {
+    /// Its end: another attempt may be made.
+    Open,
+    /// Nothing: it is delivered, or its endpoint's answer proves that it is over.
+    Settled,
+    /// Word of its end, and no attempt: its endpoint has said that it is over, in an answer that proves nothing.
+    EndOwed,
+}
+
 /// A list, or its changes, as discovery writes it.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct List {
--- a/crates/courier/src/out/broker.rs
+++ b/crates/courier/src/out/broker.rs
@@ -1,7 +1,7 @@
 //! The connection to one MQTT broker: a socket around the state machine of `stairshed-mqtt`. It decides nothing.
 
 use crate::clock::unix;
-use crate::news::{CallEnd, News};
+use crate::news::{AfterAttempt, CallEnd, News};
 use crate::out::calls::Call;
 use bytes::Bytes;
 use stairshed_config::file::{self, MqttVersion};
@@ -365,7 +365,7 @@
     };
     CallEnd {
         outcome,
-        over: end == End::Delivered,
+        after: if end == End::Delivered { AfterAttempt::Settled } else { AfterAttempt::Open },
         report: None,
         at: Instant::now(),
         proof: "the broker's word",
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -1,12 +1,12 @@
 //! Calls to endpoints and probes, and the connections kept for them. One call a connection at a time; what
 //! may have run is told apart from what never did.
 
-use crate::news::{CallEnd, News};
+use crate::news::{AfterAttempt, CallEnd, News};
 use crate::out::answer_identity::AnswerIdentity;
 use crate::out::connection_pool::{ConnectionPool, PooledConnection};
 use crate::out::connection_status::ConnectionStatus;
 use crate::out::exchange::Exchange;
-use crate::out::link::{Answer, Lost};
+use crate::out::link::{Answer, Heard, Listener, Lost};
 use crate::room::Room;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -57,6 +57,20 @@
     Broker(u16),
 }
 
+/// What is heard on the connection of one exchange, once it has one.
+#[derive(Default)]
+struct Listening(RefCell<Option<Listener>>);
+
+impl Listening {
+    fn to(&self, listener: Listener) {
+        self.0.replace(Some(listener));
+    }
+
+    fn heard(&self) -> Heard {
+        self.0.borrow().as_ref().map(Listener::heard).unwrap_or_default()
+    }
+}
+
 #[derive(Clone)]
 pub struct Calls {
     pool: Rc<ConnectionPool>,
@@ -139,13 +153,15 @@
         self.pool.close_half();
     }
 
-    /// One exchange on a connection to an endpoint, and what the log says of it.
+    /// One exchange on a connection to an endpoint, and what the log says of it. `listening` tells of the answer before
+    /// this ends.
     async fn ask(
         &self,
         (endpoint, pool): (EndpointId, Option<PoolId>),
         (to, once): (SocketAddr, bool),
         request: Request<Full<Bytes>>,
         until: Instant,
+        listening: &Listening,
     ) -> (Result<Answer, Lost>, Option<Exchange>) {
         let latest = until - until.saturating_duration_since(Instant::now()).mul_f64(ANSWER_SHARE);
         // A call whose time is up while it still has no connection was never sent.
@@ -158,8 +174,9 @@
             return (Err(lost), None);
         }
         let (connection, sequence, started) = (link.number(), link.answered() + 1, Instant::now());
+        listening.to(link.listener());
         let answer = link.ask(request, until).await;
-        let (took, heard) = (started.elapsed(), link.heard());
+        let (took, heard) = (started.elapsed(), listening.heard());
         let digest = answer.as_ref().ok().and_then(|a| a.identity).map(AnswerIdentity::hash);
         let broke = answer.as_ref().map_or_else(|lost| *lost == Lost::Broken, Answer::repeats);
         self.pool.note_exchange(idle, broke);
@@ -241,16 +258,20 @@
                 request = request.header(name, value);
             }
         }
+        let listening = Listening::default();
         let end = match request.body(Full::new(letter.body.clone())) {
             Ok(request) => tokio::select! {
                 biased;
-                (answer, exchange) = self.ask((endpoint, Some(pool)), (address, once), request, until) => {
+                (answer, exchange) =
+                    self.ask((endpoint, Some(pool)), (address, once), request, until, &listening) =>
+                {
                     CallEnd { exchange, ..ended(answer) }
                 }
                 _ = cancel => unanswered(Outcome::Cancelled, "called off"),
             },
             Err(_) => unanswered(Outcome::Moot, "no request can be made of it"),
         };
+        let end = restrained(end, listening.heard());
         let _ = news.send(News::Called { message, attempt, endpoint, end }).await;
     }
 
@@ -265,7 +286,10 @@
         let sent = Instant::now();
         let request = Request::get("/-/load").header(HOST, address.to_string()).body(Full::default());
         let (answer, exchange) = match request {
-            Ok(request) => self.ask((endpoint, None), (address, false), request, sent + timeout).await,
+            Ok(request) => {
+                let listening = Listening::default();
+                self.ask((endpoint, None), (address, false), request, sent + timeout, &listening).await
+            }
             Err(_) => (Err(Lost::Unsent), None),
         };
         let _ = news.send(News::Probed { endpoint, sent, end: CallEnd { exchange, ..ended(answer) } }).await;
@@ -279,11 +303,24 @@
     (ms > 0.0 && ms < 1e9).then(|| Duration::from_secs_f64(ms / 1000.0))
 }
 
+/// Forbids what the answer forbids, whether or not it is proof of anything: a message of which an endpoint has said that
+/// it is over is not sent again.
+fn restrained(end: CallEnd, heard: Heard) -> CallEnd {
+    let over = heard.status == Some(StatusCode::GONE.as_u16());
+    match end.after {
+        AfterAttempt::Open if over => {
+            let proof = "an answer of 410 that could not be read to its end";
+            CallEnd { after: AfterAttempt::EndOwed, proof, ..end }
+        }
+        _ => end,
+    }
+}
+
 /// The end of a call that has no answer to tell of.
 fn unanswered(outcome: Outcome, proof: &'static str) -> CallEnd {
     CallEnd {
         outcome,
-        over: false,
+        after: AfterAttempt::Open,
         report: None,
         at: Instant::now(),
         proof,
@@ -331,13 +368,16 @@
         StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE => Outcome::Moot,
         _ => Outcome::Error,
     };
-    let over = matches!(answer.status, StatusCode::OK | StatusCode::GONE);
+    let after = match answer.status {
+        StatusCode::OK | StatusCode::GONE => AfterAttempt::Settled,
+        _ => AfterAttempt::Open,
+    };
     let proof = match outcome {
         Outcome::Crowded => "503 and close",
         _ => answer.status.canonical_reason().unwrap_or("an answer"),
     };
     let report = report(&answer.headers);
-    CallEnd { outcome, over, report, at: answer.at, proof, exchange: None, retry_after: None }
+    CallEnd { outcome, after, report, at: answer.at, proof, exchange: None, retry_after: None }
 }
 
 /// Whether the connection ends with this answer.
--- a/crates/courier/src/out/calls_test.rs
+++ b/crates/courier/src/out/calls_test.rs
@@ -25,8 +25,8 @@
             let time = Duration::from_millis(800);
             let until = Instant::now() + time;
             let request = Request::get("/").header(HOST, "h").body(Full::default()).expect("a request");
-            let (endpoint, ask) =
-                (EndpointId(1), calls.ask((EndpointId(1), None), (to, true), request, until));
+            let (endpoint, listening) = (EndpointId(1), Listening::default());
+            let ask = calls.ask((endpoint, None), (to, true), request, until, &listening);
             let free = async {
                 tokio::time::sleep_until(until - time / 8).await;
                 drop(socket);
@@ -47,7 +47,8 @@
             let request = Request::get("/").header(HOST, "h").body(Full::default()).expect("a request");
             calls.admit(EndpointId(1), false);
             let until = Instant::now() + after + Duration::from_millis(400);
-            let ask = calls.ask((EndpointId(1), None), (to, true), request, until);
+            let listening = Listening::default();
+            let ask = calls.ask((EndpointId(1), None), (to, true), request, until, &listening);
             let free = async {
                 tokio::time::sleep(after).await;
                 drop(socket);
@@ -79,11 +80,12 @@
             // One socket: the second call has its connection only when the first has its answer.
             let (listener, to, calls) = one_socket().await;
             let until = Instant::now() + Duration::from_secs(20);
+            let listening = Listening::default();
             let ask = |route: u32| {
                 let request = Request::get("/").header(HOST, "h").body(Full::default());
                 let pool = (DestinationId(7), Some(EndpointId(route)));
                 let at = (EndpointId(route), Some(pool));
-                calls.ask(at, (to, true), request.expect("a request"), until)
+                calls.ask(at, (to, true), request.expect("a request"), until, &listening)
             };
             let server = tokio::task::spawn_local(async move {
                 let full =
@@ -144,3 +146,17 @@
         assert_eq!(read(bad), None, "{bad}");
     }
 }
+
+// Guards against a message that is sent again although its 410 was half read when its attempt timed out, broke or was
+// called off (incident 9421da).
+#[test]
+fn an_attempt_that_has_heard_410_is_the_last_one_however_it_ends() {
+    let gone = Heard { status: Some(410), failure: None };
+    let called_off = unanswered(Outcome::Cancelled, "called off");
+    for end in [ended(Err(Lost::Broken)), ended(Err(Lost::Silent)), called_off] {
+        assert_eq!(end.after, AfterAttempt::Open);
+        assert_eq!(restrained(end, gone).after, AfterAttempt::EndOwed);
+    }
+    let other = Heard { status: Some(503), failure: None };
+    assert_eq!(restrained(ended(Err(Lost::Broken)), other).after, AfterAttempt::Open);
+}
--- a/crates/courier/src/out/connection_status.rs
+++ b/crates/courier/src/out/connection_status.rs
@@ -32,6 +32,8 @@
     AnswersAlike,
     /// Its last answer may be a second copy of an earlier one.
     AnswerRepeated,
+    /// Its last answer said that a message is over: a second copy of it must not end another one.
+    MessageOver,
     /// It carried as many exchanges as a connection may.
     ExchangeLimit,
 }
@@ -49,6 +51,7 @@
             CloseReason::AttemptFailed => "attempt failed",
             CloseReason::AnswersAlike => "answers alike",
             CloseReason::AnswerRepeated => "answer repeated",
+            CloseReason::MessageOver => "message over",
             CloseReason::ExchangeLimit => "exchange limit",
         }
     }
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -35,10 +35,16 @@
 const BODY_TIME: Duration = Duration::from_millis(200);
 const BODY_MOST: usize = 64 * 1024;
 
-/// The socket, how much has been written to it, what its answer began with, and the last error.
+/// The socket, how much has been written to it, and what has come.
 struct Wire {
     stream: TcpStream,
     written: Cell<u64>,
+    progress: Rc<Progress>,
+}
+
+/// What the answer of the latest exchange began with, and the last error.
+#[derive(Default)]
+struct Progress {
     head: RefCell<AnswerHead>,
     failure: Cell<Option<SocketFailure>>,
 }
@@ -59,6 +65,16 @@
     }
 }
 
+/// Tells what an exchange has shown, also to those who do not drive its connection. It does not keep that open.
+pub struct Listener(Rc<Progress>);
+
+impl Listener {
+    /// So far.
+    pub fn heard(&self) -> Heard {
+        Heard { status: self.0.head.borrow().status(), failure: self.0.failure.get() }
+    }
+}
+
 /// What an exchange has shown so far, whether or not its answer could be read to its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Heard {
@@ -78,7 +94,7 @@
                 Ok(n) => {
                     let before = buf.filled().len();
                     buf.advance(n);
-                    self.0.head.borrow_mut().hear(&buf.filled()[before..]);
+                    self.0.progress.head.borrow_mut().hear(&buf.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -90,7 +106,7 @@
 
 impl Wire {
     fn failed<T>(&self, failure: SocketFailure, error: io::Error) -> Poll<io::Result<T>> {
-        self.failure.set(Some(failure));
+        self.progress.failure.set(Some(failure));
         Poll::Ready(Err(error))
     }
 }
@@ -255,7 +271,7 @@
         if let Poll::Ready(out) = work.as_mut().poll(cx) {
             return Poll::Ready(Some(out));
         }
-        let at = wire.head.borrow().begun().map_or(until, |at| until.min(at + HEAD_TIME));
+        let at = wire.progress.head.borrow().begun().map_or(until, |at| until.min(at + HEAD_TIME));
         if end.deadline() != at {
             end.as_mut().reset(at);
         }
@@ -284,12 +300,7 @@
         let connected = timeout(within, TcpStream::connect(to)).await;
         let stream = connected.map_err(|_| ConnectError::TimedOut(within))??;
         stream.set_nodelay(true)?;
-        let wire = Rc::new(Wire {
-            stream,
-            written: Cell::new(0),
-            head: RefCell::default(),
-            failure: Cell::default(),
-        });
+        let wire = Rc::new(Wire { stream, written: Cell::new(0), progress: Rc::default() });
         let io = TokioIo::new(Tap(wire.clone()));
         let (sender, driver) = http1::Builder::new().max_buf_size(BODY_MOST).handshake(io).await?;
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
@@ -313,9 +324,9 @@
         self.answers.len()
     }
 
-    /// What the latest exchange has shown.
-    pub fn heard(&self) -> Heard {
-        Heard { status: self.wire.head.borrow().status(), failure: self.wire.failure.get() }
+    /// What the latest exchange has shown; it can be asked while that goes on.
+    pub fn listener(&self) -> Listener {
+        Listener(self.wire.progress.clone())
     }
 
     /// Whether the peer has left it open and said nothing out of turn. Asks the kernel: the runtime may not
@@ -353,14 +364,14 @@
     /// Sends a request and waits for the answer until then. After an error the link is of no more use.
     pub async fn ask(&mut self, request: Request<Full<Bytes>>, until: Instant) -> Result<Answer, Lost> {
         let (before, wire) = (self.wire.written.get(), self.wire.clone());
-        *wire.head.borrow_mut() = AnswerHead::default();
+        *wire.progress.head.borrow_mut() = AnswerHead::default();
         let started = in_time(&wire, until, self.start(request)).await;
         let at = Instant::now();
         let (parts, body) = match started {
             // Another protocol: nobody asked for it, and nothing more is read as an answer.
             Some(Ok(answer)) if !answer.status().is_informational() => answer.into_parts(),
             lost => {
-                let head = wire.head.borrow();
+                let head = wire.progress.head.borrow();
                 // What cannot be read further has still delivered if it began so: taken for a reset, a
                 // message that must not run twice would be reported dead.
                 return match lost {
@@ -390,6 +401,7 @@
         let identity = AnswerIdentity::of(status, &headers, &body);
         let reusable = match self.answers.contains(&identity) {
             true => Err(CloseReason::AnswerRepeated),
+            false if status == StatusCode::GONE => Err(CloseReason::MessageOver),
             false => self.settle().await,
         };
         self.answers.push(identity);
--- a/crates/courier/src/owner/brokers.rs
+++ b/crates/courier/src/owner/brokers.rs
@@ -4,7 +4,7 @@
 use super::Courier;
 use super::held::{Held, Waiting};
 use crate::clock::unix;
-use crate::news::CallEnd;
+use crate::news::{AfterAttempt, CallEnd};
 use crate::out::broker::Broker;
 use crate::out::calls::{Call, DRAIN_TIME};
 use serde::{Deserialize, Serialize};
@@ -259,7 +259,8 @@
         if self.brokers.open.remove(&message).is_none() {
             return false;
         }
-        if end.over || self.journal.get(message).is_none_or(|m| m.verdict.is_some()) {
+        if end.after == AfterAttempt::Settled || self.journal.get(message).is_none_or(|m| m.verdict.is_some())
+        {
             self.out.held.remove(&message);
             return true;
         }
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -5,7 +5,7 @@
 use super::stopping::STOP_SENDING;
 use crate::clock::unix;
 use crate::follow;
-use crate::news::CallEnd;
+use crate::news::{AfterAttempt, CallEnd};
 use crate::out::calls::{Call, Calls, To};
 use crate::out::exchange::Logged;
 use stairshed_decide::interface::*;
@@ -41,10 +41,14 @@
         if never {
             self.journal.never_ran(message, attempt);
         }
-        if end.over {
-            // Told to be over without a delivery: it never ran, and may be handed in again.
-            let verdict = (end.outcome != Outcome::Delivered).then_some(Verdict::Bounced { wait: None });
-            self.finish(message, verdict);
+        match end.after {
+            AfterAttempt::Open => {}
+            AfterAttempt::Settled => {
+                // Told to be over without a delivery: it never ran, and may be handed in again.
+                let verdict = (end.outcome != Outcome::Delivered).then_some(Verdict::Bounced { wait: None });
+                self.finish(message, verdict);
+            }
+            AfterAttempt::EndOwed => self.judge(message, Verdict::Dead),
         }
         if self.resumed(message, &end) {
             return;
@@ -62,7 +66,7 @@
                 format_args!(
                     "attempt={attempt} ended outcome={:?} ran={ran} over={} proof={:?} {}",
                     end.outcome,
-                    end.over,
+                    end.after != AfterAttempt::Open,
                     end.proof,
                     Logged(end.exchange)
                 ),
@@ -77,7 +81,7 @@
             endpoint,
             outcome: aged(end.outcome, end.at),
             took: end.at.saturating_duration_since(sent),
-            over: end.over,
+            over: end.after != AfterAttempt::Open,
             report: end.report,
         }));
         // The module drops a message with its last outcome, and so does the courier.
