An interrupted read or write of a connection to an endpoint is made again

Cause: EINTR from recv, send or the look before reuse counted as a broken connection (Tap and check() in link.rs), its answer was left in the socket. The call is made again at once, as its manual page asks.

--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -97,18 +97,34 @@
                     self.0.progress.head.borrow_mut().hear(&buf.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if is_transient(&e) => {}
                 Err(e) => return self.0.failed(SocketFailure::Read(e.kind()), e),
             }
         }
     }
 }
 
+/// Whether a call is to be made again: the socket was not ready, or a signal came first.
+fn is_transient(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 impl Wire {
     fn failed<T>(&self, failure: SocketFailure, error: io::Error) -> Poll<io::Result<T>> {
         self.progress.failure.set(Some(failure));
         Poll::Ready(Err(error))
     }
+
+    /// How many bytes can be read at least, one at most; none if the peer has closed its side.
+    fn peek(&self) -> io::Result<usize> {
+        let mut byte = [MaybeUninit::uninit()];
+        loop {
+            match SockRef::from(&self.stream).peek(&mut byte) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                result => return result,
+            }
+        }
+    }
 }
 
 impl Tap {
@@ -124,7 +140,7 @@
                     self.0.written.set(self.0.written.get() + n as u64);
                     return Poll::Ready(Ok(n));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if is_transient(&e) => {}
                 Err(e) => return self.0.failed(SocketFailure::Write(e.kind()), e),
             }
         }
@@ -341,8 +357,7 @@
         if let Driver::Ended(reason) = self.driver {
             return Err(reason);
         }
-        let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&self.wire.stream).peek(&mut byte) {
+        match self.wire.peek() {
             Ok(1..) => Err(CloseReason::UnsolicitedBytes),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock && !self.sender.is_closed() => Ok(()),
             _ => Err(CloseReason::ClosedByPeer),
