Each request is answered although reads and writes are interrupted or short

What callers saw (shown by the tests): with every second recv and send interrupted, most requests that were read had their connection closed with no answer, which loses them; with every second one short the same, since tokio's own poll_read and poll_write take a part for an empty or full socket and wait for an edge that never comes. Cause: Ear in intake.rs used those. The socket's reads and writes now stand once, in socket.rs, for clients and endpoints.

--- a/crates/courier/src/front/intake.rs
+++ b/crates/courier/src/front/intake.rs
@@ -6,6 +6,7 @@
 use crate::front::named::{Named, Unfit};
 use crate::news::{COME_AGAIN, News, Offer, Reply, ReplyTo, reason};
 use crate::room::{NoRoom, Room};
+use crate::socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -201,9 +202,9 @@
 }
 
 impl AsyncRead for Ear {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(socket::poll_read(&self.stream, cx, buf))?;
         if buf.filled().len() > before {
             self.line.heard(&buf.filled()[before..]);
         }
@@ -212,8 +213,8 @@
 }
 
 impl AsyncWrite for Ear {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        socket::poll_write(&self.stream, cx, |stream| stream.try_write(buf))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -19,6 +19,7 @@
 mod owner;
 mod place;
 mod room;
+mod socket;
 mod start;
 mod system;
 
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -4,6 +4,7 @@
 use crate::out::answer_head::AnswerHead;
 use crate::out::answer_identity::AnswerIdentity;
 use crate::out::connection_status::CloseReason;
+use crate::socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -88,27 +89,15 @@
 
 impl AsyncRead for Tap {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(buf.initialize_unfilled()) {
-                Ok(n) => {
-                    let before = buf.filled().len();
-                    buf.advance(n);
-                    self.0.progress.head.borrow_mut().hear(&buf.filled()[before..]);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if is_transient(&e) => {}
-                Err(e) => return self.0.failed(SocketFailure::Read(e.kind()), e),
-            }
+        let before = buf.filled().len();
+        match ready!(socket::poll_read(&self.0.stream, cx, buf)) {
+            Ok(()) => self.0.progress.head.borrow_mut().hear(&buf.filled()[before..]),
+            Err(e) => return self.0.failed(SocketFailure::Read(e.kind()), e),
         }
+        Poll::Ready(Ok(()))
     }
 }
 
-/// Whether a call is to be made again: the socket was not ready, or a signal came first.
-fn is_transient(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
-}
-
 impl Wire {
     fn failed<T>(&self, failure: SocketFailure, error: io::Error) -> Poll<io::Result<T>> {
         self.progress.failure.set(Some(failure));
@@ -133,16 +122,12 @@
         cx: &mut Context,
         f: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match f(&self.0.stream) {
-                Ok(n) => {
-                    self.0.written.set(self.0.written.get() + n as u64);
-                    return Poll::Ready(Ok(n));
-                }
-                Err(e) if is_transient(&e) => {}
-                Err(e) => return self.0.failed(SocketFailure::Write(e.kind()), e),
+        match ready!(socket::poll_write(&self.0.stream, cx, f)) {
+            Ok(number) => {
+                self.0.written.set(self.0.written.get() + number as u64);
+                Poll::Ready(Ok(number))
             }
+            Err(e) => self.0.failed(SocketFailure::Write(e.kind()), e),
         }
     }
 }
--- /dev/null
+++ b/crates/courier/tests/machine_faults.rs
@@ -0,0 +1,111 @@
+//! Rules hold while system calls fail as Linux documents it: couriers as processes on loopback, with the library
+//! `stairshed-preload` in them.
+
+use stairshed_rig::faults::MachineFaults;
+use stairshed_rig::rules::CLASSES;
+use stairshed_rig::*;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+const TIME_MS: u64 = 5_000;
+/// A client waits so long for its answer (protocol page).
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Messages of one client on one connection, and clients.
+const MESSAGES: usize = 12;
+const CLIENTS: usize = 6;
+
+/// A courier with one endpoint that answers well, on a machine with faults.
+struct Play {
+    endpoint: Endpoint,
+    discovery: Discovery,
+    courier: Courier,
+    faults: MachineFaults,
+    _folder: Folder,
+}
+
+impl Play {
+    fn start() -> Self {
+        let endpoint = Endpoint::new(|_| Act::Distinct(5 * MS));
+        let known = list(1, true, vec![host("s-1", &endpoint, 7, "ready")]);
+        let discovery = Discovery::new(known.clone());
+        let folder = Folder::new();
+        let mut command = command(&folder, &discovery, &config(&discovery, known));
+        let faults = MachineFaults::load(&mut command, &folder, "");
+        let courier = Courier::spawn(&mut command);
+        Play { endpoint, discovery, courier, faults, _folder: folder }
+    }
+
+    /// Clients hand in messages one after the other while `rules` hold; ids whose client had no answer in its time, and
+    /// those that were taken on.
+    fn hand_in_under(&self, rules: &str) -> (Vec<String>, Vec<String>) {
+        self.faults.set(rules);
+        let address = self.courier.address;
+        let clients: Vec<_> =
+            (0..CLIENTS).map(|client| thread::spawn(move || hand_in_all(address, client))).collect();
+        let answers: Vec<_> = clients.into_iter().flat_map(|c| c.join().expect("a client")).collect();
+        self.faults.set("");
+        let ids_with = |status: Option<u16>| {
+            let with = answers.iter().filter(|(_, answer)| *answer == status);
+            with.map(|(id, _)| id.clone()).collect()
+        };
+        (ids_with(None), ids_with(Some(202)))
+    }
+
+    /// All that was taken on ends, and nothing that must not be repeated is called twice.
+    fn assert_all_end(&self, taken: &[String]) {
+        let ended = |id: &String| self.endpoint.ids().contains(id) || !self.discovery.results(id).is_empty();
+        until("the end of each message", || taken.iter().all(ended));
+        let ids = self.endpoint.ids();
+        let payments = taken.iter().filter(|id| id.starts_with("payment"));
+        let twice: Vec<_> =
+            payments.filter(|id| ids.iter().filter(|other| other == id).count() > 1).collect();
+        assert!(twice.is_empty(), "called twice: {twice:?}");
+    }
+
+    fn assert_each_is_answered_under(&self, rules: &str) {
+        let (unanswered, taken) = self.hand_in_under(rules);
+        assert!(unanswered.is_empty(), "no answer under {rules:?}: {unanswered:?}");
+        assert_eq!(taken.len(), CLIENTS * MESSAGES, "taken on under {rules:?}");
+        self.assert_all_end(&taken);
+    }
+}
+
+/// The messages of one client, on one connection for as long as that stays open; each with the answer's status.
+fn hand_in_all(courier: SocketAddr, client: usize) -> Vec<(String, Option<u16>)> {
+    let class = CLASSES[client % CLASSES.len()];
+    let mut open = None;
+    let mut answers = Vec::new();
+    for n in 0..MESSAGES {
+        let id = format!("{class}-{client}-{n}");
+        let mut connection = open.take().unwrap_or_else(|| connect(courier));
+        let text = message(&id, class, 7, TIME_MS);
+        let sent = connection.get_mut().write_all(text.as_bytes());
+        let answer = sent.ok().and_then(|()| Page::read(&mut connection));
+        answers.push((id, answer.as_ref().map(Page::status)));
+        open = answer.is_some().then_some(connection);
+    }
+    answers
+}
+
+fn connect(courier: SocketAddr) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(courier).expect("a connection");
+    stream.set_read_timeout(Some(ANSWER_TIME)).expect("set");
+    stream.set_nodelay(true).expect("set");
+    BufReader::new(stream)
+}
+
+// Guards against a request that is read and closed without an answer because a read or a write was interrupted.
+#[test]
+fn each_request_is_answered_while_reads_and_writes_are_interrupted() {
+    let play = Play::start();
+    play.assert_each_is_answered_under("recv EINTR 2\nsend EINTR 2");
+}
+
+// Guards against a request or an answer of which the rest is never read or written after a short read or write.
+#[test]
+fn each_request_is_answered_while_reads_and_writes_are_short() {
+    let play = Play::start();
+    play.assert_each_is_answered_under("recv short 2\nsend short 2");
+}
