A told wait is heeded also if its answer cannot be read to its end

What callers saw (shown by the test, five forms on new and used connections and with a reset behind): an endpoint that had told to wait for 900 ms was called again after 6 to 18 ms, by another message, or by the same one after 203 ms. Cause: told_wait() in calls.rs believed whole answers only, and was asked when the exchange had ended, up to 0.4 s after the field had come; calls are excused for 100 ms. Now AnswerHead reads Wait-Ms beside the status; calls that still have no connection are held at once, and the decision module is told at once where the answer goes on. The special field for answers that repeat an earlier one (retry_after) went with it: one way for all.

--- a/crates/courier/src/news.rs
+++ b/crates/courier/src/news.rs
@@ -31,6 +31,11 @@
         sent: Instant,
         end: CallEnd,
     },
+    /// An endpoint has told to wait, in an answer that has not ended or proves nothing else.
+    ToldToWait {
+        endpoint: EndpointId,
+        until: Instant,
+    },
     Listed(List),
     /// Discovery at this address has written a whole line: the courier has all that it had told by then.
     DiscoveryHeard {
@@ -221,8 +226,6 @@
     pub proof: &'static str,
     /// The exchange on a connection; None where there was none.
     pub exchange: Option<Exchange>,
-    /// A wait that is heeded although the outcome does not tell it, from `at` on.
-    pub retry_after: Option<Duration>,
 }
 
 /// What is still owed for a message once an attempt has ended.
--- a/crates/courier/src/out/answer_head.rs
+++ b/crates/courier/src/out/answer_head.rs
@@ -1,24 +1,41 @@
-//! The first line of an answer, read as its bytes arrive and beside the HTTP library: it is known also where the rest
-//! cannot be read.
+//! The head of an answer, read as its bytes arrive and beside the HTTP library: its status, and what it forbids, are known
+//! also where the rest cannot be read.
 
+use std::time::Duration;
 use tokio::time::Instant;
 
-/// Finds the status in an answer's first line, past 1xx answers ahead. A head that cannot be parsed still
-/// tells by it whether its message was delivered.
+/// `HTTP/1.1 200` and what ends the number.
+const STATUS_END: usize = 13;
+/// Longest header field that is looked at; the one that is looked for is shorter.
+const MAX_FIELD: usize = 64;
+/// The field that tells for how many milliseconds nothing more may be sent.
+const WAIT_FIELD: &str = "Wait-Ms";
+/// The status of an answer that may tell to wait.
+const TOO_MANY_REQUESTS: u16 = 429;
+/// A wait of so many milliseconds or more is none.
+const WAIT_LIMIT_MS: f64 = 1e9;
+
+/// Reads the head of an answer, past 1xx answers ahead.
 #[derive(Default)]
 pub struct AnswerHead {
+    part: Part,
     line: Vec<u8>,
-    /// In the rest of a 1xx answer.
-    passing: bool,
-    /// When the first byte of the answer, or of a 1xx ahead that has not ended, came.
     begun: Option<Instant>,
     status: Option<u16>,
-    /// The status is known, or there is none.
-    over: bool,
+    wait: Option<Duration>,
 }
 
-/// `HTTP/1.1 200` and what ends the number.
-const STATUS_END: usize = 13;
+/// What the next byte belongs to.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+enum Part {
+    #[default]
+    FirstLine,
+    /// The rest of a 1xx answer.
+    Informational,
+    Fields,
+    /// What follows the head, or what cannot be read as one.
+    Rest,
+}
 
 impl AnswerHead {
     /// The status of the answer, past 1xx ones; None until its first line is here, or if that has none.
@@ -26,15 +43,20 @@
         self.status
     }
 
-    /// When the first byte of the answer came.
+    /// When the first byte of the answer came, or of a 1xx ahead that has not ended.
     pub fn begun(&self) -> Option<Instant> {
         self.begun
     }
 
+    /// Until when the answer forbids to send more, as far as it is read: counted from its first byte.
+    pub fn blocked_until(&self) -> Option<Instant> {
+        Some(self.begun? + self.wait?)
+    }
+
     /// Takes the next bytes of the connection.
     pub fn hear(&mut self, bytes: &[u8]) {
         for byte in bytes {
-            if self.over {
+            if self.part == Part::Rest {
                 return;
             }
             self.byte(*byte);
@@ -42,29 +64,46 @@
     }
 
     fn byte(&mut self, byte: u8) {
-        let blank = matches!(self.line.as_slice(), b"" | b"\r");
-        if blank && !self.passing && matches!(byte, b'\r' | b'\n') {
+        if self.part == Part::FirstLine && self.is_blank() && matches!(byte, b'\r' | b'\n') {
             return;
         }
         self.begun.get_or_insert_with(Instant::now);
-        if self.passing {
-            match byte {
-                b'\n' if blank => *self = AnswerHead::default(),
-                b'\n' => self.line.clear(),
-                _ => self.line.extend((self.line.len() < STATUS_END).then_some(byte)),
+        match self.part {
+            Part::FirstLine => self.first_line(byte),
+            Part::Informational if byte == b'\n' && self.is_blank() => *self = AnswerHead::default(),
+            Part::Fields if byte == b'\n' && self.is_blank() => self.part = Part::Rest,
+            Part::Informational | Part::Fields if byte == b'\n' => self.end_field(),
+            Part::Informational | Part::Fields => {
+                self.line.extend((self.line.len() < MAX_FIELD).then_some(byte))
             }
-            return;
+            Part::Rest => {}
         }
+    }
+
+    fn is_blank(&self) -> bool {
+        matches!(self.line.as_slice(), b"" | b"\r")
+    }
+
+    fn first_line(&mut self, byte: u8) {
         self.line.push(byte);
         if self.line.len() < STATUS_END && byte != b'\n' {
             return;
         }
-        match status(&self.line) {
-            Some(100..=199) => (self.passing, self.line) = (true, vec![b' ']),
-            status => (self.status, self.over) = (status, true),
-        }
-        if byte == b'\n' {
-            self.line.clear();
+        let status = status(&self.line);
+        self.part = match status {
+            Some(100..=199) => Part::Informational,
+            Some(_) => Part::Fields,
+            None => Part::Rest,
+        };
+        self.status = status.filter(|_| self.part == Part::Fields);
+        // Not blank, and no field: what is left of the line counts as neither.
+        self.line = if byte == b'\n' { Vec::new() } else { vec![b' '] };
+    }
+
+    fn end_field(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        if self.part == Part::Fields && self.status == Some(TOO_MANY_REQUESTS) {
+            self.wait = self.wait.max(told_wait(&line));
         }
     }
 }
@@ -77,6 +116,14 @@
     (ends && digits).then(|| number.iter().fold(0, |n, d| n * 10 + u16::from(d - b'0')))
 }
 
+/// The wait that a header field tells.
+fn told_wait(field: &[u8]) -> Option<Duration> {
+    let (name, value) = std::str::from_utf8(field).ok()?.split_once(':')?;
+    let told = name.eq_ignore_ascii_case(WAIT_FIELD) && field.len() < MAX_FIELD;
+    let ms = value.trim().parse::<f64>().ok().filter(|_| told)?;
+    (ms > 0.0 && ms < WAIT_LIMIT_MS).then(|| Duration::from_secs_f64(ms / 1000.0))
+}
+
 #[cfg(test)]
 #[path = "answer_head_test.rs"]
 mod tests;
--- a/crates/courier/src/out/answer_head_test.rs
+++ b/crates/courier/src/out/answer_head_test.rs
@@ -25,3 +25,26 @@
     first.hear(b"HTTP/1.1 100 Continue\r\n\r\n");
     assert!(first.begun.is_none(), "the answer itself may still take its time");
 }
+
+#[test]
+fn a_wait_is_heard_as_soon_as_its_field_is_here_whatever_follows() {
+    let wait = |text: &str, size| {
+        let mut head = AnswerHead::default();
+        text.as_bytes().chunks(size).for_each(|piece| head.hear(piece));
+        head.blocked_until().zip(head.begun()).map(|(until, begun)| (until - begun).as_millis())
+    };
+    for (text, told) in [
+        ("HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 900\r\n", Some(900)),
+        ("HTTP/1.1 429\r\nwait-ms:900\nno head", Some(900)),
+        ("HTTP/1.1 429 No\r\nWait-Ms: 7.5\r\nWait-Ms: 900\r\nWait-Ms: x\r\n\r\n", Some(900)),
+        ("HTTP/1.1 100 Continue\r\nWait-Ms: 5\r\n\r\nHTTP/1.1 429 No\r\nWait-Ms: 900\r\n", Some(900)),
+        ("HTTP/1.1 429 No\r\nWait-Ms: 900", None),
+        ("HTTP/1.1 429 No\r\n\r\nWait-Ms: 900\r\n", None),
+        ("HTTP/1.1 429 Wait-Ms: 900\r\nWait-Ms: -1\r\nWait-Ms: 1e9\r\n", None),
+        ("HTTP/1.1 503 No\r\nWait-Ms: 900\r\n", None),
+    ] {
+        for size in [1, 3, 1000] {
+            assert_eq!(wait(text, size), told, "{text:?} in pieces of {size}");
+        }
+    }
+}
--- a/crates/courier/src/out/broker.rs
+++ b/crates/courier/src/out/broker.rs
@@ -370,6 +370,5 @@
         at: Instant::now(),
         proof: "the broker's word",
         exchange: None,
-        retry_after: None,
     }
 }
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -16,7 +16,9 @@
 use stairshed_journal::Letter;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -57,20 +59,66 @@
     Broker(u16),
 }
 
-/// What is heard on the connection of one exchange, once it has one.
-#[derive(Default)]
-struct Listening(RefCell<Option<Listener>>);
+/// What is heard on the connection of one exchange, once it has one. A wait that its answer tells is passed on before the
+/// rest of that has come, which may take longer than a wait may be ignored.
+struct Listening {
+    endpoint: EndpointId,
+    news: Sender<News>,
+    listener: RefCell<Option<Listener>>,
+    /// The dispatcher has been told of the wait.
+    wait_told: Cell<bool>,
+}
 
 impl Listening {
+    fn new(endpoint: EndpointId, news: Sender<News>) -> Self {
+        Listening { endpoint, news, listener: RefCell::default(), wait_told: Cell::default() }
+    }
+
     fn to(&self, listener: Listener) {
-        self.0.replace(Some(listener));
+        self.listener.replace(Some(listener));
     }
 
     fn heard(&self) -> Heard {
-        self.0.borrow().as_ref().map(Listener::heard).unwrap_or_default()
+        self.listener.borrow().as_ref().map(Listener::heard).unwrap_or_default()
+    }
+
+    /// The wait that nobody has been told of yet.
+    fn untold_wait(&self) -> Option<News> {
+        let until = self.heard().blocked_until.filter(|_| !self.wait_told.get())?;
+        Some(News::ToldToWait { endpoint: self.endpoint, until })
+    }
+
+    /// Passes a wait on if that can be done at once.
+    fn try_tell_wait(&self) {
+        if let Some(wait) = self.untold_wait() {
+            self.wait_told.set(self.news.try_send(wait).is_ok());
+        }
+    }
+
+    /// Tells how the exchange has ended, and a wait before it that this does not tell.
+    async fn end(self, news: News, outcome: Outcome) {
+        let tells = matches!(outcome, Outcome::Full { wait: Some(_) });
+        if let Some(wait) = self.untold_wait().filter(|_| !tells) {
+            // Nobody is left to hear it once the courier has stopped.
+            let _ = self.news.send(wait).await;
+        }
+        let _ = self.news.send(news).await;
     }
 }
 
+/// Runs `work` to its end, and `watch` each time that it has gone on but not ended.
+async fn watched<F: Future>(work: F, watch: impl Fn()) -> F::Output {
+    let mut work = pin!(work);
+    poll_fn(|cx| {
+        let poll = work.as_mut().poll(cx);
+        if poll.is_pending() {
+            watch();
+        }
+        poll
+    })
+    .await
+}
+
 #[derive(Clone)]
 pub struct Calls {
     pool: Rc<ConnectionPool>,
@@ -175,8 +223,13 @@
         }
         let (connection, sequence, started) = (link.number(), link.answered() + 1, Instant::now());
         listening.to(link.listener());
-        let answer = link.ask(request, until).await;
+        let answer = watched(link.ask(request, until), || {
+            self.note_wait(pool, listening.heard());
+            listening.try_tell_wait();
+        })
+        .await;
         let (took, heard) = (started.elapsed(), listening.heard());
+        self.note_wait(pool, heard);
         let digest = answer.as_ref().ok().and_then(|a| a.identity).map(AnswerIdentity::hash);
         let broke = answer.as_ref().map_or_else(|lost| *lost == Lost::Broken, Answer::repeats);
         self.pool.note_exchange(idle, broke);
@@ -184,10 +237,7 @@
             self.pool.status().disbelieved(heard);
         }
         let kept = match &answer {
-            Ok(answer) => {
-                self.note_wait(pool, answer);
-                self.pool.release(endpoint, link, answer)
-            }
+            Ok(answer) => self.pool.release(endpoint, link, answer),
             Err(_) => Err(self.pool.discard()),
         };
         let idle = idle.unwrap_or_default();
@@ -224,12 +274,13 @@
     }
 
     /// Keeps the wait that an answer tells, for calls that still have no connection.
-    fn note_wait(&self, pool: Option<PoolId>, answer: &Answer) {
-        if let Some((pool, wait)) = pool.zip(told_wait(answer)) {
+    fn note_wait(&self, pool: Option<PoolId>, heard: Heard) {
+        if let Some((pool, until)) = pool.zip(heard.blocked_until) {
             let mut waits = self.waits.borrow_mut();
-            waits.retain(|_, until| *until > answer.at);
-            let until = waits.entry(pool).or_insert(answer.at);
-            *until = (*until).max(answer.at + wait);
+            let now = Instant::now();
+            waits.retain(|_, until| *until > now);
+            let kept = waits.entry(pool).or_insert(until);
+            *kept = (*kept).max(until);
         }
     }
 
@@ -258,21 +309,23 @@
                 request = request.header(name, value);
             }
         }
-        let listening = Listening::default();
+        let listening = Listening::new(endpoint, news);
         let end = match request.body(Full::new(letter.body.clone())) {
             Ok(request) => tokio::select! {
                 biased;
                 (answer, exchange) =
                     self.ask((endpoint, Some(pool)), (address, once), request, until, &listening) =>
                 {
-                    CallEnd { exchange, ..ended(answer) }
+                    CallEnd { exchange, ..ended(answer, listening.heard()) }
+                }
+                _ = cancel => {
+                    restrained(unanswered(Outcome::Cancelled, "called off"), listening.heard())
                 }
-                _ = cancel => unanswered(Outcome::Cancelled, "called off"),
             },
             Err(_) => unanswered(Outcome::Moot, "no request can be made of it"),
         };
-        let end = restrained(end, listening.heard());
-        let _ = news.send(News::Called { message, attempt, endpoint, end }).await;
+        let outcome = end.outcome;
+        listening.end(News::Called { message, attempt, endpoint, end }, outcome).await;
     }
 
     /// Sends a check and reports its end.
@@ -285,24 +338,19 @@
     ) {
         let sent = Instant::now();
         let request = Request::get("/-/load").header(HOST, address.to_string()).body(Full::default());
+        let listening = Listening::new(endpoint, news);
         let (answer, exchange) = match request {
             Ok(request) => {
-                let listening = Listening::default();
                 self.ask((endpoint, None), (address, false), request, sent + timeout, &listening).await
             }
             Err(_) => (Err(Lost::Unsent), None),
         };
-        let _ = news.send(News::Probed { endpoint, sent, end: CallEnd { exchange, ..ended(answer) } }).await;
+        let end = CallEnd { exchange, ..ended(answer, listening.heard()) };
+        let outcome = end.outcome;
+        listening.end(News::Probed { endpoint, sent, end }, outcome).await;
     }
 }
 
-/// The wait that an answer tells, if it can be relied on.
-fn told_wait(answer: &Answer) -> Option<Duration> {
-    let told = answer.whole && answer.status == StatusCode::TOO_MANY_REQUESTS;
-    let ms = answer.headers.get("Wait-Ms").filter(|_| told)?.to_str().ok()?.trim().parse::<f64>().ok()?;
-    (ms > 0.0 && ms < 1e9).then(|| Duration::from_secs_f64(ms / 1000.0))
-}
-
 /// Forbids what the answer forbids, whether or not it is proof of anything: a message of which an endpoint has said that
 /// it is over is not sent again.
 fn restrained(end: CallEnd, heard: Heard) -> CallEnd {
@@ -318,19 +366,16 @@
 
 /// The end of a call that has no answer to tell of.
 fn unanswered(outcome: Outcome, proof: &'static str) -> CallEnd {
-    CallEnd {
-        outcome,
-        after: AfterAttempt::Open,
-        report: None,
-        at: Instant::now(),
-        proof,
-        exchange: None,
-        retry_after: None,
-    }
+    CallEnd { outcome, after: AfterAttempt::Open, report: None, at: Instant::now(), proof, exchange: None }
 }
 
-/// What PROTOCOL says of an answer. Only what it calls 'never' counts as not run.
-fn ended(answer: Result<Answer, Lost>) -> CallEnd {
+/// What PROTOCOL says of an answer: what it proves, and what it forbids.
+fn ended(answer: Result<Answer, Lost>, heard: Heard) -> CallEnd {
+    restrained(proven(answer, heard.blocked_until), heard)
+}
+
+/// What an answer proves. Only what PROTOCOL calls 'never' counts as not run.
+fn proven(answer: Result<Answer, Lost>, blocked_until: Option<Instant>) -> CallEnd {
     let answer = match answer {
         Ok(answer) => answer,
         Err(lost) => {
@@ -350,14 +395,15 @@
     }
     if answer.repeats() {
         let proof = "the answer repeats an earlier one on its connection";
-        // Whatever request it answers, the endpoint has told to wait.
-        let retry_after = told_wait(&answer);
-        return CallEnd { at: answer.at, retry_after, ..unanswered(Outcome::Reset, proof) };
+        return CallEnd { at: answer.at, ..unanswered(Outcome::Reset, proof) };
     }
     let head = |name| answer.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
     let outcome = match answer.status {
         StatusCode::OK => Outcome::Delivered,
-        StatusCode::TOO_MANY_REQUESTS => Outcome::Full { wait: told_wait(&answer) },
+        StatusCode::TOO_MANY_REQUESTS => {
+            let wait = blocked_until.map(|until| until.saturating_duration_since(answer.at));
+            Outcome::Full { wait }
+        }
         StatusCode::SERVICE_UNAVAILABLE if head("Slots-Taken") == Some("1") => Outcome::Moot,
         // It is the connection that is turned away, not the call: the endpoint holds as many as it will, and
         // those that are kept serve on. Taken for a limit of the destination it would stop these too. Covers
@@ -377,7 +423,7 @@
         _ => answer.status.canonical_reason().unwrap_or("an answer"),
     };
     let report = report(&answer.headers);
-    CallEnd { outcome, after, report, at: answer.at, proof, exchange: None, retry_after: None }
+    CallEnd { outcome, after, report, at: answer.at, proof, exchange: None }
 }
 
 /// Whether the connection ends with this answer.
--- a/crates/courier/src/out/calls_test.rs
+++ b/crates/courier/src/out/calls_test.rs
@@ -9,6 +9,11 @@
     (listener, to, Calls::new(Duration::from_secs(5), Duration::from_secs(10), 1, room))
 }
 
+/// To whose news nobody listens.
+fn listening() -> Listening {
+    Listening::new(EndpointId(1), tokio::sync::mpsc::channel(1).0)
+}
+
 fn read(text: &str) -> Option<(f64, f64)> {
     let mut headers = HeaderMap::new();
     headers.insert("X-Server-Load", text.parse().expect("a header"));
@@ -25,7 +30,7 @@
             let time = Duration::from_millis(800);
             let until = Instant::now() + time;
             let request = Request::get("/").header(HOST, "h").body(Full::default()).expect("a request");
-            let (endpoint, listening) = (EndpointId(1), Listening::default());
+            let (endpoint, listening) = (EndpointId(1), listening());
             let ask = calls.ask((endpoint, None), (to, true), request, until, &listening);
             let free = async {
                 tokio::time::sleep_until(until - time / 8).await;
@@ -47,7 +52,7 @@
             let request = Request::get("/").header(HOST, "h").body(Full::default()).expect("a request");
             calls.admit(EndpointId(1), false);
             let until = Instant::now() + after + Duration::from_millis(400);
-            let listening = Listening::default();
+            let listening = listening();
             let ask = calls.ask((EndpointId(1), None), (to, true), request, until, &listening);
             let free = async {
                 tokio::time::sleep(after).await;
@@ -80,7 +85,7 @@
             // One socket: the second call has its connection only when the first has its answer.
             let (listener, to, calls) = one_socket().await;
             let until = Instant::now() + Duration::from_secs(20);
-            let listening = Listening::default();
+            let listening = listening();
             let ask = |route: u32| {
                 let request = Request::get("/").header(HOST, "h").body(Full::default());
                 let pool = (DestinationId(7), Some(EndpointId(route)));
@@ -122,20 +127,23 @@
             .iter()
             .map(|(name, value)| (name.parse().expect("a name"), value.parse().expect("a value")));
         let (status, at) = (StatusCode::SERVICE_UNAVAILABLE, Instant::now());
-        ended(Ok(Answer {
-            status,
-            headers: heads.collect(),
-            at,
-            whole: true,
-            reusable: Ok(()),
-            identity: None,
-        }))
+        ended(
+            Ok(Answer {
+                status,
+                headers: heads.collect(),
+                at,
+                whole: true,
+                reusable: Ok(()),
+                identity: None,
+            }),
+            Heard::default(),
+        )
         .outcome
     };
     assert_eq!(of(&[("connection", "close")]), Outcome::Crowded);
     assert_eq!(of(&[]), Outcome::Full { wait: None });
     assert_eq!(of(&[("slots-taken", "1"), ("connection", "close")]), Outcome::Moot);
-    assert_eq!(ended(Err(Lost::Unsent)).outcome, Outcome::ConnectFailed);
+    assert_eq!(ended(Err(Lost::Unsent), Heard::default()).outcome, Outcome::ConnectFailed);
 }
 
 #[test]
@@ -151,12 +159,12 @@
 // called off (incident 9421da).
 #[test]
 fn an_attempt_that_has_heard_410_is_the_last_one_however_it_ends() {
-    let gone = Heard { status: Some(410), failure: None };
+    let gone = Heard { status: Some(410), ..Heard::default() };
     let called_off = unanswered(Outcome::Cancelled, "called off");
-    for end in [ended(Err(Lost::Broken)), ended(Err(Lost::Silent)), called_off] {
+    for end in [proven(Err(Lost::Broken), None), proven(Err(Lost::Silent), None), called_off] {
         assert_eq!(end.after, AfterAttempt::Open);
         assert_eq!(restrained(end, gone).after, AfterAttempt::EndOwed);
     }
-    let other = Heard { status: Some(503), failure: None };
-    assert_eq!(restrained(ended(Err(Lost::Broken)), other).after, AfterAttempt::Open);
+    let other = Heard { status: Some(503), ..Heard::default() };
+    assert_eq!(ended(Err(Lost::Broken), other).after, AfterAttempt::Open);
 }
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -72,7 +72,8 @@
 impl Listener {
     /// So far.
     pub fn heard(&self) -> Heard {
-        Heard { status: self.0.head.borrow().status(), failure: self.0.failure.get() }
+        let head = self.0.head.borrow();
+        Heard { status: head.status(), blocked_until: head.blocked_until(), failure: self.0.failure.get() }
     }
 }
 
@@ -81,6 +82,8 @@
 pub struct Heard {
     /// The status in the first line of the answer.
     pub status: Option<u16>,
+    /// Until when the answer forbids to send more.
+    pub blocked_until: Option<Instant>,
     pub failure: Option<SocketFailure>,
 }
 
--- a/crates/courier/src/owner.rs
+++ b/crates/courier/src/owner.rs
@@ -216,6 +216,7 @@
                 let outcome = aged(end.outcome, end.at);
                 self.events.push(Event::Probed { endpoint, outcome, took, report: end.report });
             }
+            News::ToldToWait { endpoint, until } => self.told_to_wait(endpoint, until),
             News::Listed(list) => {
                 self.members.listed = true;
                 match self.setup.installation.is_some() {
--- a/crates/courier/src/owner/out.rs
+++ b/crates/courier/src/owner/out.rs
@@ -27,12 +27,13 @@
 }
 
 impl Courier {
+    /// As from a check: it concerns the endpoint, not a message.
+    pub(super) fn told_to_wait(&mut self, endpoint: EndpointId, until: Instant) {
+        let outcome = Outcome::Full { wait: Some(until.saturating_duration_since(Instant::now())) };
+        self.events.push(Event::Probed { endpoint, outcome, took: Duration::ZERO, report: None });
+    }
+
     pub(super) fn called(&mut self, message: u64, attempt: u32, endpoint: EndpointId, end: CallEnd) {
-        if let Some(wait) = end.retry_after {
-            let outcome = aged(Outcome::Full { wait: Some(wait) }, end.at);
-            // As from a check: it concerns the endpoint, not this message.
-            self.events.push(Event::Probed { endpoint, outcome, took: Duration::ZERO, report: None });
-        }
         // What proves that it never ran; all else may have.
         let never = matches!(
             end.outcome,
--- a/crates/courier/tests/gone_answers.rs
+++ b/crates/courier/tests/gone_answers.rs
@@ -14,6 +14,9 @@
 /// Longer than the pause before another attempt of the same message.
 const SETTLED: Duration = Duration::from_millis(1_500);
 
+/// How an endpoint gives an answer.
+type Answering = fn(&'static str) -> Act;
+
 /// Answers of 410 that cannot be read to their end.
 const UNREADABLE_GONE: [&str; 7] = [
     "HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\n",
@@ -86,7 +89,7 @@
 }
 
 /// Each answer on a courier of its own: one call for a message of each class, and an end by a notice.
-fn assert_ended_by_each(used: bool, act: fn(&'static str) -> Act) {
+fn assert_ended_by_each(used: bool, act: Answering) {
     let plays = UNREADABLE_GONE.map(|text| {
         thread::spawn(move || {
             let play = Play::start(move || act(text));
@@ -141,3 +144,47 @@
         (0..12).map(|n| format!("gone-{n}")).filter(|id| play.calls_for(id).len() > 1).collect();
     assert!(repeated.is_empty(), "sent again after 410: {repeated:?}");
 }
+
+/// Answers that tell to wait for 900 ms and cannot be read to their end.
+const UNREADABLE_WAITS: [&str; 5] = [
+    "HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 900\r\nContent-Length: 9\r\n\r\n",
+    "HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 900\r\nno head\r\n\r\n",
+    "HTTP/1.1 429 Too Many Requests\r\nwait-ms:900\r\nX-Server-Load: TEXT x0=",
+    "HTTP/1.1 429 Too Many Requests\r\nWait-Ms: 900\r\nContent-Length: 3000000000\r\n\r\nand so on",
+    "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 5, 7\r\nWait-Ms: 900\r\n\r\nabcde",
+];
+const WAIT: Duration = Duration::from_millis(900);
+
+/// From the answer that tells to wait to the next call at its endpoint.
+fn pause_after(text: &'static str, used: bool, act: Answering) -> Duration {
+    let calls_before = if used { 4 } else { 0 };
+    let answer = move |n| if n == calls_before { act(text) } else { Act::Distinct(Duration::ZERO) };
+    let endpoint = Endpoint::new(answer);
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    let folder = Folder::new();
+    let courier = Courier::start(&folder, &discovery);
+    for n in 0..calls_before {
+        courier.take(&format!("warm-{n}"), "status", 7, TIME_MS);
+        until("a call", || endpoint.calls().len() == n + 1);
+        thread::sleep(20 * MS);
+    }
+    courier.take("m", "status", 7, TIME_MS);
+    until("the call that is told to wait", || endpoint.calls().len() > calls_before);
+    courier.take("n", "notice", 7, TIME_MS);
+    until("the next call", || endpoint.calls().len() > calls_before + 1);
+    let calls = endpoint.calls();
+    calls[calls_before + 1].at - calls[calls_before].at
+}
+
+// Guards against a call within a wait that an endpoint has told in an answer which cannot be read to its end.
+#[test]
+fn wait_is_heeded_also_if_the_answer_that_tells_it_cannot_be_read_to_its_end() {
+    let ways: [(bool, Answering); 3] =
+        [(false, Act::Answer), (true, Act::Answer), (false, Act::AnswerAndReset)];
+    for (used, act) in ways {
+        let plays = UNREADABLE_WAITS.map(|text| thread::spawn(move || (text, pause_after(text, used, act))));
+        let pauses = plays.map(|play| play.join().expect("a play"));
+        let early: Vec<_> = pauses.iter().filter(|(_, pause)| *pause < WAIT).collect();
+        assert!(early.is_empty(), "called within the wait, used connection {used}: {early:?}");
+    }
+}
