What an answer forbids counts also if it came before its connection failed

Cause: at an error the connection was dropped with what had come unread. Now up to 4 KiB are read first, for what they forbid alone: the exchange stays a failed one that may have run.

--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -17,7 +17,7 @@
 use std::error::Error;
 use std::fmt;
 use std::future::{Future, poll_fn};
-use std::io;
+use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::{Pin, pin};
@@ -35,6 +35,8 @@
 /// How long the rest of an answer may take once its head is here.
 const BODY_TIME: Duration = Duration::from_millis(200);
 const BODY_MOST: usize = 64 * 1024;
+/// Bytes that are read of an answer once its connection has failed.
+const MAX_LATE_HEAD: usize = 4096;
 
 /// The socket, how much has been written to it, and what has come.
 struct Wire {
@@ -104,9 +106,27 @@
 impl Wire {
     fn failed<T>(&self, failure: SocketFailure, error: io::Error) -> Poll<io::Result<T>> {
         self.progress.failure.set(Some(failure));
+        self.hear_rest();
         Poll::Ready(Err(error))
     }
 
+    /// Reads the head of an answer that came before the connection failed. Its exchange stays a failed one, but what it
+    /// forbids counts.
+    fn hear_rest(&self) {
+        let mut bytes = [0; MAX_LATE_HEAD];
+        let mut left = MAX_LATE_HEAD;
+        while left > 0 {
+            match (&*SockRef::from(&self.stream)).read(&mut bytes[..left]) {
+                Ok(number @ 1..) => {
+                    self.progress.head.borrow_mut().hear(&bytes[..number]);
+                    left -= number;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                _ => return,
+            }
+        }
+    }
+
     /// How many bytes can be read at least, one at most; none if the peer has closed its side.
     fn peek(&self) -> io::Result<usize> {
         let mut byte = [MaybeUninit::uninit()];
--- a/crates/courier/tests/gone_answers.rs
+++ b/crates/courier/tests/gone_answers.rs
@@ -75,6 +75,20 @@
         }
     }
 
+    /// Hands messages in, with `rules` for the machine while the answer to each comes; those that were called again.
+    fn called_again_under(&self, rules: &str) -> Vec<String> {
+        let ids: Vec<_> = (0..MESSAGES).map(|n| format!("gone-{n}")).collect();
+        for (id, class) in ids.iter().zip(REPEATED.into_iter().cycle()) {
+            self.courier.take(id, class, 7, TIME_MS);
+            until("its call", || !self.calls_for(id).is_empty());
+            self.faults.set(rules);
+            thread::sleep(150 * MS);
+            self.faults.set("");
+        }
+        thread::sleep(SETTLED);
+        ids.into_iter().filter(|id| self.calls_for(id).len() > 1).collect()
+    }
+
     /// Hands a message in; how often it was called and how many notices it has, once it has ended and long enough for
     /// another attempt has passed.
     fn end_of(&self, id: &str, class: &str) -> (usize, usize) {
@@ -88,6 +102,11 @@
     }
 }
 
+/// A 410 as it should be.
+const GONE: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+/// Messages that are handed in one after the other.
+const MESSAGES: usize = 12;
+
 /// Each answer on a courier of its own: one call for a message of each class, and an end by a notice.
 fn assert_ended_by_each(used: bool, act: Answering) {
     let plays = UNREADABLE_GONE.map(|text| {
@@ -129,19 +148,8 @@
 // Guards against a message that is sent again because the read of its 410 was interrupted (EINTR, incident 9421da).
 #[test]
 fn message_is_not_sent_again_after_a_410_whose_read_was_interrupted() {
-    const GONE: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
     let play = Play::start(|| Act::Late(60 * MS, GONE));
-    for n in 0..12 {
-        let id = format!("gone-{n}");
-        play.courier.take(&id, REPEATED[n % REPEATED.len()], 7, TIME_MS);
-        until("its call", || !play.calls_for(&id).is_empty());
-        play.faults.set("recv EINTR 2");
-        thread::sleep(150 * MS);
-        play.faults.set("");
-    }
-    thread::sleep(SETTLED);
-    let repeated: Vec<_> =
-        (0..12).map(|n| format!("gone-{n}")).filter(|id| play.calls_for(id).len() > 1).collect();
+    let repeated = play.called_again_under("recv EINTR 2");
     assert!(repeated.is_empty(), "sent again after 410: {repeated:?}");
 }
 
@@ -188,3 +196,13 @@
         assert!(early.is_empty(), "called within the wait, used connection {used}: {early:?}");
     }
 }
+
+// Guards against a message that is sent again because its connection failed with the 410 in the socket.
+#[test]
+fn message_is_not_sent_again_after_a_410_that_came_before_its_connection_failed() {
+    for error in ["ECONNRESET", "ETIMEDOUT", "EHOSTUNREACH"] {
+        let play = Play::start(|| Act::Late(60 * MS, GONE));
+        let repeated = play.called_again_under(&format!("recv {error} 2"));
+        assert!(repeated.is_empty(), "sent again after 410 and {error}: {repeated:?}");
+    }
+}
