What a 410 says is put on record at once, not when the rest of it has come

Cause: what the first line forbids was acted on at the end of the exchange. Now the exchange ends with that line, unless the whole answer is there. The test failed before (two calls) and passes.

--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -18,8 +18,10 @@
 use std::collections::{HashMap, HashSet};
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::ops::ControlFlow;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
@@ -106,15 +108,14 @@
     }
 }
 
-/// Runs `work` to its end, and `watch` each time that it has gone on but not ended.
-async fn watched<F: Future>(work: F, watch: impl Fn()) -> F::Output {
+/// Runs `work` to its end, and `watch` each time that it has gone on but not ended. None once `watch` says that the end
+/// need not be awaited.
+async fn watched<F: Future>(work: F, watch: impl Fn() -> ControlFlow<()>) -> Option<F::Output> {
     let mut work = pin!(work);
-    poll_fn(|cx| {
-        let poll = work.as_mut().poll(cx);
-        if poll.is_pending() {
-            watch();
-        }
-        poll
+    poll_fn(|cx| match work.as_mut().poll(cx) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending if watch().is_break() => Poll::Ready(None),
+        Poll::Pending => Poll::Pending,
     })
     .await
 }
@@ -224,10 +225,14 @@
         let (connection, sequence, started) = (link.number(), link.answered() + 1, Instant::now());
         listening.to(link.listener());
         let answer = watched(link.ask(request, until), || {
-            self.note_wait(pool, listening.heard());
+            let heard = listening.heard();
+            self.note_wait(pool, heard);
             listening.try_tell_wait();
+            // Put on record at once: the process may be killed while the rest comes.
+            if heard.is_over() { ControlFlow::Break(()) } else { ControlFlow::Continue(()) }
         })
-        .await;
+        .await
+        .unwrap_or(Err(Lost::Broken));
         let (took, heard) = (started.elapsed(), listening.heard());
         self.note_wait(pool, heard);
         let digest = answer.as_ref().ok().and_then(|a| a.identity).map(AnswerIdentity::hash);
@@ -354,9 +359,8 @@
 /// Forbids what the answer forbids, whether or not it is proof of anything: a message of which an endpoint has said that
 /// it is over is not sent again.
 fn restrained(end: CallEnd, heard: Heard) -> CallEnd {
-    let over = heard.status == Some(StatusCode::GONE.as_u16());
     match end.after {
-        AfterAttempt::Open if over => {
+        AfterAttempt::Open if heard.is_over() => {
             let proof = "an answer of 410 that could not be read to its end";
             CallEnd { after: AfterAttempt::EndOwed, proof, ..end }
         }
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -38,6 +38,13 @@
 /// Bytes that are read of an answer once its connection has failed.
 const MAX_LATE_HEAD: usize = 4096;
 
+impl Heard {
+    /// The answer says that its message is over.
+    pub fn is_over(self) -> bool {
+        self.status == Some(StatusCode::GONE.as_u16())
+    }
+}
+
 /// The socket, how much has been written to it, and what has come.
 struct Wire {
     stream: TcpStream,
--- a/crates/courier/tests/gone_answers.rs
+++ b/crates/courier/tests/gone_answers.rs
@@ -47,7 +47,7 @@
     discovery: Discovery,
     courier: Courier,
     faults: MachineFaults,
-    _folder: Folder,
+    folder: Folder,
 }
 
 impl Play {
@@ -60,7 +60,7 @@
         let mut command = command(&folder, &discovery, &config(&discovery, list(1, true, hosts.to_vec())));
         let faults = MachineFaults::load(&mut command, &folder, "");
         let courier = Courier::spawn(&mut command);
-        Play { endpoints, discovery, courier, faults, _folder: folder }
+        Play { endpoints, discovery, courier, faults, folder }
     }
 
     fn calls_for(&self, id: &str) -> Vec<Seen> {
@@ -206,3 +206,17 @@
         assert!(repeated.is_empty(), "sent again after 410 and {error}: {repeated:?}");
     }
 }
+
+// Guards against a message that a restart sends again because its courier was killed while it waited for the rest of a 410.
+#[test]
+fn restart_does_not_send_again_what_was_over_before_the_rest_of_its_410_came() {
+    let play = Play::start(|| Act::Answer(UNREADABLE_GONE[1]));
+    play.courier.take("gone-status", "status", 7, TIME_MS);
+    until("its call", || !play.calls_for("gone-status").is_empty());
+    thread::sleep(50 * MS);
+    play.courier.kill();
+    let _courier = Courier::start(&play.folder, &play.discovery);
+    let calls = || play.endpoints.iter().flat_map(Endpoint::ids).filter(|id| id == "gone-status").count();
+    until("its end", || calls() > 1 || !play.discovery.results("gone-status").is_empty());
+    assert_eq!(calls(), 1);
+}
