Soak: messages that are over, resets behind answers, and a machine with faults

Endpoints answer 410 whole or in five broken forms and reset connections behind answers; in the middle of a life system calls fail (EINTR, short reads and writes, ETIMEDOUT, EHOSTUNREACH, EADDRNOTAVAIL, EMFILE, ECONNABORTED, ECONNRESET, EPIPE) or the state folder does (ENOSPC, EIO, short writes), some lives are killed under it.

--- a/crates/courier/tests/second_copies.rs
+++ b/crates/courier/tests/second_copies.rs
@@ -50,6 +50,7 @@
     Script {
         answer: Some(distinct_answer(rng, REFUSED_SHARE)),
         delay: Duration::from_millis(rng.random_range(10..=60)),
+        reset_after: false,
         copy_after: copied.then(|| Duration::from_millis(after)),
     }
 }
--- a/crates/courier/tests/soak.rs
+++ b/crates/courier/tests/soak.rs
@@ -1,11 +1,13 @@
 //! Seeded soaks of a courier as a process: endpoints that refuse, break connections, answer twice and hang, signals in
-//! series, clients that use their connections until the kill, and in some seeds a crowd of idle connections.
+//! series, clients that use their connections until the kill, messages that are over (410, whole or not), and in some seeds
+//! a crowd of idle connections and a machine with faults: system calls that fail, a folder that fails.
 //! `SEED=n` plays from that seed on, `SEEDS=m` so many; the test that runs in CI plays two.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
-use stairshed_rig::repeating::{CallLog, Script, distinct_answer, start_in_two_zones};
+use stairshed_rig::faults::MachineFaults;
+use stairshed_rig::repeating::{CallLog, Script, distinct_answer, gone_answer, start_in_two_zones};
 use stairshed_rig::rules::{CLASSES, Played, await_ends};
 use stairshed_rig::*;
 use std::collections::BTreeSet;
@@ -14,7 +16,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const DEFAULT_SEEDS: u64 = 2;
 /// Seeds that are played side by side.
@@ -34,11 +36,25 @@
 const DOWN: Duration = Duration::from_millis(600);
 /// Signals of one seed, and the time before each.
 const SIGNALS: usize = 2;
-const UP_MS: std::ops::Range<u64> = 300..2_500;
+const UP_MS: std::ops::Range<u64> = 300..2_000;
+/// How long the machine's fault lasts.
+const FAULTY_MS: std::ops::Range<u64> = 200..1_500;
 /// One seed in so many has a crowd of idle connections, of this size.
 const CROWD_EVERY: u64 = 3;
 const CROWD: usize = 200;
 
+/// What is wrong with the machine in the middle of a life; each for a third of the seeds or less.
+const MACHINE_FAULTS: [&str; 8] = [
+    "",
+    "recv EINTR 3\nsend EINTR 4",
+    "recv short 2\nsend short 2",
+    "connect ETIMEDOUT 5\naccept ECONNABORTED 3",
+    "connect EADDRNOTAVAIL 3\naccept EMFILE 2\nrecv ETIMEDOUT 40",
+    "recv ECONNRESET 30\nsend EPIPE 40\nconnect EHOSTUNREACH 4",
+    "write ENOSPC 1\nrename EIO 1",
+    "write short 3\nsync EIO 2\nopen EIO 2",
+];
+
 /// How one seed's endpoints behave.
 #[derive(Clone, Copy)]
 struct Faults {
@@ -47,6 +63,8 @@
     hung: f64,
     copied: f64,
     latest_copy_ms: u64,
+    gone: f64,
+    reset: f64,
 }
 
 impl Faults {
@@ -56,18 +74,26 @@
             broken: rng.random_range(0.0..0.05),
             hung: rng.random_range(0.0..0.01),
             copied: rng.random_range(0.0..0.4),
+            gone: rng.random_range(0.0..0.1),
+            reset: rng.random_range(0.0..0.05),
             latest_copy_ms: *[5, 20, 100, 600].get(rng.random_range(0..4)).expect("one of four"),
         }
     }
 
     fn script(&self, rng: &mut SmallRng) -> Script {
-        let answer = distinct_answer(rng, self.refused);
+        let gone = rng.random_bool(self.gone);
+        let answer = if gone { gone_answer(rng) } else { distinct_answer(rng, self.refused) };
         let answer = Some(answer).filter(|_| !rng.random_bool(self.broken));
         let hangs = rng.random_bool(self.hung);
         let delay = if hangs { 10_000 } else { rng.random_range(5..=80) };
         let copy = Duration::from_millis(rng.random_range(0..=self.latest_copy_ms));
         let copied = rng.random_bool(self.copied);
-        Script { answer, delay: Duration::from_millis(delay), copy_after: copied.then_some(copy) }
+        Script {
+            answer,
+            delay: Duration::from_millis(delay),
+            reset_after: rng.random_bool(self.reset),
+            copy_after: copied.then_some(copy),
+        }
     }
 }
 
@@ -108,8 +134,10 @@
     }
 }
 
-fn start(folder: &Folder, discovery: &Discovery, config: &Value) -> Courier {
-    Courier::spawn(command(folder, discovery, config).args(["--follow", "1/1"]))
+fn start(folder: &Folder, discovery: &Discovery, config: &Value) -> (Courier, MachineFaults) {
+    let mut command = command(folder, discovery, config);
+    let faults = MachineFaults::load(&mut command, folder, "");
+    (Courier::spawn(command.args(["--follow", "1/1"])), faults)
 }
 
 /// Ends the courier: told first and killed at the page's earliest, or killed at once.
@@ -133,7 +161,9 @@
     let mut config = config(&discovery, known);
     config["settings"]["family-info"]["slots"] = json!(SLOTS);
     let folder = Folder::new();
-    let mut courier = start(&folder, &discovery, &config);
+    let (mut courier, mut machine) = start(&folder, &discovery, &config);
+    let wrong = MACHINE_FAULTS[rng.random_range(0..MACHINE_FAULTS.len())];
+    let mut kills = Vec::new();
     let clients = Arc::new(Clients {
         courier: Mutex::new(courier.address),
         stop: AtomicBool::new(false),
@@ -152,11 +182,19 @@
         let crowd = if seed.is_multiple_of(CROWD_EVERY) { CROWD } else { 0 };
         let idle: Vec<_> = (0..crowd).filter_map(|_| TcpStream::connect(courier.address).ok()).collect();
         thread::sleep(Duration::from_millis(rng.random_range(UP_MS)));
+        machine.set(wrong);
+        thread::sleep(Duration::from_millis(rng.random_range(FAULTY_MS)));
+        // Some are killed with the fault on.
+        if rng.random_bool(0.5) {
+            machine.set("");
+            thread::sleep(Duration::from_millis(rng.random_range(UP_MS)));
+        }
         lines.extend(end(courier, rng.random_bool(0.5)));
+        kills.push(Instant::now());
         drop(idle);
         thread::sleep(DOWN);
         config["seed"] = json!(format!("{:x}", seed * 10 + life));
-        courier = start(&folder, &discovery, &config);
+        (courier, machine) = start(&folder, &discovery, &config);
         *clients.courier.lock().expect("the address") = courier.address;
     }
     thread::sleep(Duration::from_millis(rng.random_range(UP_MS)));
@@ -165,7 +203,8 @@
     let taken = clients.taken.lock().expect("taken").clone();
     await_ends(&taken, &log, &discovery, Duration::from_millis(TIME_MS) + LATE);
     lines.extend(courier.logged());
-    Played::new(taken, &log, &discovery, lines)
+    println!("seed {seed}: machine {wrong:?}");
+    Played { kills, ..Played::new(taken, &log, &discovery, lines) }
 }
 
 // Guards against broken rules on lost requests and duplicates where restarts and faults of endpoints meet.
--- a/crates/rig/src/repeating.rs
+++ b/crates/rig/src/repeating.rs
@@ -16,6 +16,8 @@
     pub answer: Option<String>,
     /// From the call's last byte to the answer.
     pub delay: Duration,
+    /// The connection is reset right behind the answer.
+    pub reset_after: bool,
     /// A second copy follows the answer by so much, whatever has come on the connection by then.
     pub copy_after: Option<Duration>,
 }
@@ -93,6 +95,19 @@
     format!("HTTP/1.1 200 OK\r\n{report}\r\nContent-Length: 16\r\n\r\n{:016x}", rng.random::<u64>())
 }
 
+/// An answer that says that the message is over: whole, without an end of its head or body, or one that cannot be read.
+pub fn gone_answer(rng: &mut SmallRng) -> String {
+    let rest = [
+        "Content-Length: 0\r\n\r\n",
+        "Content-Length: 9\r\n\r\n",
+        "Content-Length: 9\r\n\r\nfour",
+        "X-Server-Load: TEXT x0=",
+        "Content-Length: 5, 7\r\n\r\nabcde",
+        "no head at all\r\n\r\n",
+    ];
+    format!("HTTP/1.1 410 Gone\r\n{}", rest[rng.random_range(0..rest.len())])
+}
+
 /// Starts an endpoint of each destination in each of two zones; their list in discovery's form. Each draws its scripts
 /// from a generator of its own.
 pub fn start_in_two_zones(
@@ -140,6 +155,11 @@
             if !write(&out, &answer) {
                 return;
             }
+            if script.reset_after {
+                // A close that waits for nothing sends a reset.
+                let _ = socket2::SockRef::from(from.get_ref()).set_linger(Some(Duration::ZERO));
+                return;
+            }
             if let Some(after) = script.copy_after {
                 let out = out.clone();
                 thread::spawn(move || {
--- a/crates/rig/src/rules.rs
+++ b/crates/rig/src/rules.rs
@@ -11,6 +11,10 @@
 pub const CLASSES: [&str; 3] = ["payment", "notice", "status"];
 /// What an endpoint answers that has not run a call.
 const REFUSED: u16 = 503;
+/// What it answers for a message that is over.
+const GONE: u16 = 410;
+/// A courier that is killed so soon after an answer may not have put on record what that says.
+const NOT_ON_RECORD: Duration = Duration::from_millis(50);
 
 /// What is known once a play is over.
 pub struct Played {
@@ -21,6 +25,8 @@
     pub notices: BTreeMap<String, String>,
     /// What the couriers logged.
     pub log: Vec<String>,
+    /// When a courier was killed.
+    pub kills: Vec<Instant>,
 }
 
 /// Waits until all that was taken on has ended, for so long at most.
@@ -39,8 +45,9 @@
     open.cloned().collect()
 }
 
+/// Messages that their endpoints count as delivered or over.
 fn delivered(calls: &[ServedCall]) -> BTreeSet<&String> {
-    calls.iter().filter(|c| c.status == Some(200)).map(|c| &c.id).collect()
+    calls.iter().filter(|c| matches!(c.status, Some(200 | GONE))).map(|c| &c.id).collect()
 }
 
 impl Played {
@@ -49,7 +56,7 @@
         let notice = |id: &String| Some((id.clone(), discovery.results(id).first()?.clone()));
         let notices = taken.iter().filter_map(notice).collect();
         let calls = calls.lock().expect("the log").clone();
-        Played { calls, taken, notices, log }
+        Played { calls, taken, notices, log, kills: Vec::new() }
     }
 
     /// Its size, for the test's output.
@@ -103,6 +110,16 @@
         }
     }
 
+    /// No message is sent again once an endpoint has answered that it is over.
+    pub fn assert_none_sent_after_gone(&self) {
+        let on_record = |at: Instant| !self.kills.iter().any(|kill| *kill > at && *kill < at + NOT_ON_RECORD);
+        for gone in self.calls.iter().filter(|call| call.status == Some(GONE)) {
+            let Some(at) = gone.ended.filter(|at| on_record(*at)) else { continue };
+            let again = self.calls.iter().any(|call| call.id == gone.id && call.arrived > at);
+            assert!(!again, "{} was over and was sent again:\n{}", gone.id, self.account(&gone.id));
+        }
+    }
+
     /// Each message that was taken on is delivered or ended by a notice.
     pub fn assert_none_lost(&self) {
         let delivered = delivered(&self.calls);
@@ -118,5 +135,6 @@
         self.assert_one_attempt_at_once();
         self.assert_keyed_repeats_stay_in_their_zone();
         self.assert_none_lost();
+        self.assert_none_sent_after_gone();
     }
 }
