MQTT connections outlast interrupted reads and writes

The same mistake as at the HTTP ingress, in three more places (front/mqtt.rs, out/broker.rs, front/farewell.rs). What callers saw (shown by the test): with every second recv and send interrupted, an MQTT client that published was cut off before its PUBACK. Cause: only EWOULDBLOCK was taken for a call to be made again. The test failed before at the first message and passes, also with short reads and writes, and holds the broker's connections to those that were open. Looked at and left: a DNS look-up that is interrupted fails and is repeated by its own backoff.

--- a/crates/courier/src/front/farewell.rs
+++ b/crates/courier/src/front/farewell.rs
@@ -4,6 +4,7 @@
 
 use crate::news::COME_AGAIN;
 use crate::room::{NoRoom, Room};
+use crate::socket::is_transient;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use stairshed_memory::partings::{DRAINED, How, LINGER, LISTEN, MOST};
 use stairshed_memory::{Purpose, Reason, Reserve};
@@ -190,7 +191,7 @@
             match stream.try_read(&mut self.scratch.borrow_mut()) {
                 Ok(0) => break,
                 Ok(n) => all += n as u64,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if is_transient(&e) => {}
                 Err(e) => return Err(e),
             }
         }
@@ -203,7 +204,7 @@
     loop {
         stream.readable().await?;
         match stream.try_read(into) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) if is_transient(&e) => {}
             done => return done,
         }
     }
--- a/crates/courier/src/front/mqtt.rs
+++ b/crates/courier/src/front/mqtt.rs
@@ -8,6 +8,7 @@
 use crate::news::{COME_AGAIN, Front, News, Offer, Reply, ReplyTo, Store, reason};
 use crate::out::outcomes;
 use crate::room::{NoRoom, Room};
+use crate::socket::is_transient;
 use bytes::BytesMut;
 use stairshed_journal::{Refusal, Verdict};
 use stairshed_memory::{Charge, Purpose};
@@ -409,7 +410,7 @@
                         match socket.try_read(&mut buffer) {
                             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                             Ok(n) => self.with(|machine, now| machine.received(connection, &buffer[..n], now)),
-                            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                            Err(e) if is_transient(&e) => {}
                             Err(e) => return Err(e),
                         }
                     }
@@ -429,7 +430,7 @@
     }
     let mut written = match socket.try_write_vectored(&slices) {
         Ok(n) => n,
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+        Err(e) if is_transient(&e) => return Ok(()),
         Err(e) => return Err(e),
     };
     line.held.set(line.held.get() - written);
--- a/crates/courier/src/out/broker.rs
+++ b/crates/courier/src/out/broker.rs
@@ -3,6 +3,7 @@
 use crate::clock::unix;
 use crate::news::{AfterAttempt, CallEnd, News};
 use crate::out::calls::Call;
+use crate::socket::is_transient;
 use bytes::Bytes;
 use stairshed_config::file::{self, MqttVersion};
 use stairshed_decide::interface::{Effect, EndpointId, Outcome};
@@ -334,7 +335,7 @@
                 self.machine.borrow_mut().wrote(n, self.origin.elapsed());
                 Ok(())
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(e) if is_transient(&e) => Ok(()),
             Err(e) => Err(e),
         }
     }
@@ -346,7 +347,7 @@
                 self.machine.borrow_mut().received(&bytes[..n], self.origin.elapsed());
                 Ok(())
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(e) if is_transient(&e) => Ok(()),
             Err(e) => Err(e),
         }
     }
--- a/crates/courier/tests/machine_faults.rs
+++ b/crates/courier/tests/machine_faults.rs
@@ -1,7 +1,10 @@
 //! Rules hold while system calls fail as Linux documents it: couriers as processes on loopback, with the library
 //! `stairshed-preload` in them.
 
+use stairshed_mqtt::packet::{Connect, Version};
+use stairshed_rig::broker::{Broker, Vices};
 use stairshed_rig::faults::MachineFaults;
+use stairshed_rig::publisher::Publisher;
 use stairshed_rig::rules::CLASSES;
 use stairshed_rig::*;
 use std::io::{BufReader, Write};
@@ -109,3 +112,39 @@
     let play = Play::start();
     play.assert_each_is_answered_under("recv short 2\nsend short 2");
 }
+
+/// An installation that takes payments over MQTT and delivers them to a broker.
+fn mqtt_file(broker: &Broker) -> String {
+    format!(
+        "name = \"depot\"\n[listen]\nhttp = \"127.0.0.1:0\"\nmqtt = \"127.0.0.1:0\"\n\
+         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\n\
+         [pools.p]\nendpoints = [{{ name = \"b\", address = \"mqtt://{}/fuel/in\" }}]\n\
+         [topics.pay]\nfilter = \"fuel/#\"\npool = \"p\"\nclass = \"payment\"\nidentity = {{ pointer = \"/id\" }}\n\
+         identity_scope = \"all\"\n",
+        broker.address
+    )
+}
+
+// Guards against MQTT connections, of clients and to brokers, that an interrupted or a short read or write ends.
+#[test]
+fn mqtt_connections_last_while_reads_and_writes_are_interrupted_or_short() {
+    for rules in ["recv EINTR 2\nsend EINTR 2", "recv short 2\nsend short 2"] {
+        let broker = Broker::new(Vices::default());
+        let folder = Folder::new();
+        let mut command = serve_command(&folder, &mqtt_file(&broker));
+        let faults = MachineFaults::load(&mut command, &folder, "");
+        let courier = Courier::spawn(&mut command);
+        let (mut van, _) = Publisher::connect(courier.mqtt(), Connect::new(Version::V5, "van"));
+        assert_eq!(van.hand_in("fuel/x", 100, "{\"id\": \"first\"}", &[]), Some(0));
+        until("its effect", || broker.effects().contains_key("first"));
+        let connections = broker.connections();
+        faults.set(rules);
+        for n in 0..MESSAGES {
+            let body = format!("{{\"id\": \"m{n}\"}}");
+            assert_eq!(van.hand_in("fuel/x", n as u16 + 1, &body, &[]), Some(0), "m{n} under {rules:?}");
+        }
+        until("all effects", || broker.effects().len() == MESSAGES + 1);
+        assert!(broker.effects().values().all(|times| *times == 1), "{:?}", broker.effects());
+        assert_eq!(broker.connections(), connections, "connections to the broker under {rules:?}");
+    }
+}
