--- a/crates/config/src/lines.rs
+++ b/crates/config/src/lines.rs
@@ -61,16 +61,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_line_without_end_is_cut_off_at_its_bound() {
-        let mut lines = Lines::new(10);
-        assert_eq!(lines.push(b"one\ntwo\nthree"), Ok(()));
-        assert_eq!(lines.by_ref().collect::<Vec<_>>(), [b"one".to_vec(), b"two".to_vec()]);
-        assert!(lines.is_open());
-        assert_eq!(lines.push(b"45678"), Ok(()));
-        assert_eq!(lines.push(b"9"), Err(TooLong));
-    }
-}
+#[path = "lines_test.rs"]
+mod tests;
--- a/crates/courier/src/front/named.rs
+++ b/crates/courier/src/front/named.rs
@@ -70,17 +70,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn time_outs_have_a_number_and_a_unit() {
-        assert_eq!(span("480m"), Some(Duration::from_millis(480)));
-        assert_eq!(span("1500u"), Some(Duration::from_micros(1500)));
-        for bad in
-            ["", "m", "480", "0m", "-1m", "+1m", "1.5m", "4s", "é", "99999999999999999999m", "86400001m"]
-        {
-            assert_eq!(span(bad), None, "{bad}");
-        }
-    }
-}
+#[path = "named_test.rs"]
+mod tests;
--- a/crates/courier/src/place/dns.rs
+++ b/crates/courier/src/place/dns.rs
@@ -316,31 +316,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use simple_dns::ResourceRecord;
-    use simple_dns::rdata::A;
-
-    #[test]
-    fn every_address_of_an_answer_is_taken() {
-        let name = Name::new("many.example").expect("a name");
-        let mut packet = Packet::new_reply(7);
-        packet.questions.push(Question::new(
-            name.clone(),
-            QTYPE::TYPE(TYPE::A),
-            QCLASS::CLASS(CLASS::IN),
-            false,
-        ));
-        for n in 0..2048 {
-            let address = RData::A(A { address: 0x7f00_0000 + n });
-            packet.answers.push(ResourceRecord::new(name.clone(), CLASS::IN, 60, address));
-        }
-        let bytes = packet.build_bytes_vec_compressed().expect("an answer");
-        // Its length is the bound: a list that is cut would leave endpoints out without a word.
-        assert!(bytes.len() <= ANSWER_MOST);
-        let Read::Answer(Ok((addresses, _))) = read(7, "many.example", &bytes) else {
-            panic!("no addresses")
-        };
-        assert_eq!(addresses.len(), 2048);
-    }
-}
+#[path = "dns_test.rs"]
+mod tests;
--- /dev/null
+++ b/crates/journal/src/frame_test.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+#[test]
+fn a_header_reads_back_and_shows_every_flipped_bit() {
+    let header = Header { machine: true, takeover: false, number: 3, first: 9, oldest: 2, synced: 8 };
+    let bytes = header.bytes();
+    assert_eq!(bytes.len(), HEADER);
+    assert_eq!(Header::read(&bytes), Ok(header));
+    for bit in 0..HEADER * 8 {
+        let mut spoilt = bytes.clone();
+        spoilt[bit / 8] ^= 1 << (bit % 8);
+        assert!(Header::read(&spoilt).is_err(), "bit {bit}");
+    }
+    assert_eq!(Header::read(&bytes[..HEADER - 1]), Err(BadHeader::Short));
+}
+
+#[test]
+fn a_frame_shows_every_flipped_bit_and_every_cut() {
+    let mut bytes = Vec::new();
+    put_frame(&mut bytes, 7, |to| Record::Ended { message: 5 }.put(to));
+    let frame = frame_at(&bytes, 0).expect("a frame");
+    assert_eq!((frame.seq, frame.content), (7, Content::Record(Record::Ended { message: 5 })));
+    for bit in 0..bytes.len() * 8 {
+        let mut spoilt = bytes.clone();
+        spoilt[bit / 8] ^= 1 << (bit % 8);
+        assert!(frame_at(&spoilt, 0).is_none(), "bit {bit}");
+    }
+    for cut in 0..bytes.len() {
+        assert!(frame_at(&bytes[..cut], 0).is_none(), "cut at {cut}");
+    }
+}
+
+#[test]
+fn names_are_one_to_one() {
+    assert_eq!(segment_number(&segment_name(0xabc)), Some(0xabc));
+    for name in ["0000000000000ABC.seg", "abc.seg", "0000000000000abc.seg.damaged", "journal", "lock"] {
+        assert_eq!(segment_number(name), None, "{name}");
+    }
+}
+
+#[test]
+fn reading_goes_on_behind_what_is_spoilt() {
+    let mut bytes = Vec::new();
+    put_frame(&mut bytes, 1, |to| Record::Ended { message: 1 }.put(to));
+    let second = bytes.len();
+    put_frame(&mut bytes, 2, |to| Record::Ended { message: 2 }.put(to));
+    let third = bytes.len();
+    put_frame(&mut bytes, 3, |to| Record::Ended { message: 3 }.put(to));
+    bytes[second + 20] ^= 1;
+    let next = next_frame(&bytes, second, 2).expect("the third");
+    assert_eq!((next.at, next.seq), (third, 3));
+    // A frame of the past, a copy say, is not what comes next.
+    assert!(next_frame(&bytes, third, 4).is_none());
+}
--- /dev/null
+++ b/crates/journal/src/record_test.rs
@@ -0,0 +1,100 @@
+use super::*;
+
+fn bytes(record: &Record) -> Vec<u8> {
+    let mut to = Vec::new();
+    record.put(&mut to);
+    to
+}
+
+fn all() -> Vec<Record> {
+    let letter = Letter {
+        id: "id".to_owned(),
+        class: "payment".to_owned(),
+        destination: 7,
+        key: Some(String::new()),
+        taken: Duration::from_micros(1_790_000_000_000_000),
+        until: Duration::from_micros(1_790_000_000_000_001),
+        body: Bytes::from_static(b"bo\0dy"),
+        routed: None,
+    };
+    let routed = Routed {
+        version: 7,
+        route: "fuel".to_owned(),
+        method: "PUT".to_owned(),
+        path: "/a/b".to_owned(),
+        headers: vec![("x-note".to_owned(), "1".to_owned())],
+        effect: Effect::Keyed { scope: KeyScope::Zone, window: Duration::from_secs(3) },
+        order: Some("car-1".to_owned()),
+        owner: None,
+        remember: Duration::ZERO,
+    };
+    let owner = Some("station-7".to_owned());
+    let once = Routed { effect: Effect::Once, order: None, headers: Vec::new(), ..routed.clone() };
+    let owned = Routed { owner: owner.clone(), ..once.clone() };
+    let remembered = Routed { remember: Duration::from_secs(60), ..routed.clone() };
+    let with = |routed| Letter { routed: Some(routed), ..letter.clone() };
+    let routed = [routed, once, owned, remembered].map(|r| Live {
+        letter: Rc::new(with(r)),
+        attempts: Vec::new(),
+        verdict: None,
+    });
+    let sent = Duration::from_micros(1_790_000_000_000_002);
+    let attempt = Attempt { host: "s-1".to_owned(), zone: "a".to_owned(), sent, may_have_run: true };
+    let mut live = Live { letter: Rc::new(letter), attempts: Vec::new(), verdict: None };
+    let fresh = live.clone();
+    live.attempts = vec![attempt.clone(), Attempt { may_have_run: false, ..attempt.clone() }];
+    live.verdict = Some(Verdict::Bounced { wait: Some(Duration::from_micros(5)) });
+    let bounced = Verdict::Bounced { wait: None };
+    let [routed, once, owned, remembered] = routed;
+    let kept = Kept { id: "id".to_owned(), owner, verdict: None, until: sent };
+    let told = Kept { owner: None, verdict: Some(bounced), ..kept.clone() };
+    let note = Note { key: "session/7".to_owned(), value: Bytes::from_static(b"\0{}") };
+    vec![
+        Record::Snapshot { message: 1, live: fresh },
+        Record::Snapshot { message: 2, live },
+        Record::Attempt { message: 3, index: 4, attempt },
+        Record::NeverRan { message: 3, index: 4 },
+        Record::Judged { message: 5, verdict: Verdict::Dead },
+        Record::Judged { message: 5, verdict: bounced },
+        Record::Ended { message: u64::MAX },
+        Record::Trim { oldest: 6 },
+        Record::Synced { upto: 7 },
+        Record::Snapshot { message: 8, live: routed },
+        Record::Snapshot { message: 9, live: once },
+        Record::Snapshot { message: 10, live: owned },
+        Record::Snapshot { message: 11, live: remembered },
+        Record::Kept { message: 12, kept: Rc::new(kept) },
+        Record::Kept { message: 13, kept: Rc::new(told) },
+        Record::Note { number: 14, note: Rc::new(note) },
+    ]
+}
+
+#[test]
+fn each_record_reads_back_and_no_part_of_one_does() {
+    for record in all() {
+        let whole = bytes(&record);
+        assert_eq!(Record::read(&whole).as_ref(), Some(&record));
+        for cut in 0..whole.len() {
+            assert_eq!(Record::read(&whole[..cut]), None, "{record:?} cut at {cut}");
+        }
+        assert_eq!(Record::read(&[&whole[..], &[0]].concat()), None, "one byte more");
+    }
+}
+
+#[test]
+fn the_room_that_is_reckoned_is_the_room_that_is_written() {
+    for record in all() {
+        assert_eq!(bytes(&record).len() as u64, record.size(), "{record:?}");
+    }
+}
+
+#[test]
+fn a_copy_takes_no_more_than_the_records_that_it_replaces() {
+    let Record::Snapshot { live, .. } = all().remove(1) else { panic!("the second is a snapshot") };
+    let mut parts = snapshot_bytes(&live.letter) + JUDGED_BYTES;
+    for a in &live.attempts {
+        parts += attempt_bytes((a.host.len() + a.zone.len()) as u64);
+    }
+    let copy = bytes(&Record::Snapshot { message: 2, live }).len() as u64;
+    assert!(copy <= parts, "{copy} > {parts}");
+}
