--- a/crates/courier/src/out/answer_head.rs
+++ b/crates/courier/src/out/answer_head.rs
@@ -43,6 +43,12 @@
         self.status
     }
 
+    /// The status of a first line that has ended with it, so far: enough for what it forbids, not for what it proves.
+    pub fn unended_status(&self) -> Option<u16> {
+        let line = [&self.line, b" ".as_slice()].concat();
+        status(&line).filter(|_| self.part == Part::FirstLine && line.len() == STATUS_END)
+    }
+
     /// When the first byte of the answer came, or of a 1xx ahead that has not ended.
     pub fn begun(&self) -> Option<Instant> {
         self.begun
--- a/crates/courier/src/out/answer_head_test.rs
+++ b/crates/courier/src/out/answer_head_test.rs
@@ -26,6 +26,21 @@
     assert!(first.begun.is_none(), "the answer itself may still take its time");
 }
 
+#[test]
+fn a_first_line_that_ends_with_its_status_tells_it_apart_from_one_that_is_whole() {
+    for (text, unended, status) in [
+        ("HTTP/1.1 410", Some(410), None),
+        ("HTTP/1.1 410 ", None, Some(410)),
+        ("HTTP/1.1 41", None, None),
+        ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 410", Some(410), None),
+        ("noise of 410", None, None),
+    ] {
+        let mut head = AnswerHead::default();
+        head.hear(text.as_bytes());
+        assert_eq!((head.unended_status(), head.status()), (unended, status), "{text:?}");
+    }
+}
+
 #[test]
 fn a_wait_is_heard_as_soon_as_its_field_is_here_whatever_follows() {
     let wait = |text: &str, size| {
--- a/crates/courier/src/out/link.rs
+++ b/crates/courier/src/out/link.rs
@@ -82,7 +82,11 @@
     /// So far.
     pub fn heard(&self) -> Heard {
         let head = self.0.head.borrow();
-        Heard { status: head.status(), blocked_until: head.blocked_until(), failure: self.0.failure.get() }
+        Heard {
+            status: head.status().or_else(|| head.unended_status()),
+            blocked_until: head.blocked_until(),
+            failure: self.0.failure.get(),
+        }
     }
 }
 
--- a/crates/courier/tests/gone_answers.rs
+++ b/crates/courier/tests/gone_answers.rs
@@ -18,7 +18,8 @@
 type Answering = fn(&'static str) -> Act;
 
 /// Answers of 410 that cannot be read to their end.
-const UNREADABLE_GONE: [&str; 7] = [
+const UNREADABLE_GONE: [&str; 8] = [
+    "HTTP/1.1 410",
     "HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\n",
     "HTTP/1.1 410 Gone\r\nX-Server-Load: TEXT x0=",
     "HTTP/1.1 410 Gone\r\nContent-Length: 5, 7\r\n\r\nabcde",
@@ -210,7 +211,7 @@
 // Guards against a message that a restart sends again because its courier was killed while it waited for the rest of a 410.
 #[test]
 fn restart_does_not_send_again_what_was_over_before_the_rest_of_its_410_came() {
-    let play = Play::start(|| Act::Answer(UNREADABLE_GONE[1]));
+    let play = Play::start(|| Act::Answer(UNREADABLE_GONE[2]));
     play.courier.take("gone-status", "status", 7, TIME_MS);
     until("its call", || !play.calls_for("gone-status").is_empty());
     thread::sleep(50 * MS);
