Tests: requests are answered while connections or the state folder fail

Accept and connect that fail for a moment (ECONNABORTED, EMFILE, EINTR, ETIMEDOUT, EADDRNOTAVAIL, EHOSTUNREACH), writes to the state folder that fail or are short: each request has an answer, each message that was taken on has its end, no payment is called twice.

--- a/crates/courier/tests/machine_faults.rs
+++ b/crates/courier/tests/machine_faults.rs
@@ -9,12 +9,15 @@
 use stairshed_rig::*;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
 const TIME_MS: u64 = 5_000;
 /// A client waits so long for its answer (protocol page).
 const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Numbers what the clients do, for ids that are never used again.
+static ROUND: AtomicUsize = AtomicUsize::new(0);
 /// Messages of one client on one connection, and clients.
 const MESSAGES: usize = 12;
 const CLIENTS: usize = 6;
@@ -78,10 +81,11 @@
 /// The messages of one client, on one connection for as long as that stays open; each with the answer's status.
 fn hand_in_all(courier: SocketAddr, client: usize) -> Vec<(String, Option<u16>)> {
     let class = CLASSES[client % CLASSES.len()];
+    let round = ROUND.fetch_add(1, Ordering::SeqCst);
     let mut open = None;
     let mut answers = Vec::new();
     for n in 0..MESSAGES {
-        let id = format!("{class}-{client}-{n}");
+        let id = format!("{class}-{round}-{n}");
         let mut connection = open.take().unwrap_or_else(|| connect(courier));
         let text = message(&id, class, 7, TIME_MS);
         let sent = connection.get_mut().write_all(text.as_bytes());
@@ -113,6 +117,30 @@
     play.assert_each_is_answered_under("recv short 2\nsend short 2");
 }
 
+// Guards against requests that have no answer, and messages that have no end, where new connections fail for a moment.
+#[test]
+fn each_request_is_answered_while_connections_fail() {
+    let play = Play::start();
+    for rules in [
+        "accept ECONNABORTED 2\nconnect ETIMEDOUT 3",
+        "accept EMFILE 2\nconnect EADDRNOTAVAIL 2",
+        "accept EINTR 2\nconnect EHOSTUNREACH 3",
+    ] {
+        play.assert_each_is_answered_under(rules);
+    }
+}
+
+// Guards against requests that have no answer, and messages that have no end, where the state folder fails for a while.
+#[test]
+fn each_request_is_answered_while_the_state_folder_fails() {
+    let play = Play::start();
+    for rules in ["write ENOSPC 2", "write EIO 1", "write short 2"] {
+        let (unanswered, taken) = play.hand_in_under(rules);
+        assert!(unanswered.is_empty(), "no answer under {rules:?}: {unanswered:?}");
+        play.assert_all_end(&taken);
+    }
+}
+
 /// An installation that takes payments over MQTT and delivers them to a broker.
 fn mqtt_file(broker: &Broker) -> String {
     format!(
--- a/crates/courier/tests/soak.rs
+++ b/crates/courier/tests/soak.rs
@@ -1,6 +1,7 @@
 //! Seeded soaks of a courier as a process: endpoints that refuse, break connections, answer twice and hang, signals in
 //! series, clients that use their connections until the kill, messages that are over (410, whole or not), and in some seeds
-//! a crowd of idle connections and a machine with faults: system calls that fail, a folder that fails.
+//! a crowd of idle connections and a machine with faults: system calls that fail, a folder that fails, a wall clock
+//! that is stepped.
 //! `SEED=n` plays from that seed on, `SEEDS=m` so many; the test that runs in CI plays two.
 
 use rand::rngs::SmallRng;
@@ -43,8 +44,10 @@
 const CROWD_EVERY: u64 = 3;
 const CROWD: usize = 200;
 
-/// What is wrong with the machine in the middle of a life; each for a third of the seeds or less.
-const MACHINE_FAULTS: [&str; 8] = [
+/// What is wrong with the machine in the middle of a life; one of these for each seed.
+const MACHINE_FAULTS: [&str; 10] = [
+    "clock 3600",
+    "clock -3600",
     "",
     "recv EINTR 3\nsend EINTR 4",
     "recv short 2\nsend short 2",
