--- a/crates/courier/src/out.rs
+++ b/crates/courier/src/out.rs
@@ -2,6 +2,7 @@
 
 pub mod answer_head;
 pub mod answer_identity;
+pub mod attempt_outcome;
 mod break_rate;
 pub mod broker;
 pub mod calls;
@@ -9,4 +10,5 @@
 pub mod connection_status;
 pub mod exchange;
 pub mod link;
+mod listening;
 pub mod outcomes;
--- a/crates/courier/src/out/calls.rs
+++ b/crates/courier/src/out/calls.rs
@@ -1,27 +1,26 @@
 //! Calls to endpoints and probes, and the connections kept for them. One call a connection at a time; what
 //! may have run is told apart from what never did.
 
-use crate::news::{AfterAttempt, CallEnd, News};
+use crate::news::{CallEnd, News};
 use crate::out::answer_identity::AnswerIdentity;
+use crate::out::attempt_outcome::{ended, restrained, unanswered};
 use crate::out::connection_pool::{ConnectionPool, PooledConnection};
 use crate::out::connection_status::ConnectionStatus;
 use crate::out::exchange::Exchange;
-use crate::out::link::{Answer, Heard, Listener, Lost};
+use crate::out::link::{Answer, Heard, Lost};
+use crate::out::listening::{Listening, watched};
 use crate::room::Room;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONNECTION, HOST};
-use hyper::{HeaderMap, Request, StatusCode};
-use stairshed_decide::interface::{EndpointId, Outcome, PoolId, Report};
+use hyper::Request;
+use hyper::header::HOST;
+use stairshed_decide::interface::{EndpointId, Outcome, PoolId};
 use stairshed_journal::Letter;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
-use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
@@ -61,65 +60,6 @@
     Broker(u16),
 }
 
-/// What is heard on the connection of one exchange, once it has one. A wait that its answer tells is passed on before the
-/// rest of that has come, which may take longer than a wait may be ignored.
-struct Listening {
-    endpoint: EndpointId,
-    news: Sender<News>,
-    listener: RefCell<Option<Listener>>,
-    /// The dispatcher has been told of the wait.
-    wait_told: Cell<bool>,
-}
-
-impl Listening {
-    fn new(endpoint: EndpointId, news: Sender<News>) -> Self {
-        Listening { endpoint, news, listener: RefCell::default(), wait_told: Cell::default() }
-    }
-
-    fn to(&self, listener: Listener) {
-        self.listener.replace(Some(listener));
-    }
-
-    fn heard(&self) -> Heard {
-        self.listener.borrow().as_ref().map(Listener::heard).unwrap_or_default()
-    }
-
-    /// The wait that nobody has been told of yet.
-    fn untold_wait(&self) -> Option<News> {
-        let until = self.heard().blocked_until.filter(|_| !self.wait_told.get())?;
-        Some(News::ToldToWait { endpoint: self.endpoint, until })
-    }
-
-    /// Passes a wait on if that can be done at once.
-    fn try_tell_wait(&self) {
-        if let Some(wait) = self.untold_wait() {
-            self.wait_told.set(self.news.try_send(wait).is_ok());
-        }
-    }
-
-    /// Tells how the exchange has ended, and a wait before it that this does not tell.
-    async fn end(self, news: News, outcome: Outcome) {
-        let tells = matches!(outcome, Outcome::Full { wait: Some(_) });
-        if let Some(wait) = self.untold_wait().filter(|_| !tells) {
-            // Nobody is left to hear it once the courier has stopped.
-            let _ = self.news.send(wait).await;
-        }
-        let _ = self.news.send(news).await;
-    }
-}
-
-/// Runs `work` to its end, and `watch` each time that it has gone on but not ended. None once `watch` says that the end
-/// need not be awaited.
-async fn watched<F: Future>(work: F, watch: impl Fn() -> ControlFlow<()>) -> Option<F::Output> {
-    let mut work = pin!(work);
-    poll_fn(|cx| match work.as_mut().poll(cx) {
-        Poll::Ready(output) => Poll::Ready(Some(output)),
-        Poll::Pending if watch().is_break() => Poll::Ready(None),
-        Poll::Pending => Poll::Pending,
-    })
-    .await
-}
-
 #[derive(Clone)]
 pub struct Calls {
     pool: Rc<ConnectionPool>,
@@ -356,98 +296,6 @@
     }
 }
 
-/// Forbids what the answer forbids, whether or not it is proof of anything: a message of which an endpoint has said that
-/// it is over is not sent again.
-fn restrained(end: CallEnd, heard: Heard) -> CallEnd {
-    match end.after {
-        AfterAttempt::Open if heard.is_over() => {
-            let proof = "an answer of 410 that could not be read to its end";
-            CallEnd { after: AfterAttempt::EndOwed, proof, ..end }
-        }
-        _ => end,
-    }
-}
-
-/// The end of a call that has no answer to tell of.
-fn unanswered(outcome: Outcome, proof: &'static str) -> CallEnd {
-    CallEnd { outcome, after: AfterAttempt::Open, report: None, at: Instant::now(), proof, exchange: None }
-}
-
-/// What PROTOCOL says of an answer: what it proves, and what it forbids.
-fn ended(answer: Result<Answer, Lost>, heard: Heard) -> CallEnd {
-    restrained(proven(answer, heard.blocked_until), heard)
-}
-
-/// What an answer proves. Only what PROTOCOL calls 'never' counts as not run.
-fn proven(answer: Result<Answer, Lost>, blocked_until: Option<Instant>) -> CallEnd {
-    let answer = match answer {
-        Ok(answer) => answer,
-        Err(lost) => {
-            let (outcome, proof) = match lost {
-                Lost::Unsent => (Outcome::ConnectFailed, "no connection, nothing written"),
-                // It says nothing of the endpoint, which has not been asked.
-                Lost::Withheld(why) => (Outcome::Moot, why),
-                Lost::Broken => (Outcome::Reset, "connection broke under it"),
-                Lost::Silent => (Outcome::TimedOut, "no answer in time"),
-            };
-            return unanswered(outcome, proof);
-        }
-    };
-    // A spoilt answer proves nothing but a first line with 200: the request has run, or may have.
-    if !answer.whole && answer.status != StatusCode::OK {
-        return CallEnd { at: answer.at, ..unanswered(Outcome::Reset, "spoilt answer") };
-    }
-    if answer.repeats() {
-        let proof = "the answer repeats an earlier one on its connection";
-        return CallEnd { at: answer.at, ..unanswered(Outcome::Reset, proof) };
-    }
-    let head = |name| answer.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
-    let outcome = match answer.status {
-        StatusCode::OK => Outcome::Delivered,
-        StatusCode::TOO_MANY_REQUESTS => {
-            let wait = blocked_until.map(|until| until.saturating_duration_since(answer.at));
-            Outcome::Full { wait }
-        }
-        StatusCode::SERVICE_UNAVAILABLE if head("Slots-Taken") == Some("1") => Outcome::Moot,
-        // It is the connection that is turned away, not the call: the endpoint holds as many as it will, and
-        // those that are kept serve on. Taken for a limit of the destination it would stop these too. Covers
-        // an endpoint that is shutting down as well. Hurts where a destination at its limit closes whatever
-        // it turns away: then new connections alone are held back, and its limit is found on kept ones.
-        StatusCode::SERVICE_UNAVAILABLE if closes(&answer.headers) => Outcome::Crowded,
-        StatusCode::SERVICE_UNAVAILABLE => Outcome::Full { wait: None },
-        StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE => Outcome::Moot,
-        _ => Outcome::Error,
-    };
-    let after = match answer.status {
-        StatusCode::OK | StatusCode::GONE => AfterAttempt::Settled,
-        _ => AfterAttempt::Open,
-    };
-    let proof = match outcome {
-        Outcome::Crowded => "503 and close",
-        _ => answer.status.canonical_reason().unwrap_or("an answer"),
-    };
-    let report = report(&answer.headers);
-    CallEnd { outcome, after, report, at: answer.at, proof, exchange: None }
-}
-
-/// Whether the connection ends with this answer.
-fn closes(headers: &HeaderMap) -> bool {
-    let all = headers.get_all(CONNECTION).into_iter().filter_map(|v| v.to_str().ok());
-    all.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case("close"))
-}
-
-/// Reads `X-Server-Load: TEXT x0=0.4, x1=25`.
-fn report(headers: &HeaderMap) -> Option<Report> {
-    let text = headers.get("X-Server-Load")?.to_str().ok()?;
-    let text = text.trim().strip_prefix("TEXT").unwrap_or(text);
-    let field = |name: &str| {
-        let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
-        let value = pairs.filter(|(key, _)| key.trim() == name).map(|(_, value)| value.trim()).next()?;
-        value.parse::<f64>().ok().filter(|v| v.is_finite())
-    };
-    Some(Report { left: field("x0")?, limit: field("x1")? })
-}
-
 #[cfg(test)]
 #[path = "calls_test.rs"]
 mod tests;
--- a/crates/courier/src/out/calls_test.rs
+++ b/crates/courier/src/out/calls_test.rs
@@ -1,4 +1,5 @@
 use super::*;
+use hyper::StatusCode;
 use stairshed_decide::interface::DestinationId;
 
 /// A listener, its address, and calls that have one socket between them.
@@ -14,12 +15,6 @@
     Listening::new(EndpointId(1), tokio::sync::mpsc::channel(1).0)
 }
 
-fn read(text: &str) -> Option<(f64, f64)> {
-    let mut headers = HeaderMap::new();
-    headers.insert("X-Server-Load", text.parse().expect("a header"));
-    report(&headers).map(|r| (r.left, r.limit))
-}
-
 #[tokio::test]
 async fn a_call_whose_connection_comes_too_late_is_not_written() {
     tokio::task::LocalSet::new()
@@ -119,52 +114,3 @@
         })
         .await;
 }
-
-#[test]
-fn a_connection_that_is_turned_away_is_told_apart_from_a_limit_and_from_an_endpoint_out_of_reach() {
-    let of = |heads: &[(&'static str, &'static str)]| {
-        let heads = heads
-            .iter()
-            .map(|(name, value)| (name.parse().expect("a name"), value.parse().expect("a value")));
-        let (status, at) = (StatusCode::SERVICE_UNAVAILABLE, Instant::now());
-        ended(
-            Ok(Answer {
-                status,
-                headers: heads.collect(),
-                at,
-                whole: true,
-                reusable: Ok(()),
-                identity: None,
-            }),
-            Heard::default(),
-        )
-        .outcome
-    };
-    assert_eq!(of(&[("connection", "close")]), Outcome::Crowded);
-    assert_eq!(of(&[]), Outcome::Full { wait: None });
-    assert_eq!(of(&[("slots-taken", "1"), ("connection", "close")]), Outcome::Moot);
-    assert_eq!(ended(Err(Lost::Unsent), Heard::default()).outcome, Outcome::ConnectFailed);
-}
-
-#[test]
-fn reports_are_read_and_nonsense_is_none() {
-    assert_eq!(read("TEXT x0=0.4, x1=25"), Some((0.4, 25.0)));
-    assert_eq!(read("TEXT  x1=2.5 ,x0=0"), Some((0.0, 2.5)));
-    for bad in ["", "TEXT", "TEXT x0=0.4", "TEXT x0=a, x1=2", "TEXT x0=NaN, x1=2", "x0 x1"] {
-        assert_eq!(read(bad), None, "{bad}");
-    }
-}
-
-// Guards against a message that is sent again although its 410 was half read when its attempt timed out, broke or was
-// called off (incident 9421da).
-#[test]
-fn an_attempt_that_has_heard_410_is_the_last_one_however_it_ends() {
-    let gone = Heard { status: Some(410), ..Heard::default() };
-    let called_off = unanswered(Outcome::Cancelled, "called off");
-    for end in [proven(Err(Lost::Broken), None), proven(Err(Lost::Silent), None), called_off] {
-        assert_eq!(end.after, AfterAttempt::Open);
-        assert_eq!(restrained(end, gone).after, AfterAttempt::EndOwed);
-    }
-    let other = Heard { status: Some(503), ..Heard::default() };
-    assert_eq!(ended(Err(Lost::Broken), other).after, AfterAttempt::Open);
-}
