Soak: what a courier hears while its folder cannot be written outlasts no kill

No space left on device' stands before the 410, the folder failed until the process ended, so the end of the message was on no record, and the next life sent it again as one that may have run. Nothing but the folder outlasts the process, so this case is allowed, and only it: the check now leaves out a 410 that was heard while no write to the folder worked and none did until the kill, beside the 50 ms before a kill. The program is unchanged.

--- a/crates/rig/src/rules.rs
+++ b/crates/rig/src/rules.rs
@@ -25,8 +25,26 @@
     pub notices: BTreeMap<String, String>,
     /// What the couriers logged.
     pub log: Vec<String>,
-    /// When a courier was killed.
-    pub kills: Vec<Instant>,
+    /// The kills of couriers.
+    pub kills: Vec<Kill>,
+}
+
+/// The end of a courier's process.
+#[derive(Clone, Copy, Debug)]
+pub struct Kill {
+    pub at: Instant,
+    /// Since when no write to the state folder had worked; None if writes worked.
+    pub folder_failed_since: Option<Instant>,
+}
+
+impl Kill {
+    /// Whether what a courier heard at a moment may be on no record: nothing else outlasts its process.
+    fn may_have_erased(&self, heard: Instant) -> bool {
+        let recorded_before = self.at - NOT_ON_RECORD;
+        let unrecorded_from =
+            self.folder_failed_since.map_or(recorded_before, |since| since.min(recorded_before));
+        (unrecorded_from..self.at).contains(&heard)
+    }
 }
 
 /// Waits until all that was taken on has ended, for so long at most.
@@ -112,7 +130,7 @@
 
     /// No message is sent again once an endpoint has answered that it is over.
     pub fn assert_none_sent_after_gone(&self) {
-        let on_record = |at: Instant| !self.kills.iter().any(|kill| *kill > at && *kill < at + NOT_ON_RECORD);
+        let on_record = |at: Instant| !self.kills.iter().any(|kill| kill.may_have_erased(at));
         for gone in self.calls.iter().filter(|call| call.status == Some(GONE)) {
             let Some(at) = gone.ended.filter(|at| on_record(*at)) else { continue };
             let again = self.calls.iter().any(|call| call.id == gone.id && call.arrived > at);
