Tests: an address that a test draws cannot be taken by another process

Traced to the test: it draws a port of 127.0.0.1, frees it and lets the courier bind it 10 ms later, and any connection of another process may take that port as its own in between; the soak made thousands. Now the port is drawn on a loopback address of the test's process, where nobody else has sockets; the same for the address where nobody listens in courier.rs. Checks and bounds are as they were.

--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -253,7 +253,7 @@
 
 #[test]
 fn a_refused_connection_never_ran_so_an_unsafe_message_is_tried_again() {
-    let closed = Endpoint { address: free(), seen: Default::default(), closed: Default::default() };
+    let closed = Endpoint { address: free_address(), seen: Default::default(), closed: Default::default() };
     let discovery = Discovery::new(list(1, true, vec![host("s-0", &closed, 7, "ready")]));
     let folder = Folder::new();
     let courier = Courier::start(&folder, &discovery);
@@ -265,11 +265,6 @@
     assert!(discovery.results("pay").is_empty());
 }
 
-/// An address where nobody listens.
-fn free() -> std::net::SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address")
-}
-
 #[test]
 fn notices_are_sent_until_acknowledged_also_by_the_next_life() {
     let (folder, _endpoint, discovery) = one(|_| Act::Break);
--- a/crates/courier/tests/farewell.rs
+++ b/crates/courier/tests/farewell.rs
@@ -274,14 +274,12 @@
 fn a_share_that_is_lowered_closes_no_connection_that_stands_and_turns_new_ones_away() {
     let endpoint = Endpoint::new(|_| Act::Answer(OK));
     let folder = Folder::new();
+    let free = free_address();
     let text = |share: &str| {
         let text = file(&endpoint, &format!("clients = \"2MB\"\nclient_share = {share}"));
         // A port that is drawn again would be another address.
-        text.replacen("127.0.0.1:0", "127.0.0.1:PORT", 1)
+        text.replacen("127.0.0.1:0", &free.to_string(), 1)
     };
-    let free =
-        std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port();
-    let text = |share: &str| text(share).replace("PORT", &free.to_string());
     let courier = Courier::serve(&folder, &text("1.0"));
     let ready = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
     let ask = |stream: &mut TcpStream| {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -28,6 +28,14 @@
 pub const LIMIT: Duration = Duration::from_secs(60);
 pub const MS: Duration = Duration::from_millis(1);
 
+/// An address with a free port. Its host is this process's own: on the one that all share, any connection of another
+/// process may take the port before it is used.
+pub fn free_address() -> SocketAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = SocketAddr::from(([127, 77, high, low.max(1)], 0));
+    TcpListener::bind(own).and_then(|listener| listener.local_addr()).expect("an address")
+}
+
 /// A figure from the environment, for a test that can be played for longer, or again.
 pub fn figure(name: &str, or: u64) -> u64 {
     std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(or)
