Soak: a crash fails it; faults of connections do not strike a program's own sockets

No such error comes from a socket pair; the 410 was answered after that crash, and the soak did not see the crash. Now recv strikes internet sockets only (recv-local names the others), and a courier that does not run, or has panicked, fails the soak.

The program is unchanged.

--- a/crates/preload/src/calls.rs
+++ b/crates/preload/src/calls.rs
@@ -40,6 +40,16 @@
     usize::try_from(length).is_ok_and(|length| path[..length].starts_with(folder.as_bytes()))
 }
 
+/// Whether a descriptor is of a Unix socket.
+fn is_unix(socket: c_int) -> bool {
+    let (mut domain, mut length): (c_int, socklen_t) = (0, size_of::<c_int>() as socklen_t);
+    // SAFETY: `domain` is a place for the result, and as long as the call is told.
+    let result = unsafe {
+        libc::getsockopt(socket, libc::SOL_SOCKET, libc::SO_DOMAIN, (&raw mut domain).cast(), &raw mut length)
+    };
+    result == 0 && domain == libc::AF_UNIX
+}
+
 /// Whether a path is in the folder whose files may fail.
 ///
 /// # Safety
@@ -54,7 +64,8 @@
 
 #[unsafe(no_mangle)]
 unsafe extern "C" fn recv(socket: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
-    let length = match fault(Call::Recv) {
+    let call = if is_unix(socket) { Call::RecvLocal } else { Call::Recv };
+    let length = match fault(call) {
         Some(Fault::Errno(errno)) => return fails(errno),
         Some(Fault::Short) => length.min(1),
         None => length,
--- a/crates/preload/src/lib.rs
+++ b/crates/preload/src/lib.rs
@@ -11,7 +11,7 @@
 //! clock -3600         the wall clock is an hour slow from now on
 //! ```
 //!
-//! Calls: `recv`, `send` (also vectored), `connect`, `accept`, `write`, `sync`, `rename`, `open`.
+//! Calls: `recv` (of Unix sockets: `recv-local`), `send` (also vectored), `connect`, `accept`, `write`, `sync`, `rename`, `open`.
 
 mod calls;
 mod rules;
--- a/crates/preload/src/rules.rs
+++ b/crates/preload/src/rules.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
     Recv,
+    /// `recv` of a Unix socket: what a program says to itself.
+    RecvLocal,
     Send,
     Connect,
     Accept,
@@ -27,6 +29,7 @@
     fn named(name: &str) -> Option<Self> {
         Some(match name {
             "recv" => Call::Recv,
+            "recv-local" => Call::RecvLocal,
             "send" => Call::Send,
             "connect" => Call::Connect,
             "accept" => Call::Accept,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -661,6 +661,11 @@
         self.signal("-HUP");
     }
 
+    /// Whether its process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a status").is_none()
+    }
+
     pub fn kill(mut self) {
         self.child.kill().expect("killed");
         self.child.wait().expect("gone");
