Failing test: an interrupted read of a signal ends the courier with a panic

With EINTR for the read of tokio's socket pair the courier panics at SIGTERM (exit code 101, 'Bad read on self-pipe: Interrupted system call') and would at SIGHUP; requests that were being answered are cut off. The cause is in the runtime's signal driver, which takes every error but EWOULDBLOCK as fatal; Linux documents EINTR only for a read that blocks, and this one does not, so no kernel is known to do it.

--- a/crates/courier/tests/machine_faults.rs
+++ b/crates/courier/tests/machine_faults.rs
@@ -176,3 +176,12 @@
         assert_eq!(broker.connections(), connections, "connections to the broker under {rules:?}");
     }
 }
+
+// Guards against a courier that crashes because its read of a signal from the runtime's socket pair is interrupted.
+#[test]
+fn courier_stops_in_order_though_its_read_of_the_signal_is_interrupted() {
+    let mut play = Play::start();
+    play.faults.set("recv-local EINTR 2");
+    play.courier.signal("-TERM");
+    assert_eq!(play.courier.exit(), 0, "{:?}", play.courier.logged());
+}
