--- a/crates/courier/src/dispatcher.rs
+++ b/crates/courier/src/dispatcher.rs
@@ -31,7 +31,7 @@
 
 use crate::discovery::configured_hosts::changed_hosts;
 use crate::events::{DispatcherEvent, EndpointList, Ingress};
-use crate::ingress::http::ServerState;
+use crate::ingress::server_state::ServerState;
 use crate::upstream::endpoint_client::EndpointClient;
 use crate::upstream::outcomes::OutcomeNotifier;
 use acceptance::Acceptance;
--- a/crates/courier/src/ingress.rs
+++ b/crates/courier/src/ingress.rs
@@ -2,11 +2,14 @@
 
 pub mod active_config;
 pub mod admin;
+pub mod client_connection;
 pub mod http;
 pub mod listener;
 pub mod message_headers;
 pub mod mqtt;
 pub mod rejection;
+pub mod request_framing;
+pub mod server_state;
 pub mod session_memory;
 pub mod session_shares;
 pub mod users;
--- a/crates/courier/src/ingress/admin.rs
+++ b/crates/courier/src/ingress/admin.rs
@@ -3,8 +3,8 @@
 
 use crate::discovery::control::ConfigView;
 use crate::discovery::watch_status::WatchStatus;
-use crate::ingress::http::ServerState;
 use crate::ingress::listener::Acceptor;
+use crate::ingress::server_state::ServerState;
 use crate::memory_budget::MemoryBudget;
 use crate::socket::Socket;
 use crate::system_errors;
--- /dev/null
+++ b/crates/courier/src/ingress/client_connection.rs
@@ -0,0 +1,119 @@
+//! The state of one client's HTTP connection, and what follows from it: when its read times out, and whether it
+//! may be closed for another one.
+
+use crate::ingress::request_framing::RequestFraming;
+use crate::socket::PeerWatch;
+use stairshed_memory::Charge;
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Longest time from the connection's start to its first byte. Common clients open connections ahead of use
+/// and send a second or two later; closing earlier would fail their request. A client must get an answer or a
+/// close within 3 s of connecting.
+pub const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Idle time after which a connection may be closed to free its descriptor. A request that its client sent
+/// right after connecting or after an answer has arrived by then.
+const MIN_SHED_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Longest time from the first byte of a head to its end.
+pub const HEAD_TIMEOUT: Duration = Duration::from_millis(700);
+/// Idle time after which a connection between requests is preferred for closing when connections or memory
+/// run out.
+const MIN_EVICTION_IDLE_TIME: Duration = Duration::from_secs(2);
+/// A connection is not evicted for lack of a request before this age: the request has usually arrived and
+/// been read by then.
+const MIN_EVICTION_AGE: Duration = Duration::from_millis(10);
+
+/// What a client's connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionState {
+    /// No byte has arrived yet.
+    AwaitingFirstByte,
+    /// Part of a request head has arrived.
+    ReadingHead,
+    /// A request's body is being read or its answer is pending.
+    Processing,
+    /// Between requests. `last_request_ok` is false if the last answer was a client error.
+    Idle { last_request_ok: bool },
+}
+
+/// Shared state of one client's connection.
+pub struct ClientConnection {
+    pub state: Cell<ConnectionState>,
+    /// Tells whether the client has closed the connection.
+    pub client: PeerWatch,
+    /// Time of the last change of state.
+    pub since: Cell<Instant>,
+    pub framing: RefCell<RequestFraming>,
+    /// Requests a graceful close, after the answer in progress.
+    pub graceful_close: Notify,
+    /// Closes the connection at once, even within a request.
+    pub abort: Notify,
+    /// Whether its client is told when it is closed through `abort`.
+    pub abort_is_told: Cell<bool>,
+    /// The connection's memory; released as soon as it is evicted, so that the next one can have it.
+    pub memory: RefCell<Option<Charge>>,
+}
+
+impl ClientConnection {
+    /// A connection that has just been accepted.
+    pub fn new(client: PeerWatch, memory: Charge) -> Self {
+        ClientConnection {
+            client,
+            state: Cell::new(ConnectionState::AwaitingFirstByte),
+            since: Cell::new(Instant::now()),
+            framing: RefCell::default(),
+            graceful_close: Notify::new(),
+            abort: Notify::new(),
+            abort_is_told: Cell::new(true),
+            memory: RefCell::new(Some(memory)),
+        }
+    }
+
+    /// Notes a change of state, and its time.
+    pub fn set_state(&self, state: ConnectionState) {
+        self.state.set(state);
+        self.since.set(Instant::now());
+    }
+
+    /// Notes bytes that were read.
+    pub fn bytes_received(&self, bytes: &[u8]) {
+        self.framing.borrow_mut().feed(bytes);
+        if matches!(self.state.get(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle { .. }) {
+            self.set_state(ConnectionState::ReadingHead);
+        }
+    }
+
+    /// When the connection is closed unless more of a request arrives; `None` while no head is awaited.
+    pub fn read_deadline(&self) -> Option<Instant> {
+        match self.state.get() {
+            ConnectionState::AwaitingFirstByte => Some(self.since.get() + FIRST_BYTE_TIMEOUT),
+            ConnectionState::ReadingHead => Some(self.since.get() + HEAD_TIMEOUT),
+            ConnectionState::Processing | ConnectionState::Idle { .. } => None,
+        }
+    }
+
+    /// Whether it has been idle for long enough to be closed for its descriptor.
+    pub fn can_be_shed(&self) -> bool {
+        let is_idle =
+            matches!(self.state.get(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle { .. });
+        is_idle && self.since.get().elapsed() > MIN_SHED_IDLE_TIME
+    }
+
+    /// Order of eviction when connections or memory run out: lowest first, `None` never. A connection that
+    /// has sent nothing goes before one that has served a valid request.
+    pub fn eviction_rank(&self) -> Option<u8> {
+        let age = self.since.get().elapsed();
+        match self.state.get() {
+            ConnectionState::AwaitingFirstByte if age > MIN_EVICTION_AGE => Some(0),
+            ConnectionState::Idle { last_request_ok: false } => Some(1),
+            ConnectionState::Idle { .. } if age > MIN_EVICTION_IDLE_TIME => Some(2),
+            ConnectionState::ReadingHead if age > MIN_EVICTION_AGE => Some(3),
+            // Without this, clients that send one request and keep the connection would lock out all
+            // newcomers until `MIN_EVICTION_IDLE_TIME` has passed.
+            ConnectionState::Idle { .. } => Some(4),
+            _ => None,
+        }
+    }
+}
--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -2,9 +2,14 @@
 
 use crate::events::{DEFAULT_RETRY_AFTER, DispatcherEvent, Reply, ReplyTo, Submission, refusal_reason};
 use crate::ingress::active_config::ActiveConfig;
+use crate::ingress::client_connection::{
+    ClientConnection, ConnectionState, FIRST_BYTE_TIMEOUT, HEAD_TIMEOUT,
+};
 use crate::ingress::listener::Acceptor;
 use crate::ingress::message_headers::{MessageHeaders, RequestError};
 use crate::ingress::rejection::{ConnectionRejecter, Protocol, ReceivedInput, Rejection};
+use crate::ingress::request_framing::RequestFraming;
+use crate::ingress::server_state::ServerState;
 use crate::memory_budget::{MemoryBudget, MemoryRefusal};
 use crate::socket::{self, PeerWatch, Socket};
 use bytes::Bytes;
@@ -20,8 +25,6 @@
 use stairshed_memory::{Charge, ClientAccount, ClientIdentification, Purpose};
 use stairshed_planted_faults::{PlantedFault, is_planted};
 use std::borrow::Cow;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
 use std::net::IpAddr;
@@ -32,31 +35,15 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
-use tokio::sync::{Notify, oneshot};
-use tokio::task::AbortHandle;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Longest body of a message that is accepted.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Longest body that is read and discarded; past this length the connection is closed instead.
 const MAX_DISCARDED_BODY_BYTES: usize = 1024 * 1024;
-/// Longest time from the connection's start to its first byte. Common clients open connections ahead of use
-/// and send a second or two later; closing earlier would fail their request. A client must get an answer or a
-/// close within 3 s of connecting.
-const FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Idle time after which a connection may be closed to free its descriptor. A request that its client sent
-/// right after connecting or after an answer has arrived by then.
-const MIN_SHED_IDLE_TIME: Duration = Duration::from_secs(1);
-/// Longest time from the first byte of a head to its end.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest time from the end of a head to the end of its body.
 const BODY_TIMEOUT: Duration = Duration::from_millis(700);
-/// Idle time after which a connection between requests is preferred for closing when connections or memory
-/// run out.
-const MIN_EVICTION_IDLE_TIME: Duration = Duration::from_secs(2);
-/// A connection is not evicted for lack of a request before this age: the request has usually arrived and
-/// been read by then.
-const MIN_EVICTION_AGE: Duration = Duration::from_millis(10);
 /// Size of the read buffer, which bounds the head of a request.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Memory accounted for one client connection: its task, hyper's buffers and the parsed head. Measured with
@@ -65,169 +52,6 @@
 /// Time limit for handing a request to the courier's queue, well below the time that a client waits.
 const ENQUEUE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// State of the server that its connections, the admin pages and the courier share.
-#[derive(Default)]
-pub struct ServerState {
-    /// Answer of the readiness check.
-    pub ready: Cell<bool>,
-    /// Shutdown has begun: each answer closes its connection.
-    pub stopping: Cell<bool>,
-    /// Open connections by id; each is notified at shutdown.
-    pub connections: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
-    next_id: Cell<u64>,
-    /// The task that accepts connections; replaced when the listening address changes.
-    accept_task: RefCell<Option<AbortHandle>>,
-}
-
-/// What a client's connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ConnectionState {
-    /// No byte has arrived yet.
-    AwaitingFirstByte,
-    /// Part of a request head has arrived.
-    ReadingHead,
-    /// A request's body is being read or its answer is pending.
-    Processing,
-    /// Between requests. `last_request_ok` is false if the last answer was a client error.
-    Idle { last_request_ok: bool },
-}
-
-/// Shared state of one client's connection.
-pub struct ClientConnection {
-    state: Cell<ConnectionState>,
-    /// Tells whether the client has closed the connection.
-    client: PeerWatch,
-    /// Time of the last change of state.
-    since: Cell<Instant>,
-    framing: RefCell<RequestFraming>,
-    /// Requests a graceful close, after the answer in progress.
-    graceful_close: Notify,
-    /// Closes the connection at once, even within a request.
-    abort: Notify,
-    /// Whether its client is told when it is closed through `abort`.
-    abort_is_told: Cell<bool>,
-    /// The connection's memory; released as soon as it is evicted, so that the next one can have it.
-    memory: RefCell<Option<Charge>>,
-}
-
-impl ClientConnection {
-    fn new(client: PeerWatch, memory: Charge) -> Self {
-        ClientConnection {
-            client,
-            state: Cell::new(ConnectionState::AwaitingFirstByte),
-            since: Cell::new(Instant::now()),
-            framing: RefCell::default(),
-            graceful_close: Notify::new(),
-            abort: Notify::new(),
-            abort_is_told: Cell::new(true),
-            memory: RefCell::new(Some(memory)),
-        }
-    }
-
-    fn set_state(&self, state: ConnectionState) {
-        self.state.set(state);
-        self.since.set(Instant::now());
-    }
-
-    fn bytes_received(&self, bytes: &[u8]) {
-        self.framing.borrow_mut().feed(bytes);
-        if matches!(self.state.get(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle { .. }) {
-            self.set_state(ConnectionState::ReadingHead);
-        }
-    }
-
-    /// When the connection is closed unless more of a request arrives; `None` while no head is awaited.
-    fn read_deadline(&self) -> Option<Instant> {
-        match self.state.get() {
-            ConnectionState::AwaitingFirstByte => Some(self.since.get() + FIRST_BYTE_TIMEOUT),
-            ConnectionState::ReadingHead => Some(self.since.get() + HEAD_TIMEOUT),
-            ConnectionState::Processing | ConnectionState::Idle { .. } => None,
-        }
-    }
-
-    /// Whether it has been idle for long enough to be closed for its descriptor.
-    fn can_be_shed(&self) -> bool {
-        let is_idle =
-            matches!(self.state.get(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle { .. });
-        is_idle && self.since.get().elapsed() > MIN_SHED_IDLE_TIME
-    }
-
-    /// Order of eviction when connections or memory run out: lowest first, `None` never. A connection that
-    /// has sent nothing goes before one that has served a valid request.
-    fn eviction_rank(&self) -> Option<u8> {
-        let age = self.since.get().elapsed();
-        match self.state.get() {
-            ConnectionState::AwaitingFirstByte if age > MIN_EVICTION_AGE => Some(0),
-            ConnectionState::Idle { last_request_ok: false } => Some(1),
-            ConnectionState::Idle { .. } if age > MIN_EVICTION_IDLE_TIME => Some(2),
-            ConnectionState::ReadingHead if age > MIN_EVICTION_AGE => Some(3),
-            // Without this, clients that send one request and keep the connection would lock out all
-            // newcomers until `MIN_EVICTION_IDLE_TIME` has passed.
-            ConnectionState::Idle { .. } => Some(4),
-            _ => None,
-        }
-    }
-}
-
-/// Framing of a request as seen in its raw bytes, to detect request smuggling: hyper silently drops a
-/// Content-Length beside a Transfer-Encoding, or a second equal one, and keeps what follows a body for the
-/// next request.
-#[derive(Default)]
-struct RequestFraming {
-    line_prefix: Vec<u8>,
-    /// The request line has started; empty lines before it are ignored.
-    started: bool,
-    /// The empty line after the head has been read.
-    head_complete: bool,
-    /// Number of Content-Length fields.
-    content_lengths: usize,
-    /// Bytes received after the head.
-    bytes_after_head: usize,
-}
-
-const CONTENT_LENGTH_NAME: &[u8] = b"content-length";
-
-impl RequestFraming {
-    fn feed(&mut self, bytes: &[u8]) {
-        for (n, byte) in bytes.iter().enumerate() {
-            if self.head_complete {
-                self.bytes_after_head += bytes.len() - n;
-                return;
-            }
-            match byte {
-                b'\n' if self.line_prefix.is_empty() => self.head_complete = self.started,
-                b'\n' => {
-                    let name = self.line_prefix.get(..CONTENT_LENGTH_NAME.len());
-                    self.content_lengths +=
-                        usize::from(name.is_some_and(|l| l.eq_ignore_ascii_case(CONTENT_LENGTH_NAME)));
-                    self.line_prefix.clear();
-                }
-                b'\r' => {}
-                _ => {
-                    self.started = true;
-                    self.line_prefix
-                        .extend((self.line_prefix.len() < CONTENT_LENGTH_NAME.len()).then_some(*byte));
-                }
-            }
-        }
-    }
-
-    /// Returns the error for a request whose end is ambiguous, since another request may be hidden behind its
-    /// body. `length` is the body's length by hyper. Clients send one request at a time, without pipelining.
-    fn error(&self, length: Option<u64>) -> Option<(StatusCode, &'static str)> {
-        match length {
-            None => {
-                Some((StatusCode::LENGTH_REQUIRED, "a Content-Length, and nothing else, tells the length\n"))
-            }
-            _ if self.content_lengths > 1 => Some((StatusCode::BAD_REQUEST, "more than one length\n")),
-            Some(length) if self.bytes_after_head as u64 > length => {
-                Some((StatusCode::BAD_REQUEST, "more than the length says\n"))
-            }
-            Some(_) => None,
-        }
-    }
-}
-
 /// Planted fault: reads available bytes, and fails if a signal interrupts the read.
 fn poll_interruptible_read(
     stream: &TcpStream,
@@ -272,60 +96,6 @@
     }
 }
 
-impl ServerState {
-    /// Replaces the task that accepts connections.
-    pub fn set_accept_task(&self, task: AbortHandle) {
-        *self.accept_task.borrow_mut() = Some(task);
-    }
-
-    /// Stops accepting connections.
-    pub fn close_listener(&self) {
-        if let Some(task) = self.accept_task.borrow_mut().take() {
-            task.abort();
-        }
-    }
-
-    /// Turns readiness off and closes idle connections; the others close after their answer.
-    pub fn begin_shutdown(&self) {
-        self.ready.set(false);
-        self.stopping.set(true);
-        self.connections.borrow().values().for_each(|connection| connection.graceful_close.notify_one());
-    }
-
-    /// Evicts the connection with the lowest rank. Returns false if none may be evicted.
-    fn evict(&self) -> bool {
-        let mut connections = self.connections.borrow_mut();
-        // If more than a quarter cannot be evicted yet, waits: in a flood of new connections the silent ones
-        // become evictable within `MIN_EVICTION_AGE`, and go before connections that have served requests.
-        if connections.values().filter(|connection| connection.eviction_rank().is_none()).count() * 4
-            > connections.len()
-        {
-            return false;
-        }
-        let lowest = connections
-            .iter()
-            .filter_map(|(id, connection)| Some((connection.eviction_rank()?, connection.since.get(), *id)))
-            .min();
-        let connection = lowest.and_then(|(_, _, id)| connections.remove(&id));
-        let evicted = connection.inspect(|connection| {
-            connection.abort.notify_one();
-            connection.memory.take();
-        });
-        evicted.is_some()
-    }
-
-    /// Closes the connection that has been idle longest, if it may be, to free its descriptor.
-    fn shed_idle(&self) {
-        let mut connections = self.connections.borrow_mut();
-        let idle = connections.iter().filter(|(_, connection)| connection.can_be_shed());
-        let oldest = idle.min_by_key(|(_, connection)| connection.since.get()).map(|(id, _)| *id);
-        if let Some(connection) = oldest.and_then(|id| connections.remove(&id)) {
-            connection.abort_is_told.set(false);
-            connection.abort.notify_one();
-        }
-    }
-}
-
 /// How a request is mapped to a message.
 pub enum Routing {
     /// The platform protocol: the path names the class, the `Envelope` field the destination.
