Logs and counters: requests received and answered, connections closed, notices posted

The log could not tell a request that was read and not answered from one that was never read, nor why a client's connection was closed, nor when a notice was on its way. No behaviour changes.

--- a/crates/courier/src/dispatcher/notices.rs
+++ b/crates/courier/src/dispatcher/notices.rs
@@ -81,9 +81,20 @@
                 let live = self.journal.get(notice.message);
                 notice.attempts =
                     live.and_then(|live| AttemptSummary::of(live, notice.verdict)).map(Box::new);
+                message_trace::log_step(
+                    &notice.id,
+                    format_args!("notice posted number={} verdict={:?}", notice.message, notice.verdict),
+                );
             }
             self.notices.posts_in_flight += 1;
             tokio::task::spawn_local(self.notices.outcomes.clone().deliver(batch, self.event_tx.clone()));
         }
     }
+
+    /// Traces that the notice of a message was acknowledged.
+    pub(super) fn trace_acknowledged_notice(&self, message: u64) {
+        if let Some(live) = self.journal.get(message) {
+            message_trace::log_step(&live.accepted.id, format_args!("notice acknowledged number={message}"));
+        }
+    }
 }
--- a/crates/courier/src/dispatcher/shutdown.rs
+++ b/crates/courier/src/dispatcher/shutdown.rs
@@ -1,6 +1,7 @@
 //! Shutdown after SIGTERM: how long attempts are still started, and when everything is done that can be done.
 
 use super::Dispatcher;
+use crate::ingress::connection_counters::OpenConnections;
 use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -35,17 +36,20 @@
     /// Actions that wait for their record to be durable.
     records: usize,
     disk_fails: bool,
+    /// Connections of HTTP clients.
+    clients: OpenConnections,
 }
 
 impl fmt::Display for Workload {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Workload { held, in_flight, pending, notices, posts, records, disk_fails } = self;
+        let Workload { held, in_flight, pending, notices, posts, records, disk_fails, clients } = self;
         write!(
             f,
             "{held} messages held, {in_flight} of them with a call in flight; {pending} submissions pending; \
              {notices} notices to post, {posts} posts in flight; {records} actions wait for the journal"
         )?;
-        f.write_str(if *disk_fails { ", which cannot write" } else { "" })
+        f.write_str(if *disk_fails { ", which cannot write" } else { "" })?;
+        write!(f, "; {clients}")
     }
 }
 
@@ -69,6 +73,7 @@
             posts: self.notices.posts_in_flight,
             records: self.records.waiting.len(),
             disk_fails: self.records.disk_failed.is_some(),
+            clients: self.server_state.open_connections(),
         }
     }
 
--- a/crates/courier/src/ingress.rs
+++ b/crates/courier/src/ingress.rs
@@ -3,6 +3,7 @@
 pub mod active_config;
 pub mod admin;
 pub mod client_connection;
+pub mod connection_counters;
 pub mod http;
 pub mod listener;
 pub mod message_headers;
--- a/crates/courier/src/ingress/admin.rs
+++ b/crates/courier/src/ingress/admin.rs
@@ -1,4 +1,4 @@
-//! Admin pages for operators: readiness, memory, connections, discovery, failed system calls, and the
+//! Admin pages for operators: readiness, memory, connections of clients and to endpoints, discovery, failed system calls, and the
 //! configuration in effect with the last refused one. Served on a separate loopback address, only if configured.
 
 use crate::discovery::control::ConfigView;
@@ -30,7 +30,8 @@
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(10);
 /// Limit of connections at once.
 const MAX_CONNECTIONS: usize = 16;
-const PAGES: [&str; 7] = [
+const PAGES: [&str; 8] = [
+    "/-/clients",
     "/-/config",
     "/-/config/values",
     "/-/connections",
@@ -73,6 +74,10 @@
 
 async fn answer(request: &Request<Incoming>, pages: &AdminPages) -> Response<Full<Bytes>> {
     let page = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/-/clients") => {
+            let state = &pages.server_state;
+            Some(state.counters.page(&state.open_connections()))
+        }
         (&Method::GET, "/-/config") => Some(pages.view.status.to_json()),
         (&Method::GET, "/-/config/values") => Some(effective_values(&pages.view).await),
         (&Method::GET, "/-/connections") => Some(pages.connections.page()),
--- a/crates/courier/src/ingress/client_connection.rs
+++ b/crates/courier/src/ingress/client_connection.rs
@@ -1,6 +1,7 @@
 //! The state of one client's HTTP connection, and what follows from it: when its read times out, and whether it
 //! may be closed for another one.
 
+use crate::ingress::connection_counters::CloseCause;
 use crate::ingress::request_framing::RequestFraming;
 use crate::socket::PeerWatch;
 use stairshed_memory::Charge;
@@ -40,6 +41,8 @@
 
 /// Shared state of one client's connection.
 pub struct ClientConnection {
+    /// Its number in this process.
+    pub id: u64,
     pub state: Cell<ConnectionState>,
     /// Tells whether the client has closed the connection.
     pub client: PeerWatch,
@@ -50,23 +53,24 @@
     pub graceful_close: Notify,
     /// Closes the connection at once, even within a request.
     pub abort: Notify,
-    /// Whether its client is told when it is closed through `abort`.
-    pub abort_is_told: Cell<bool>,
+    /// Why it is closed through `abort`. A client whose connection is evicted is told so.
+    pub abort_cause: Cell<CloseCause>,
     /// The connection's memory; released as soon as it is evicted, so that the next one can have it.
     pub memory: RefCell<Option<Charge>>,
 }
 
 impl ClientConnection {
     /// A connection that has just been accepted.
-    pub fn new(client: PeerWatch, memory: Charge) -> Self {
+    pub fn new(id: u64, client: PeerWatch, memory: Charge) -> Self {
         ClientConnection {
+            id,
             client,
             state: Cell::new(ConnectionState::AwaitingFirstByte),
             since: Cell::new(Instant::now()),
             framing: RefCell::default(),
             graceful_close: Notify::new(),
             abort: Notify::new(),
-            abort_is_told: Cell::new(true),
+            abort_cause: Cell::new(CloseCause::Evicted),
             memory: RefCell::new(Some(memory)),
         }
     }
@@ -94,6 +98,14 @@
         }
     }
 
+    /// Why it is closed when its read deadline has passed.
+    pub fn timeout_cause(&self) -> CloseCause {
+        match self.state.get() {
+            ConnectionState::AwaitingFirstByte => CloseCause::FirstByteTimeout,
+            _ => CloseCause::HeadTimeout,
+        }
+    }
+
     /// Whether it has been idle for long enough to be closed for its descriptor.
     pub fn can_be_shed(&self) -> bool {
         let is_idle =
--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -5,12 +5,14 @@
 use crate::ingress::client_connection::{
     ClientConnection, ConnectionState, FIRST_BYTE_TIMEOUT, HEAD_TIMEOUT,
 };
+use crate::ingress::connection_counters::CloseCause;
 use crate::ingress::listener::Acceptor;
 use crate::ingress::message_headers::{MessageHeaders, RequestError};
 use crate::ingress::rejection::{ConnectionRejecter, Protocol, ReceivedInput, Rejection};
 use crate::ingress::request_framing::RequestFraming;
 use crate::ingress::server_state::ServerState;
 use crate::memory_budget::{MemoryBudget, MemoryRefusal};
+use crate::message_trace;
 use crate::socket::{self, PeerWatch, Socket};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -168,9 +170,9 @@
     ) {
         let _ = stream.set_nodelay(true);
         let socket = Socket::new(stream);
-        let connection = Rc::new(ClientConnection::new(PeerWatch::new(&socket), memory));
         let id = self.server_state.next_id.get();
         self.server_state.next_id.set(id + 1);
+        let connection = Rc::new(ClientConnection::new(id, PeerWatch::new(&socket), memory));
         self.server_state.connections.borrow_mut().insert(id, connection.clone());
         let (this, shared) = (self.clone(), connection.clone());
         let service = service_fn(move |request| {
@@ -192,15 +194,19 @@
                 service,
             );
         let mut read_timer = pin!(sleep(FIRST_BYTE_TIMEOUT));
-        let evicted = loop {
+        let mut finish_cause = CloseCause::Finished;
+        let cause = loop {
             tokio::select! {
                 biased;
-                () = connection.abort.notified() => break true,
-                _ = &mut http_conn => break false,
-                () = connection.graceful_close.notified() => Pin::new(&mut http_conn).graceful_shutdown(),
+                () = connection.abort.notified() => break connection.abort_cause.get(),
+                _ = &mut http_conn => break finish_cause,
+                () = connection.graceful_close.notified() => {
+                    finish_cause = CloseCause::Stopping;
+                    Pin::new(&mut http_conn).graceful_shutdown();
+                }
                 () = read_timer.as_mut() => match connection.read_deadline() {
                     // An incomplete head, or no data at all, must not hold a socket.
-                    Some(deadline) if deadline <= Instant::now() => break false,
+                    Some(deadline) if deadline <= Instant::now() => break connection.timeout_cause(),
                     deadline => read_timer
                         .as_mut()
                         .reset(deadline.unwrap_or_else(|| Instant::now() + HEAD_TIMEOUT)),
@@ -208,8 +214,8 @@
             }
         };
         self.server_state.connections.borrow_mut().remove(&id);
-        let is_told = evicted && connection.abort_is_told.get();
-        if let Some(rejecter) = self.rejecter.as_ref().filter(|_| is_told) {
+        self.server_state.counters.closed(cause, connection.state.get());
+        if let Some(rejecter) = self.rejecter.as_ref().filter(|_| cause == CloseCause::Evicted) {
             // Its next request may already be on its way or partly read.
             let received = match connection.state.get() {
                 ConnectionState::ReadingHead => ReceivedInput::HttpRequest,
@@ -310,6 +316,15 @@
         if connection.client.has_left() {
             return closing_response(StatusCode::BAD_REQUEST, "the client has closed the connection\n");
         }
+        message_trace::log_step(
+            &message.id,
+            format_args!(
+                "received connection={} stopping={}",
+                connection.id,
+                self.server_state.stopping.get()
+            ),
+        );
+        let traced_id = message.id.clone();
         let (reply, answered) = oneshot::channel();
         let id = message.routed.is_some().then(|| message.id.clone());
         let reply = ReplyTo::Single { reply, client: connection.client.clone() };
@@ -333,6 +348,7 @@
                 _ => Reply::Unavailable,
             };
         let mut answer = reply_response(reply);
+        message_trace::log_step(&traced_id, format_args!("answered status={}", answer.status().as_u16()));
         // The courier generates an id where the client sent none, so it is always returned.
         if let Some(id) = id.and_then(|id| HeaderValue::from_str(&id).ok()) {
             answer.headers_mut().insert("X-Request-ID", id);
--- a/crates/courier/src/ingress/server_state.rs
+++ b/crates/courier/src/ingress/server_state.rs
@@ -1,6 +1,7 @@
 //! State that the HTTP server shares with its connections, the admin pages and the dispatcher.
 
 use crate::ingress::client_connection::ClientConnection;
+use crate::ingress::connection_counters::{CloseCause, ConnectionCounters, OpenConnections};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -16,11 +17,18 @@
     /// Open connections by id; each is notified at shutdown.
     pub connections: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
     pub next_id: Cell<u64>,
+    /// Counts closed connections.
+    pub counters: ConnectionCounters,
     /// The task that accepts connections; replaced when the listening address changes.
     accept_task: RefCell<Option<AbortHandle>>,
 }
 
 impl ServerState {
+    /// Numbers of open connections.
+    pub fn open_connections(&self) -> OpenConnections {
+        self.connections.borrow().values().map(|connection| connection.state.get()).collect()
+    }
+
     /// Replaces the task that accepts connections.
     pub fn set_accept_task(&self, task: AbortHandle) {
         *self.accept_task.borrow_mut() = Some(task);
@@ -68,7 +76,7 @@
         let idle = connections.iter().filter(|(_, connection)| connection.can_be_shed());
         let oldest = idle.min_by_key(|(_, connection)| connection.since.get()).map(|(id, _)| *id);
         if let Some(connection) = oldest.and_then(|id| connections.remove(&id)) {
-            connection.abort_is_told.set(false);
+            connection.abort_cause.set(CloseCause::Shed);
             connection.abort.notify_one();
         }
     }
