--- /dev/null
+++ b/crates/courier/tests/answered_requests.rs
@@ -0,0 +1,304 @@
+//! Each request that the courier has read is answered, whatever ends its connection or the process: a stop, a full house,
+//! a time-out, or a start that is broken off. Courier processes on loopback.
+
+use serde_json::json;
+use stairshed_rig::machine_faults::MachineFaults;
+use stairshed_rig::*;
+use std::collections::BTreeSet;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const DEADLINE_MS: u64 = 20_000;
+/// Few sockets, and how many connections of clients they allow.
+const SOCKETS: u64 = 64;
+const CLIENTS: usize = 11;
+/// Time within which a courier has read what was written to it.
+const READ_TIME: Duration = Duration::from_millis(50);
+/// From SIGTERM to SIGKILL, at least (protocol page).
+const MIN_TERM_TO_KILL: Duration = Duration::from_millis(3_700);
+/// Status of an accepted message.
+const ACCEPTED: u16 = 202;
+/// From SIGTERM on, when a connection is opened that is still used shortly before the courier ends.
+const LATE_CONNECTION: Duration = Duration::from_millis(680);
+
+/// A platform's courier with one endpoint, which logs the steps of all messages.
+struct TestSetup {
+    discovery: Discovery,
+    courier: Courier,
+    faults: MachineFaults,
+    /// Kept for as long as the courier runs.
+    _parts: (Endpoint, TestFolder),
+}
+
+impl TestSetup {
+    fn start(act: impl Fn(usize) -> EndpointAction + Send + Sync + 'static) -> Self {
+        Self::with_sockets(256, act)
+    }
+
+    fn with_sockets(sockets: u64, act: impl Fn(usize) -> EndpointAction + Send + Sync + 'static) -> Self {
+        let endpoint = Endpoint::new(act);
+        let known = list(1, true, vec![host("s-1", &endpoint, 7, "ready")]);
+        let discovery = Discovery::new(known.clone());
+        let folder = TestFolder::new();
+        let mut config = config(&discovery, known);
+        config["limits"]["sockets"] = json!(sockets);
+        let mut command = command(&folder, &discovery, &config);
+        let faults = MachineFaults::load(&mut command, &folder, "");
+        let courier = Courier::spawn(command.args(["--follow", "1/1"]));
+        TestSetup { discovery, courier, faults, _parts: (endpoint, folder) }
+    }
+}
+
+fn connect(to: SocketAddr) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(to).expect("a connection");
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("set");
+    stream.set_nodelay(true).expect("set");
+    BufReader::new(stream)
+}
+
+fn send(connection: &mut BufReader<TcpStream>, bytes: &str) {
+    // A connection that the courier has closed shows when the answer is read.
+    let _ = connection.get_mut().write_all(bytes.as_bytes());
+}
+
+/// Reads the status of an answer; None if the connection ends without a complete one.
+fn answer(connection: &mut BufReader<TcpStream>) -> Option<u16> {
+    HttpMessage::read(connection).map(|answer| answer.status())
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+/// Ids of the requests that a courier's log calls received.
+fn received(log: &[String]) -> BTreeSet<&str> {
+    let steps = log.iter().filter(|line| line.starts_with("follow ") && line.contains(" received "));
+    steps.filter_map(|line| line.split_whitespace().nth(2)).collect()
+}
+
+// Guards against a request in two parts whose second part comes shortly before the end of a stop, and that is dropped.
+#[test]
+fn requests_whose_last_byte_comes_before_the_end_of_a_stop_are_answered() {
+    const CLIENTS: u64 = 120;
+    let setup = TestSetup::start(|_| EndpointAction::Hang);
+    let mut courier = setup.courier;
+    let start = Instant::now();
+    courier.signal("-TERM");
+    sleep_until(start + LATE_CONNECTION);
+    let address = courier.address;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            thread::spawn(move || {
+                let (id, mut connection) = (format!("split-{number}"), connect(address));
+                let text = message(&id, "status", 7, DEADLINE_MS);
+                let (first, rest) = text.split_at(text.len() / 2);
+                sleep_until(start + Duration::from_millis(2_850));
+                send(&mut connection, first);
+                sleep_until(start + Duration::from_millis(3_200 + number));
+                send(&mut connection, rest);
+                (id, answer(&mut connection))
+            })
+        })
+        .collect();
+    let answers: Vec<_> = clients.into_iter().map(|client| client.join().expect("a client")).collect();
+    courier.exit();
+    let stopped_after = start.elapsed();
+    let log = courier.unread_log();
+    let unanswered = answers.iter().filter(|(_, answer)| answer.is_none()).map(|(id, _)| id.as_str());
+    let lost: Vec<_> = unanswered.filter(|id| received(&log).contains(id)).collect();
+    assert!(lost.is_empty(), "{} read and not answered: {lost:?}", lost.len());
+    let open = log.iter().find(|line| line.starts_with("stopped after")).expect("its last line");
+    assert!(!open.contains("reading a head") && !open.contains("unanswered"), "{open}");
+    assert!(stopped_after < MIN_TERM_TO_KILL, "it ended {stopped_after:?} after SIGTERM");
+}
+
+// Guards against a request whose record waits for a sync when the process ends: it gets no answer, or is refused and sent
+// by the next process all the same.
+#[test]
+fn requests_that_wait_for_a_sync_at_the_end_of_a_stop_are_answered_truly() {
+    const CLIENTS: usize = 20;
+    let folder = TestFolder::new();
+    let endpoint = Endpoint::new(|_| EndpointAction::RespondDistinct(MS));
+    let file = format!(
+        "name = \"depot\"\n[listen]\nhttp = \"127.0.0.1:0\"\n[journal]\ndurability = \"machine\"\n\
+         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\nremember = \"1h\"\n\
+         [pools.p]\nendpoints = [{{ address = \"{}\" }}]\n\
+         [routes.pay]\nprefix = \"/pay\"\npool = \"p\"\nclass = \"payment\"\n",
+        endpoint.address
+    );
+    let mut command = serve_command(&folder, &file);
+    let faults = MachineFaults::load(&mut command, &folder, "");
+    let mut courier = Courier::spawn(command.args(["--follow", "1/1"]));
+    faults.set("sync slow 1");
+    let start = Instant::now();
+    courier.signal("-TERM");
+    sleep_until(start + LATE_CONNECTION);
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| connect(courier.address)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        sleep_until(start + Duration::from_millis(2_950 + 7 * number as u64));
+        send(client, &request("/pay", &format!("pay-{number}"), "", "42 EUR"));
+    }
+    let answers: Vec<_> = clients.iter_mut().map(answer).collect();
+    courier.exit();
+    let log = courier.unread_log();
+    let is_received = |number: &usize| received(&log).contains(format!("pay-{number}").as_str());
+    let lost: Vec<_> = (0..CLIENTS).filter(|n| answers[*n].is_none() && is_received(n)).collect();
+    assert!(lost.is_empty(), "{} read and not answered: {lost:?}", lost.len());
+    let next = Courier::serve(&folder, &file);
+    assert_eq!(next.post("/pay", "last", "", "42 EUR").status(), 202);
+    let with_status = |is_meant: fn(u16) -> bool| {
+        let meant = (0..CLIENTS).filter(|n| answers[*n].is_some_and(is_meant));
+        meant.map(|n| format!("pay-{n}")).collect::<BTreeSet<_>>()
+    };
+    let accepted = with_status(|status| status == ACCEPTED);
+    wait_until("the accepted payments", || {
+        let ids: BTreeSet<_> = endpoint.ids().into_iter().collect();
+        ids.contains("last") && accepted.is_subset(&ids)
+    });
+    thread::sleep(4 * READ_TIME);
+    let ids: BTreeSet<_> = endpoint.ids().into_iter().collect();
+    let refused = with_status(|status| status != ACCEPTED);
+    let sent: Vec<_> = refused.intersection(&ids).collect();
+    assert!(sent.is_empty(), "{} of {} refused payments were sent: {sent:?}", sent.len(), refused.len());
+}
+
+// Guards against a kept connection that SIGTERM closes as idle though part of a request was read from it.
+#[test]
+fn request_that_has_begun_on_a_kept_connection_is_answered_after_sigterm() {
+    let setup = TestSetup::start(|_| EndpointAction::Respond(OK));
+    let mut connection = connect(setup.courier.address);
+    send(&mut connection, &message("first", "status", 7, DEADLINE_MS));
+    assert_eq!(answer(&mut connection), Some(ACCEPTED));
+    let second = message("second", "status", 7, DEADLINE_MS);
+    let (begun, rest) = second.split_at(second.len() / 2);
+    send(&mut connection, begun);
+    thread::sleep(READ_TIME);
+    setup.courier.signal("-TERM");
+    thread::sleep(READ_TIME);
+    send(&mut connection, rest);
+    let status = answer(&mut connection);
+    assert!(matches!(status, Some(202 | 429 | 503)), "{status:?}");
+}
+
+// Guards against requests that are dropped because SIGTERM ends a start that already serves clients, and still waits for
+// another address.
+#[test]
+fn request_that_has_begun_is_answered_though_sigterm_ends_the_start() {
+    let folder = TestFolder::new();
+    let endpoint = Endpoint::new(|_| EndpointAction::Respond(OK));
+    let (http, taken) = (free_address(), TcpListener::bind("127.0.0.1:0").expect("an address"));
+    let admin = taken.local_addr().expect("its address");
+    let file = format!(
+        "name = \"depot\"\n[listen]\nhttp = \"{http}\"\nadmin = \"{admin}\"\n\
+         [classes.payment]\neffect = \"once\"\n[pools.p]\nendpoints = [{{ address = \"{}\" }}]\n\
+         [routes.pay]\nprefix = \"/pay\"\npool = \"p\"\nclass = \"payment\"\n",
+        endpoint.address
+    );
+    let mut child = serve_command(&folder, &file).spawn().expect("it starts");
+    let text = request("/pay", "early", "", "42 EUR");
+    let (begun, rest) = text.split_at(text.len() / 2);
+    // If it does not listen before the start is done, no request is lost.
+    let end = Instant::now() + Duration::from_secs(2);
+    let mut connection = None;
+    while connection.is_none() && Instant::now() < end {
+        connection = TcpStream::connect(http).ok().map(BufReader::new);
+        thread::sleep(MS);
+    }
+    if let Some(connection) = &mut connection {
+        send(connection, begun);
+        thread::sleep(READ_TIME);
+    }
+    let id = child.id().to_string();
+    assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    if let Some(mut connection) = connection {
+        send(&mut connection, rest);
+        assert!(answer(&mut connection).is_some(), "part of it was read, and it was not answered");
+    }
+    child.wait().expect("its end");
+}
+
+// Guards against an answer that is cut off because its connection counts as idle once the answer is decided, and is
+// closed for a new one before the answer is written.
+#[test]
+fn answer_that_is_not_written_yet_is_not_cut_off_for_a_new_connection() {
+    let setup = TestSetup::with_sockets(SOCKETS, |_| EndpointAction::Respond(OK));
+    let (courier, faults) = (&setup.courier, &setup.faults);
+    let warm_up = |number: usize| {
+        let mut client = connect(courier.address);
+        send(&mut client, &message(&format!("warm-{number}"), "status", 7, DEADLINE_MS));
+        assert_eq!(answer(&mut client), Some(ACCEPTED));
+        client
+    };
+    let mut clients: Vec<_> = (0..CLIENTS).map(warm_up).collect();
+    faults.set("send ENOBUFS 1");
+    for (number, client) in clients.iter_mut().enumerate() {
+        send(client, &message(&format!("held-{number}"), "status", 7, DEADLINE_MS));
+    }
+    thread::sleep(READ_TIME);
+    let crowd: Vec<_> = (0..4 * CLIENTS).filter_map(|_| TcpStream::connect(courier.address).ok()).collect();
+    thread::sleep(4 * READ_TIME);
+    faults.set("");
+    let answers: Vec<_> = clients.iter_mut().map(answer).collect();
+    drop(crowd);
+    let log = courier.unread_log();
+    let lost: Vec<_> = (0..CLIENTS)
+        .filter(|number| answers[*number].is_none())
+        .map(|number| format!("held-{number}"))
+        .filter(|id| received(&log).contains(id.as_str()))
+        .collect();
+    assert!(lost.is_empty(), "{} read and not answered: {lost:?}", lost.len());
+}
+
+// Guards against a connection that is closed for a new one though part of a request was read from it, without a word to
+// its client.
+#[test]
+fn request_that_has_begun_is_answered_when_its_connection_is_closed_for_a_new_one() {
+    let setup = TestSetup::with_sockets(SOCKETS, |_| EndpointAction::Respond(OK));
+    let address = setup.courier.address;
+    let text = message("begun", "status", 7, DEADLINE_MS);
+    let (begun, rest) = text.split_at(text.len() / 2);
+    let begin = |_| {
+        let mut client = connect(address);
+        send(&mut client, begun);
+        client
+    };
+    let mut clients: Vec<_> = (0..CLIENTS).map(begin).collect();
+    thread::sleep(READ_TIME);
+    let crowd: Vec<_> = (0..CLIENTS).map(|_| connect(address)).collect();
+    thread::sleep(READ_TIME);
+    clients.iter_mut().for_each(|client| send(client, rest));
+    let unanswered = clients.iter_mut().map(answer).filter(Option::is_none).count();
+    drop(crowd);
+    assert_eq!(unanswered, 0, "of {CLIENTS} requests of which a part was read");
+}
+
+// Guards against a request whose end comes just after the time-out of its head, and that is closed without an answer.
+#[test]
+fn request_that_comes_too_slowly_is_answered() {
+    let setup = TestSetup::start(|_| EndpointAction::Respond(OK));
+    let text = message("slow", "status", 7, DEADLINE_MS);
+    let (begun, rest) = text.split_at(text.len() / 2);
+    let mut connection = connect(setup.courier.address);
+    send(&mut connection, begun);
+    thread::sleep(Duration::from_millis(2_550));
+    send(&mut connection, rest);
+    assert!(answer(&mut connection).is_some(), "part of it was read, and it was not answered");
+}
+
+// Guards against a client that closes only its sending side, waits for the answer, and gets none.
+#[test]
+fn client_that_closes_only_its_sending_side_is_answered() {
+    let setup = TestSetup::start(|_| EndpointAction::Respond(OK));
+    for number in 0..20 {
+        let mut connection = connect(setup.courier.address);
+        send(&mut connection, &message(&format!("half-{number}"), "status", 7, DEADLINE_MS));
+        if number % 2 == 0 {
+            thread::sleep(number * MS / 2);
+        }
+        connection.get_ref().shutdown(Shutdown::Write).expect("closed");
+        assert!(answer(&mut connection).is_some(), "half-{number} is not answered");
+    }
+    assert!(setup.discovery.notices.lock().expect("notices").is_empty());
+}
--- a/crates/courier/tests/bounced_again.rs
+++ b/crates/courier/tests/bounced_again.rs
@@ -1,6 +1,7 @@
 //! A message that has bounced is submitted again while the receiver of outcomes is down: it is a new message, whose end is
 //! told as well.
 
+use serde_json::json;
 use stairshed_rig::*;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -54,3 +55,52 @@
     thread::sleep(BOUNCE_TIME);
     assert_eq!(endpoint.ids().split_off(refused), ["again"]);
 }
+
+// Guards against a notice that ends the wrong message: a message bounced, another client used its id before the platform
+// had taken the notice, and that was sent on after the notice had ended the id.
+#[test]
+fn platform_message_is_not_sent_after_the_notice_that_ended_its_id() {
+    let (endpoint, open) = gated_endpoint();
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    discovery.refuse_posts.store(usize::MAX, Ordering::SeqCst);
+    let folder = TestFolder::new();
+    let courier = Courier::start(&folder, &discovery);
+    courier.submit_accepted("open", "status", 7, 1_500);
+    wait_until("a notice that is not taken", || discovery.posts.load(Ordering::SeqCst) > 0);
+    // Discovery refuses all further notices for now; the destination serves again soon.
+    let again = courier.submit("open", "status", 7, 20_000).status();
+    discovery.refuse_posts.store(0, Ordering::SeqCst);
+    wait_until("the notice", || !discovery.results("open").is_empty());
+    let refused = endpoint.calls().len();
+    open.store(true, Ordering::SeqCst);
+    thread::sleep(BOUNCE_TIME);
+    let sent = endpoint.ids().split_off(refused);
+    assert!(sent.is_empty(), "answered {again}, then sent after its notice: {sent:?}");
+    courier.submit_accepted("next", "status", 7, 20_000);
+    wait_until("the next message", || endpoint.ids().contains(&"next".to_owned()));
+}
+
+// Guards against an operator who is told `bounced` of a payment that runs: the notice of its first life came after it had
+// been accepted again.
+#[test]
+fn notice_of_a_bounced_payment_is_not_posted_after_the_payment_was_accepted_again() {
+    let (endpoint, open) = gated_endpoint();
+    let receiver = Discovery::new(json!({}));
+    receiver.refuse_posts.store(usize::MAX, Ordering::SeqCst);
+    let folder = TestFolder::new();
+    let courier = Courier::serve(&folder, &file(&endpoint, receiver.address));
+    let submit = || courier.post("/pay", "again", "", "42 EUR").status();
+    assert_eq!(submit(), 202);
+    wait_until("a notice that is not taken", || receiver.posts.load(Ordering::SeqCst) > 0);
+    open.store(true, Ordering::SeqCst);
+    wait_until("an acceptance", || submit() == 202);
+    receiver.refuse_posts.store(0, Ordering::SeqCst);
+    let delivered = || endpoint.calls().iter().any(|call| call.id == "again" && open.load(Ordering::SeqCst));
+    wait_until("the delivery", delivered);
+    thread::sleep(BOUNCE_TIME);
+    assert!(
+        receiver.results("again").is_empty(),
+        "told of a payment that ran: {:?}",
+        receiver.results("again")
+    );
+}
