A connection that is closed with part of a request read is answered first

What callers saw: a request sent in two parts got no answer when its connection was closed for a new one (a crowd on the platform) or by the time-out of its head, though the second part was written.

Cause: both closed the socket whatever had been read; only an operator's courier answered, and only an evicted one. A request that has been read in part may be written whole.

--- a/crates/courier/src/ingress.rs
+++ b/crates/courier/src/ingress.rs
@@ -13,4 +13,5 @@
 pub mod server_state;
 pub mod session_memory;
 pub mod session_shares;
+pub mod unfinished_request;
 pub mod users;
--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -215,15 +215,22 @@
         };
         self.server_state.connections.borrow_mut().remove(&id);
         self.server_state.counters.closed(cause, connection.state.get());
-        if let Some(rejecter) = self.rejecter.as_ref().filter(|_| cause == CloseCause::Evicted) {
-            // Its next request may already be on its way or partly read.
-            let received = match connection.state.get() {
-                ConnectionState::ReadingHead => ReceivedInput::HttpRequest,
-                _ => ReceivedInput::Nothing,
-            };
-            if let Some(stream) = Rc::into_inner(http_conn.into_parts().io.into_inner().socket.stream) {
+        if matches!(cause, CloseCause::Finished | CloseCause::Stopping) {
+            return;
+        }
+        let Some(stream) = Rc::into_inner(http_conn.into_parts().io.into_inner().socket.stream) else {
+            return;
+        };
+        let is_request_started = connection.state.get() == ConnectionState::ReadingHead;
+        match &self.rejecter {
+            Some(rejecter) if cause == CloseCause::Evicted => {
+                // Its next request may already be on its way or partly read.
+                let received =
+                    if is_request_started { ReceivedInput::HttpRequest } else { ReceivedInput::Nothing };
                 rejecter.reject(stream, Protocol::Http, Rejection::connections(), received);
             }
+            _ if is_request_started => self.server_state.unfinished_requests.answer(stream, cause).await,
+            _ => {}
         }
     }
 
--- a/crates/courier/src/ingress/server_state.rs
+++ b/crates/courier/src/ingress/server_state.rs
@@ -2,6 +2,7 @@
 
 use crate::ingress::client_connection::ClientConnection;
 use crate::ingress::connection_counters::{CloseCause, ConnectionCounters, OpenConnections};
+use crate::ingress::unfinished_request::UnfinishedRequests;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -17,6 +18,8 @@
     /// Open connections by id; each is notified at shutdown.
     pub connections: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
     pub next_id: Cell<u64>,
+    /// Answers connections that are closed within a request.
+    pub unfinished_requests: UnfinishedRequests,
     /// Counts closed connections.
     pub counters: ConnectionCounters,
     /// The task that accepts connections; replaced when the listening address changes.
