A courier that stops answers all requests it has read before it ends

What callers saw: 3.3 s after SIGTERM connections closed with requests that had been read and were not answered (the platform's courier); an operator's courier with durability = machine refused payments with 503 that were on record and waited for a sync, and the next process sent them: handed in again, they would run twice.

Cause: the end of the process was ordered after nothing.

Change: the stop has an order now. 2.7 s after SIGTERM nothing more is accepted (503). At 3.0 s what still waits is answered: a submission that is not recorded with 503; one whose record is not durable is withdrawn and told as failed, since a power cut may lose the withdrawal; connections with part of a request read get 503; the others close. The process ends at 3.3 s as before, but not before these answers had 0.1 s. A reply that is dropped counts as a failure, which promises nothing, no longer as a refusal.

--- a/crates/courier/src/dispatcher.rs
+++ b/crates/courier/src/dispatcher.rs
@@ -241,6 +241,7 @@
             self.forget_expired();
             self.compact();
             self.check_memory(traffic);
+            self.end_requests_when_due();
             if self.is_shutdown_complete() {
                 return;
             }
--- a/crates/courier/src/dispatcher/acceptance.rs
+++ b/crates/courier/src/dispatcher/acceptance.rs
@@ -114,6 +114,9 @@
 
     /// The refusal of a message that cannot be accepted whatever the scheduler decides.
     pub(super) fn early_refusal(&mut self, accepted: &AcceptedMessage) -> Option<Reply> {
+        if self.is_admission_closed() {
+            return Some(Reply::Unavailable);
+        }
         if self.records.disk_failed.is_some() {
             return Some(Reply::JournalRefused(Refusal::DiskUnreliable));
         }
@@ -147,11 +150,34 @@
             .map(|(n, _)| *n)
             .collect();
         for message in abandoned {
-            if let Some(PendingSubmission { submission, .. }) = self.acceptance.pending.remove(&message) {
-                self.acceptance.ids.remove(&submission.accepted.id);
-            }
-            let of = |e: &Event| matches!(e, Event::Accepted(t) if t.message.0 == message);
-            self.events.retain(|e| !of(e));
+            self.remove_pending(message);
+        }
+    }
+
+    /// Takes back a submission that the scheduler has not seen yet.
+    fn remove_pending(&mut self, message: u64) -> Option<Submission> {
+        let PendingSubmission { submission, .. } = self.acceptance.pending.remove(&message)?;
+        self.acceptance.ids.remove(&submission.accepted.id);
+        let of = |e: &Event| matches!(e, Event::Accepted(t) if t.message.0 == message);
+        self.events.retain(|e| !of(e));
+        Some(submission)
+    }
+
+    /// Answers all submissions that wait, since the process ends before they could be accepted. A message that is on
+    /// record, but not durable, is withdrawn; since a power cut may lose the withdrawal, its client is told that it
+    /// failed, which does not invite it to submit the message again.
+    pub(super) fn end_waiting_submissions(&mut self) {
+        let pending: Vec<u64> = self.acceptance.pending.keys().copied().collect();
+        for submission in pending.into_iter().filter_map(|message| self.remove_pending(message)) {
+            let _ = submission.reply.send(Reply::Unavailable);
+        }
+        let unconfirmed = std::mem::take(&mut self.acceptance.unconfirmed);
+        for message in unconfirmed.keys() {
+            self.withdraw(*message);
+        }
+        self.flush_journal();
+        for reply in unconfirmed.into_values().flatten() {
+            let _ = reply.send(Reply::Failed);
         }
     }
 
--- a/crates/courier/src/dispatcher/shutdown.rs
+++ b/crates/courier/src/dispatcher/shutdown.rs
@@ -8,6 +8,13 @@
 
 /// How long after SIGTERM new attempts are started.
 pub(super) const ATTEMPT_CUTOFF: Duration = Duration::from_millis(2200);
+/// How long after SIGTERM messages are accepted. Their records have time to become durable until
+/// [`ANSWER_CUTOFF`].
+const ADMISSION_CUTOFF: Duration = Duration::from_millis(2700);
+/// When requests that still wait, or are not read whole, are answered, and all connections of clients end.
+const ANSWER_CUTOFF: Duration = Duration::from_millis(3000);
+/// How long those answers may take, also if the courier was held up until after [`SHUTDOWN_LIMIT`].
+const ANSWER_TIME: Duration = Duration::from_millis(100);
 /// When the courier exits after SIGTERM, whatever is still in flight. SIGKILL follows 3.7 s after SIGTERM at
 /// the earliest.
 const SHUTDOWN_LIMIT: Duration = Duration::from_millis(3300);
@@ -21,6 +28,8 @@
 pub(super) struct Shutdown {
     /// When SIGTERM arrived; None while the courier runs.
     pub(super) since: Option<Instant>,
+    /// When all requests were answered, and connections ended.
+    requests_ended: Option<Instant>,
 }
 
 /// The courier's remaining work, for the log.
@@ -77,6 +86,21 @@
         }
     }
 
+    /// Whether no more messages are accepted, since the process ends before their clients could be told.
+    pub(super) fn is_admission_closed(&self) -> bool {
+        self.shutdown.since.is_some_and(|since| since.elapsed() >= ADMISSION_CUTOFF)
+    }
+
+    /// Answers all requests, and ends the connections, once it is time.
+    pub(super) fn end_requests_when_due(&mut self) {
+        let is_due = self.shutdown.since.is_some_and(|since| since.elapsed() >= ANSWER_CUTOFF);
+        if is_due && self.shutdown.requests_ended.is_none() {
+            self.shutdown.requests_ended = Some(Instant::now());
+            self.end_waiting_submissions();
+            self.server_state.end_connections();
+        }
+    }
+
     /// Whether everything is done that can be done after SIGTERM, or the time is up.
     pub(super) fn is_shutdown_complete(&mut self) -> bool {
         let Some(since) = self.shutdown.since else { return false };
@@ -84,12 +108,12 @@
         let notices_done = self.notices.queue.is_empty()
             && self.notices.posts_in_flight == 0
             && self.records.waiting.is_empty();
-        let quiet = since >= MIN_ACCEPT_TIME
-            && self.server_state.connections.borrow().is_empty()
-            && self.acceptance.pending.is_empty();
+        let quiet =
+            since >= MIN_ACCEPT_TIME && self.server_state.is_drained() && self.acceptance.pending.is_empty();
         let calls = self.attempts.held.values().any(|m| matches!(m.in_flight, Some((_, Some(_)))));
         let idle = self.attempts.held.is_empty() || since >= ATTEMPT_CUTOFF;
-        let done = since >= SHUTDOWN_LIMIT || (quiet && notices_done && idle && !calls);
+        let answered = self.shutdown.requests_ended.is_some_and(|at| at.elapsed() >= ANSWER_TIME);
+        let done = (since >= SHUTDOWN_LIMIT && answered) || (quiet && notices_done && idle && !calls);
         if done {
             self.flush_journal();
             log_line!("stopped after {:.2} s: {}", since.as_secs_f64(), self.workload());
--- a/crates/courier/src/ingress/client_connection.rs
+++ b/crates/courier/src/ingress/client_connection.rs
@@ -51,6 +51,10 @@
     pub framing: RefCell<RequestFraming>,
     /// Requests a graceful close, after the answer in progress.
     pub graceful_close: Notify,
+    /// Ends the connection because the process ends: a request that was not read whole is answered now.
+    pub end: Notify,
+    /// Ends the reading of a body, for the same reason.
+    pub end_of_body: Notify,
     /// Closes the connection at once, even within a request.
     pub abort: Notify,
     /// Why it is closed through `abort`. A client whose connection is evicted is told so.
@@ -69,6 +73,8 @@
             since: Cell::new(Instant::now()),
             framing: RefCell::default(),
             graceful_close: Notify::new(),
+            end: Notify::new(),
+            end_of_body: Notify::new(),
             abort: Notify::new(),
             abort_cause: Cell::new(CloseCause::Evicted),
             memory: RefCell::new(Some(memory)),
--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -97,6 +97,15 @@
     }
 }
 
+/// How a connection ended, and why.
+#[derive(Clone, Copy, Debug)]
+enum ConnectionEnd {
+    /// The HTTP library has closed it, after the answer in progress.
+    Finished(CloseCause),
+    /// It is to be closed here.
+    Closed(CloseCause),
+}
+
 /// How a request is mapped to a message.
 pub enum Routing {
     /// The platform protocol: the path names the class, the `Envelope` field the destination.
@@ -193,11 +202,15 @@
             );
         let mut read_timer = pin!(sleep(FIRST_BYTE_TIMEOUT));
         let mut finish_cause = CloseCause::Finished;
-        let cause = loop {
+        let end = loop {
             tokio::select! {
                 biased;
-                () = connection.abort.notified() => break connection.abort_cause.get(),
-                _ = &mut http_conn => break finish_cause,
+                () = connection.abort.notified() => break ConnectionEnd::Closed(connection.abort_cause.get()),
+                _ = &mut http_conn => break ConnectionEnd::Finished(finish_cause),
+                () = connection.end.notified() => match connection.state.get() {
+                    ConnectionState::Processing => connection.end_of_body.notify_one(),
+                    _ => break ConnectionEnd::Closed(CloseCause::Stopping),
+                },
                 () = connection.graceful_close.notified() => {
                     finish_cause = CloseCause::Stopping;
                     // The HTTP library takes a connection with an incomplete head for idle and would drop what
@@ -208,7 +221,9 @@
                 }
                 () = read_timer.as_mut() => match connection.read_deadline() {
                     // An incomplete head, or no data at all, must not hold a socket.
-                    Some(deadline) if deadline <= Instant::now() => break connection.timeout_cause(),
+                    Some(deadline) if deadline <= Instant::now() => {
+                        break ConnectionEnd::Closed(connection.timeout_cause());
+                    }
                     deadline => read_timer
                         .as_mut()
                         .reset(deadline.unwrap_or_else(|| Instant::now() + HEAD_TIMEOUT)),
@@ -216,8 +231,9 @@
             }
         };
         self.server_state.connections.borrow_mut().remove(&id);
+        let (ConnectionEnd::Finished(cause) | ConnectionEnd::Closed(cause)) = end;
         self.server_state.counters.closed(cause, connection.state.get());
-        if matches!(cause, CloseCause::Finished | CloseCause::Stopping) {
+        if matches!(end, ConnectionEnd::Finished(_)) {
             return;
         }
         let Some(stream) = Rc::into_inner(http_conn.into_parts().io.into_inner().socket.stream) else {
@@ -295,7 +311,12 @@
         };
         // The body is read before the header fields are checked, so that the connection stays usable after an
         // error.
-        let body = match timeout(BODY_TIMEOUT, read_body(body, kept)).await {
+        let read = tokio::select! {
+            biased;
+            read = timeout(BODY_TIMEOUT, read_body(body, kept)) => read,
+            () = connection.end_of_body.notified() => return reply_response(Reply::Unavailable),
+        };
+        let body = match read {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLarge)) => {
                 return static_response(StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB\n");
@@ -353,7 +374,8 @@
                     tokio::task::spawn_local(answered);
                     Reply::Accepted
                 }
-                Ok(Ok(())) => answered.await.unwrap_or(Reply::Unavailable),
+                // Without a reply it is not known whether the message is on record.
+                Ok(Ok(())) => answered.await.unwrap_or(Reply::Failed),
                 _ => Reply::Unavailable,
             };
         let mut answer = reply_response(reply);
--- a/crates/courier/src/ingress/server_state.rs
+++ b/crates/courier/src/ingress/server_state.rs
@@ -51,6 +51,17 @@
         self.connections.borrow().values().for_each(|connection| connection.graceful_close.notify_one());
     }
 
+    /// Ends all connections, since the process ends soon: each closes, after an answer if part of a request was
+    /// read.
+    pub fn end_connections(&self) {
+        self.connections.borrow().values().for_each(|connection| connection.end.notify_one());
+    }
+
+    /// Whether all connections are closed, and all their answers written.
+    pub fn is_drained(&self) -> bool {
+        self.connections.borrow().is_empty() && self.unfinished_requests.is_empty()
+    }
+
     /// Evicts the connection with the lowest rank. Returns false if none may be evicted.
     pub fn evict(&self) -> bool {
         let mut connections = self.connections.borrow_mut();
--- a/crates/courier/src/ingress/unfinished_request.rs
+++ b/crates/courier/src/ingress/unfinished_request.rs
@@ -26,6 +26,11 @@
 }
 
 impl UnfinishedRequests {
+    /// Whether no connection is being answered.
+    pub fn is_empty(&self) -> bool {
+        self.lingering.get() == 0
+    }
+
     /// Answers that the request was not accepted, and closes the connection.
     pub async fn answer(&self, mut stream: TcpStream, cause: CloseCause) {
         self.lingering.set(self.lingering.get() + 1);
--- a/crates/courier/tests/answered_requests.rs
+++ b/crates/courier/tests/answered_requests.rs
@@ -93,7 +93,9 @@
             thread::spawn(move || {
                 let (id, mut connection) = (format!("split-{number}"), connect(address));
                 let text = message(&id, "status", 7, DEADLINE_MS);
-                let (first, rest) = text.split_at(text.len() / 2);
+                // The rest begins in the head or in the body.
+                let (first, rest) =
+                    text.split_at(if number % 2 == 0 { text.len() / 2 } else { text.len() - 2 });
                 sleep_until(start + Duration::from_millis(2_850));
                 send(&mut connection, first);
                 sleep_until(start + Duration::from_millis(3_200 + number));
@@ -107,8 +109,10 @@
     let stopped_after = start.elapsed();
     let log = courier.unread_log();
     let unanswered = answers.iter().filter(|(_, answer)| answer.is_none()).map(|(id, _)| id.as_str());
-    let lost: Vec<_> = unanswered.filter(|id| received(&log).contains(id)).collect();
+    let unanswered: BTreeSet<_> = unanswered.collect();
+    let lost: Vec<_> = unanswered.intersection(&received(&log)).copied().collect();
     assert!(lost.is_empty(), "{} read and not answered: {lost:?}", lost.len());
+    assert!(unanswered.is_empty(), "{} begun and not answered: {unanswered:?}", unanswered.len());
     let open = log.iter().find(|line| line.starts_with("stopped after")).expect("its last line");
     assert!(!open.contains("reading a head") && !open.contains("unanswered"), "{open}");
     assert!(stopped_after < MIN_TERM_TO_KILL, "it ended {stopped_after:?} after SIGTERM");
