A client's connection is idle only once its answer is written

What callers saw: in a crowd, while the system had no memory for writes for a moment (ENOBUFS), answers were cut off: the connection was closed for a new one.

Cause: a connection counted as idle, and so as one that may be evicted or shed, as soon as its answer was decided; the HTTP library writes it later.

Change: the state WritingAnswer lies between, until the library has flushed its buffer. A client that does not take its answer for 1 s may be evicted, as before. A next request that has begun meanwhile counts as such, once the answer is written.

--- a/crates/courier/src/ingress/client_connection.rs
+++ b/crates/courier/src/ingress/client_connection.rs
@@ -19,6 +19,8 @@
 const MIN_SHED_IDLE_TIME: Duration = Duration::from_secs(1);
 /// Longest time from the first byte of a head to its end.
 pub const HEAD_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time after which a client that does not take its answer may lose its connection to another one.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle time after which a connection between requests is preferred for closing when connections or memory
 /// run out.
 const MIN_EVICTION_IDLE_TIME: Duration = Duration::from_secs(2);
@@ -35,6 +37,8 @@
     ReadingHead,
     /// A request's body is being read or its answer is pending.
     Processing,
+    /// The answer is decided, and not written whole yet. `next_has_begun` if part of another request has arrived.
+    WritingAnswer { last_request_ok: bool, next_has_begun: bool },
     /// Between requests. `last_request_ok` is false if the last answer was a client error.
     Idle { last_request_ok: bool },
 }
@@ -90,8 +94,14 @@
     /// Notes bytes that were read.
     pub fn bytes_received(&self, bytes: &[u8]) {
         self.framing.borrow_mut().feed(bytes);
-        if matches!(self.state.get(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle { .. }) {
-            self.set_state(ConnectionState::ReadingHead);
+        match self.state.get() {
+            ConnectionState::AwaitingFirstByte | ConnectionState::Idle { .. } => {
+                self.set_state(ConnectionState::ReadingHead);
+            }
+            ConnectionState::WritingAnswer { last_request_ok, .. } => {
+                self.state.set(ConnectionState::WritingAnswer { last_request_ok, next_has_begun: true });
+            }
+            ConnectionState::ReadingHead | ConnectionState::Processing => {}
         }
     }
 
@@ -99,10 +109,17 @@
     pub fn answer_decided(&self, body_length: u64, request_ok: bool) {
         let framing = self.framing.take();
         let next_has_begun = framing.bytes_after_head as u64 > body_length;
-        self.set_state(match next_has_begun {
-            true => ConnectionState::ReadingHead,
-            false => ConnectionState::Idle { last_request_ok: request_ok },
-        });
+        self.set_state(ConnectionState::WritingAnswer { last_request_ok: request_ok, next_has_begun });
+    }
+
+    /// Notes that all that was to be written is written.
+    pub fn all_written(&self) {
+        if let ConnectionState::WritingAnswer { last_request_ok, next_has_begun } = self.state.get() {
+            self.set_state(match next_has_begun {
+                true => ConnectionState::ReadingHead,
+                false => ConnectionState::Idle { last_request_ok },
+            });
+        }
     }
 
     /// When the connection is closed unless more of a request arrives; `None` while no head is awaited.
@@ -110,7 +127,9 @@
         match self.state.get() {
             ConnectionState::AwaitingFirstByte => Some(self.since.get() + FIRST_BYTE_TIMEOUT),
             ConnectionState::ReadingHead => Some(self.since.get() + HEAD_TIMEOUT),
-            ConnectionState::Processing | ConnectionState::Idle { .. } => None,
+            ConnectionState::Processing
+            | ConnectionState::WritingAnswer { .. }
+            | ConnectionState::Idle { .. } => None,
         }
     }
 
@@ -138,6 +157,7 @@
             ConnectionState::Idle { last_request_ok: false } => Some(1),
             ConnectionState::Idle { .. } if age > MIN_EVICTION_IDLE_TIME => Some(2),
             ConnectionState::ReadingHead if age > MIN_EVICTION_AGE => Some(3),
+            ConnectionState::WritingAnswer { .. } if age > WRITE_TIMEOUT => Some(3),
             // Without this, clients that send one request and keep the connection would lock out all
             // newcomers until `MIN_EVICTION_IDLE_TIME` has passed.
             ConnectionState::Idle { .. } => Some(4),
--- a/crates/courier/src/ingress/connection_counters.rs
+++ b/crates/courier/src/ingress/connection_counters.rs
@@ -68,7 +68,9 @@
         match state {
             ConnectionState::AwaitingFirstByte => RequestProgress::NothingRead,
             ConnectionState::ReadingHead => RequestProgress::HeadIncomplete,
-            ConnectionState::Processing => RequestProgress::Unanswered,
+            ConnectionState::Processing | ConnectionState::WritingAnswer { .. } => {
+                RequestProgress::Unanswered
+            }
             ConnectionState::Idle { .. } => RequestProgress::Answered,
         }
     }
--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -88,8 +88,11 @@
         Pin::new(&mut self.socket).poll_write(cx, buf)
     }
 
+    /// The HTTP library flushes once its buffer is written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+        ready!(Pin::new(&mut self.socket).poll_flush(cx))?;
+        self.connection.all_written();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
@@ -209,6 +212,8 @@
                 _ = &mut http_conn => break ConnectionEnd::Finished(finish_cause),
                 () = connection.end.notified() => match connection.state.get() {
                     ConnectionState::Processing => connection.end_of_body.notify_one(),
+                    // It closes behind the answer.
+                    ConnectionState::WritingAnswer { .. } => {}
                     _ => break ConnectionEnd::Closed(CloseCause::Stopping),
                 },
                 () = connection.graceful_close.notified() => {
