A start accepts HTTP clients only when nothing can end it any more

What callers saw: SIGTERM during a start that waited for listen.admin or listen.mqtt (5 s while the address is in use) ended the process at once; HTTP clients were served already, and requests that had begun got no answer.

Cause: HTTP clients were accepted before the other addresses were bound, and a start that is broken off drops all connections.

Change: the address of HTTP is bound in its turn, as before, and its connections wait unread in the backlog until the start is done; also those of a configuration version that came during the start.

--- a/crates/courier/src/bootstrap/serve.rs
+++ b/crates/courier/src/bootstrap/serve.rs
@@ -23,7 +23,7 @@
 use crate::ingress::server_state::ServerState;
 use crate::ingress::users::Users;
 use crate::memory_budget::{self, MemoryBudget};
-use crate::signals::Signal;
+use crate::signals::{Signal, SignalStream};
 use crate::startup_error::StartupError;
 use crate::upstream::outcomes::OutcomeNotifier;
 use stairshed_clock::{ClockStart, StableClock};
@@ -36,10 +36,12 @@
 use stairshed_decide::scheduler::Scheduler;
 use stairshed_journal::Durability;
 use stairshed_mqtt::server::Limits;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 /// Default size limit of the journal, bytes.
@@ -156,6 +158,21 @@
     (None, Arc::new(file_installation))
 }
 
+/// Binds the listening socket that `key` sets, if it does, and returns its address.
+///
+/// # Errors
+/// Those of [`listen_at_start`], and [`StartupError::Stopped`].
+async fn bind_at_start(
+    key: &'static str,
+    address: Option<SocketAddr>,
+    stop: &mut SignalStream,
+) -> Result<Option<(TcpListener, SocketAddr)>, StartupError> {
+    let Some(address) = address else { return Ok(None) };
+    let listener = unless_stopped(stop, listen_at_start(key, address)).await?;
+    let at = listener.local_addr().map_err(|e| invalid(key, e))?;
+    Ok(Some((listener, at)))
+}
+
 /// Runs the courier until it is told to stop.
 ///
 /// # Errors
@@ -273,10 +290,10 @@
         }
     }
     let at = unless_stopped(&mut stop, config_updater.listen()).await?;
-    if let Some(admin) = admin {
-        let listener = listen_at_start("listen.admin", admin);
-        let listener = unless_stopped(&mut stop, listener).await?;
-        let at = listener.local_addr().map_err(|e| invalid("listen.admin", e))?;
+    let admin_listener = bind_at_start("listen.admin", admin, &mut stop).await?;
+    let mqtt_listener = bind_at_start("listen.mqtt", installation_mqtt, &mut stop).await?;
+    config_updater.accept_clients();
+    if let Some((listener, at)) = admin_listener {
         log_line!("the operator's pages are at {at}");
         let (view, server_state, memory_budget) =
             (config_updater.view(), server_state.clone(), memory_budget.clone());
@@ -287,10 +304,7 @@
         log_line!("configuration: there are [topics], and listen.mqtt is not set: none is taken");
     }
     let mut accepting = None;
-    if let Some((mqtt_server, address)) = mqtt_server.clone().zip(installation_mqtt) {
-        let listener = listen_at_start("listen.mqtt", address);
-        let listener = unless_stopped(&mut stop, listener).await?;
-        let at = listener.local_addr().map_err(|e| invalid("listen.mqtt", e))?;
+    if let Some((mqtt_server, (listener, at))) = mqtt_server.clone().zip(mqtt_listener) {
         log_line!("MQTT clients are served at {at}");
         accepting = Some(tokio::task::spawn_local(mqtt_server.accept(listener)).abort_handle());
     }
--- a/crates/courier/src/discovery/control.rs
+++ b/crates/courier/src/discovery/control.rs
@@ -220,6 +220,10 @@
     events: Sender<DispatcherEvent>,
     http_server: Rc<HttpServer>,
     accept_task: Option<AbortHandle>,
+    /// Whether the start is done, so that clients are accepted.
+    accepts_clients: bool,
+    /// The listener whose clients wait until then.
+    waiting_listener: Option<TcpListener>,
     listen_address: Option<SocketAddr>,
     status: Rc<ConfigStatus>,
     document: Rc<RefCell<(Document, Option<Version>)>>,
@@ -269,6 +273,8 @@
             events,
             http_server,
             accept_task: None,
+            accepts_clients: false,
+            waiting_listener: None,
             listen_address: None,
             status,
             document: Rc::new(RefCell::new((document, current))),
@@ -287,7 +293,8 @@
         ConfigView { status, active_config, document: self.document.clone() }
     }
 
-    /// Returns the address on which clients are accepted. Starts listening if no version has done so yet.
+    /// Returns the address on which clients are accepted, after [`Self::accept_clients`]. Starts listening if no
+    /// version has done so yet.
     ///
     /// # Errors
     /// The address cannot be bound.
@@ -301,9 +308,22 @@
         Ok(at)
     }
 
-    /// Accepts clients on this listener and stops accepting on the previous one.
+    /// Accepts clients from now on. Until then their connections wait unread, since a start that is broken off
+    /// drops them.
+    pub fn accept_clients(&mut self) {
+        self.accepts_clients = true;
+        if let Some(listener) = self.waiting_listener.take() {
+            self.accept(listener);
+        }
+    }
+
+    /// Accepts clients on this listener, once the start is done, and stops accepting on the previous one.
     fn accept(&mut self, listener: TcpListener) {
         self.listen_address = listener.local_addr().ok();
+        if !self.accepts_clients {
+            self.waiting_listener = Some(listener);
+            return;
+        }
         let task = tokio::task::spawn_local(self.http_server.clone().run(listener)).abort_handle();
         self.http_server.server_state.set_accept_task(task.clone());
         if let Some(old) = self.accept_task.replace(task) {
