A client that closes only its sending side is answered

What callers saw: a client that shut down its sending side behind its request, and waited, got no answer.

Cause: the HTTP library ends a connection when it reads the end of the input while a request is in progress (half_close is off by default); whether that client has left altogether cannot be told.

Change: half_close is on. Such a client still counts as one that has left, so its message is not accepted; it is told so (400 or 500).

--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -198,6 +198,8 @@
         });
         let mut http_conn = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
+            // A client that closes its sending may still wait for the answer.
+            .half_close(true)
             .keep_alive(!self.server_state.stopping.get())
             .serve_connection(
                 TokioIo::new(ObservedStream { socket, connection: connection.clone() }),
