A platform message that comes again after it bounced is refused, not sent

What callers saw: a message bounced; its id came again before the platform had taken the notice (a client whose connection was reset sends its request once more; another client uses the id of an open request); it was taken on as a new message, the notice ended the id, and the message was still forwarded.

On the platform each submission has an id of its own, and a notice names the id alone.

--- a/crates/courier/src/dispatcher/acceptance.rs
+++ b/crates/courier/src/dispatcher/acceptance.rs
@@ -50,7 +50,12 @@
         // A second submission with the same id: the first one is accepted already, not durable yet, or not
         // decided yet.
         let known = self.acceptance.ids.get(&submission.accepted.id).copied();
-        if let Some(message) = known.filter(|message| !self.has_bounced(*message)) {
+        let bounced = known.filter(|message| self.has_bounced(*message));
+        if bounced.is_some() && submission.accepted.routed.is_none() {
+            // The platform's notices name an id alone: that of the bounced message would end the new one.
+            return respond(submission, Reply::Unavailable);
+        }
+        if let Some(message) = known.filter(|_| bounced.is_none()) {
             if let Some(waiting) = self.acceptance.unconfirmed.get_mut(&message) {
                 return waiting.push(submission.reply);
             }
--- a/crates/courier/src/dispatcher/ended_messages.rs
+++ b/crates/courier/src/dispatcher/ended_messages.rs
@@ -21,18 +21,27 @@
 /// Limit on remembered ids, of which the latest are kept: about half a megabyte.
 const MAX_RECENT_IDS: usize = 4096;
 
+/// How a message of the platform's ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RecentEnd {
+    /// It bounced, or an endpoint said that it is over: its client may submit it again, under a new id.
+    Bounced,
+    /// In any other way: a repeat is answered as accepted.
+    Final,
+}
+
 /// The ids of messages that ended recently. Expired ids are not known any more, and are removed at the next
 /// insertion.
 #[derive(Default)]
 struct RecentIds {
-    /// With the time at which the message ended.
-    ids: HashMap<Rc<str>, Instant>,
+    /// With the time at which the message ended, and how.
+    ids: HashMap<Rc<str>, (Instant, RecentEnd)>,
     /// In the order in which the messages ended.
     ended: VecDeque<(Instant, Rc<str>)>,
 }
 
 impl RecentIds {
-    fn insert(&mut self, id: &str, now: Instant) {
+    fn insert(&mut self, id: &str, end: RecentEnd, now: Instant) {
         while let Some((_, id)) = self.ended.pop_front_if(|(at, _)| is_expired(*at, now)) {
             self.ids.remove(&id);
         }
@@ -42,13 +51,13 @@
             self.ids.remove(&id);
         }
         let id: Rc<str> = id.into();
-        if self.ids.insert(id.clone(), now).is_none() {
+        if self.ids.insert(id.clone(), (now, end)).is_none() {
             self.ended.push_back((now, id));
         }
     }
 
-    fn contains(&self, id: &str, now: Instant) -> bool {
-        self.ids.get(id).is_some_and(|at| !is_expired(*at, now))
+    fn get(&self, id: &str, now: Instant) -> Option<RecentEnd> {
+        self.ids.get(id).filter(|(at, _)| !is_expired(*at, now)).map(|(_, end)| *end)
     }
 }
 
@@ -97,9 +106,9 @@
         }
     }
 
-    /// Whether a message with this id is remembered.
+    /// Whether a message with this id is remembered, and a repeat of it is answered as accepted.
     pub(super) fn contains(&self, id: &str) -> bool {
-        self.by_id.contains_key(id) || self.recent_ids.contains(id, Instant::now())
+        self.by_id.contains_key(id) || self.recent_ids.get(id, Instant::now()) == Some(RecentEnd::Final)
     }
 
     /// Shrinks its tables after a burst.
@@ -148,13 +157,16 @@
     /// The reply to a message whose id is remembered: it is accepted already, and its client is notified of
     /// the outcome again.
     pub(super) fn reply_to_duplicate(&mut self, accepted: &AcceptedMessage) -> Option<Reply> {
-        if accepted.routed.is_none() && self.ended_messages.recent_ids.contains(&accepted.id, Instant::now())
-        {
+        let recent = self.ended_messages.recent_ids.get(&accepted.id, Instant::now());
+        if let Some(end) = recent.filter(|_| accepted.routed.is_none()) {
             message_trace::log_step(
                 &accepted.id,
                 format_args!("handed in again after its end: not sent again"),
             );
-            return Some(Reply::Accepted);
+            return Some(match end {
+                RecentEnd::Bounced => Reply::Unavailable,
+                RecentEnd::Final => Reply::Accepted,
+            });
         }
         let message = *self.ended_messages.by_id.get(&accepted.id)?;
         let owner = accepted.routed.as_ref().and_then(|r| r.owner.clone());
@@ -202,9 +214,11 @@
         self.free_id(message, &accepted.id);
         let notified = self.ended_messages.notified.remove(&message);
         let Some(routed) = accepted.routed.as_ref().filter(|_| leaves_record(&accepted)) else {
-            // A bounced message may be submitted again; a repeat of any other could run it a second time.
-            if accepted.routed.is_none() && !matches!(verdict, Some(Verdict::Bounced { .. })) {
-                self.ended_messages.recent_ids.insert(&accepted.id, Instant::now());
+            // The platform's ids are ended for good: whatever comes under one again must not be sent.
+            if accepted.routed.is_none() {
+                let bounced = matches!(verdict, Some(Verdict::Bounced { .. }));
+                let end = if bounced { RecentEnd::Bounced } else { RecentEnd::Final };
+                self.ended_messages.recent_ids.insert(&accepted.id, end, Instant::now());
             }
             self.memory.release(message);
             if is_planted(PlantedFault::EndNotRecorded) {
--- a/crates/courier/tests/bounced_again.rs
+++ b/crates/courier/tests/bounced_again.rs
@@ -73,9 +73,11 @@
     wait_until("the notice", || !discovery.results("open").is_empty());
     let refused = endpoint.calls().len();
     open.store(true, Ordering::SeqCst);
+    let after_notice = courier.submit("open", "status", 7, 20_000).status();
     thread::sleep(BOUNCE_TIME);
     let sent = endpoint.ids().split_off(refused);
-    assert!(sent.is_empty(), "answered {again}, then sent after its notice: {sent:?}");
+    assert!(sent.is_empty(), "answered {again} and {after_notice}, then sent after its notice: {sent:?}");
+    assert_eq!((again, after_notice), (503, 503));
     courier.submit_accepted("next", "status", 7, 20_000);
     wait_until("the next message", || endpoint.ids().contains(&"next".to_owned()));
 }
