The notice of a bounced message is not posted once its id was accepted again

What callers saw: an operator's receiver of outcomes was slow; a payment that had bounced was handed in again under its id, accepted and delivered, and then the receiver was told that it bounced, which says that it may be handed in once more.

Change: while a submission under the id of a bounced message is decided on, the notice is held back; when the new message is on record, it is withdrawn, and the bounced message ends: its id has one end, that of the new message. While the notice is being posted, and may arrive later, the submission is refused.

Left: a post that timed out at the receiver may be taken by it later; nothing here can tell.

--- a/crates/courier/src/dispatcher.rs
+++ b/crates/courier/src/dispatcher.rs
@@ -287,9 +287,7 @@
             DispatcherEvent::NoticesAcknowledged(messages) => {
                 self.notices.posts_in_flight -= 1;
                 for message in messages {
-                    let verdict = self.journal.get(message).and_then(|m| m.verdict);
-                    self.trace_acknowledged_notice(message);
-                    self.finish_message(message, verdict);
+                    self.notice_acknowledged(message);
                 }
             }
             DispatcherEvent::DiscoveryAddressChanged(discovery) => self.change_discovery_address(discovery),
--- a/crates/courier/src/dispatcher/acceptance.rs
+++ b/crates/courier/src/dispatcher/acceptance.rs
@@ -16,6 +16,8 @@
 pub(super) struct PendingSubmission {
     pub(super) class: usize,
     submission: Submission,
+    /// The message of the same id that has bounced, and whose notice is held back.
+    bounced: Option<u64>,
     /// The memory reserved for it if it is accepted.
     memory: MessageMemory,
 }
@@ -75,6 +77,10 @@
             Ok(memory) => memory,
             Err(reply) => return self.reject(submission, reply),
         };
+        if bounced.is_some_and(|message| !self.notices.outcomes.holds.hold(message)) {
+            // Its notice may arrive after the new message was accepted.
+            return self.reject(submission, Reply::Unavailable);
+        }
         self.update_classes();
         let message = self.acceptance.next;
         self.acceptance.next += 1;
@@ -89,7 +95,7 @@
             estimated_work: None,
             history: Past::default(),
         }));
-        self.acceptance.pending.insert(message, PendingSubmission { class, submission, memory });
+        self.acceptance.pending.insert(message, PendingSubmission { class, submission, bounced, memory });
     }
 
     /// Whether a message has ended as bounced, and only its notice is not acknowledged yet: its client may submit
@@ -159,10 +165,20 @@
         }
     }
 
+    /// Frees the id of a submission that is not accepted: the message that has bounced has it again, if there is one,
+    /// and its notice is posted.
+    fn free_submitted_id(&mut self, id: &str, bounced: Option<u64>) {
+        self.acceptance.ids.remove(id);
+        if let Some(bounced) = bounced {
+            self.acceptance.ids.insert(id.to_owned(), bounced);
+            self.notices.outcomes.holds.release(bounced);
+        }
+    }
+
     /// Takes back a submission that the scheduler has not seen yet.
     fn remove_pending(&mut self, message: u64) -> Option<Submission> {
-        let PendingSubmission { submission, .. } = self.acceptance.pending.remove(&message)?;
-        self.acceptance.ids.remove(&submission.accepted.id);
+        let PendingSubmission { submission, bounced, .. } = self.acceptance.pending.remove(&message)?;
+        self.free_submitted_id(&submission.accepted.id, bounced);
         let of = |e: &Event| matches!(e, Event::Accepted(t) if t.message.0 == message);
         self.events.retain(|e| !of(e));
         Some(submission)
@@ -193,11 +209,11 @@
             self.ensure_clock_record();
         }
         let mut accepted_messages = Vec::new();
-        for (message, PendingSubmission { class, submission, memory }) in
+        for (message, PendingSubmission { class, submission, bounced, memory }) in
             std::mem::take(&mut self.acceptance.pending)
         {
             if let Some(verdict) = refused.remove(&message) {
-                self.acceptance.ids.remove(&submission.accepted.id);
+                self.free_submitted_id(&submission.accepted.id, bounced);
                 message_trace::log_step(
                     &submission.accepted.id,
                     format_args!("refused at once class={} verdict={verdict:?}", submission.accepted.class),
@@ -211,7 +227,7 @@
             }
             // Other messages of this batch may have used up the journal's space since this one was submitted.
             if let Err(why) = self.journal.can_accept(&submission.accepted) {
-                self.acceptance.ids.remove(&submission.accepted.id);
+                self.free_submitted_id(&submission.accepted.id, bounced);
                 self.events.push(Event::Withdrawn { message: MessageId(message) });
                 self.reject(submission, Reply::JournalRefused(why));
                 continue;
@@ -227,19 +243,21 @@
             self.journal.accept(message, accepted.clone());
             self.memory.add_message(message, memory);
             self.attempts.held.insert(message, HeldMessage { accepted, class, attempts: 0, in_flight: None });
-            accepted_messages.push((message, reply));
+            accepted_messages.push((message, reply, bounced));
         }
         if accepted_messages.is_empty() {
             return;
         }
         let seq = self.journal.last_seq();
         let recorded = self.flush_journal();
-        for (message, reply) in accepted_messages {
+        for (message, reply, bounced) in accepted_messages {
             if !recorded {
                 // The message is not accepted, whether or not its client gets this reply.
                 let _ = reply.send(Reply::JournalRefused(Refusal::DiskUnreliable));
                 self.withdraw(message);
+                bounced.into_iter().for_each(|bounced| self.notices.outcomes.holds.release(bounced));
             } else {
+                bounced.into_iter().for_each(|bounced| self.withdraw_notice(bounced));
                 self.acceptance.unconfirmed.insert(message, vec![reply]);
                 self.run_when_durable(seq, DeferredAction::ConfirmAcceptance { message });
             }
--- a/crates/courier/src/dispatcher/notices.rs
+++ b/crates/courier/src/dispatcher/notices.rs
@@ -61,6 +61,20 @@
         self.record_verdict(message, verdict);
     }
 
+    /// Takes back the notice of a message that bounced and was accepted again under its id, and ends the message:
+    /// its client is told the end of the new one.
+    pub(super) fn withdraw_notice(&mut self, message: u64) {
+        let queued = self.notices.queue.len();
+        self.notices.queue.retain(|(_, notice)| notice.message != message);
+        let is_in_batch = self.notices.queue.len() == queued;
+        self.notices.outcomes.holds.withdraw(message, is_in_batch);
+        if let Some(live) = self.journal.get(message) {
+            let verdict = live.verdict;
+            message_trace::log_step(&live.accepted.id, format_args!("notice withdrawn number={message}"));
+            self.finish_message(message, verdict);
+        }
+    }
+
     /// Posts queued notices in batches, up to the limit on batches in flight.
     pub(super) fn post_notices(&mut self) {
         // A notice must not be posted before its verdict is durable.
@@ -91,10 +105,13 @@
         }
     }
 
-    /// Traces that the notice of a message was acknowledged.
-    pub(super) fn trace_acknowledged_notice(&self, message: u64) {
+    /// Ends a message whose notice was acknowledged.
+    pub(super) fn notice_acknowledged(&mut self, message: u64) {
+        self.notices.outcomes.holds.forget(message);
+        let verdict = self.journal.get(message).and_then(|live| live.verdict);
         if let Some(live) = self.journal.get(message) {
             message_trace::log_step(&live.accepted.id, format_args!("notice acknowledged number={message}"));
         }
+        self.finish_message(message, verdict);
     }
 }
--- a/crates/courier/src/upstream.rs
+++ b/crates/courier/src/upstream.rs
@@ -11,6 +11,7 @@
 mod exchange_monitor;
 mod failure_rate;
 pub mod http_connection;
+pub mod notice_holds;
 pub mod outcomes;
 pub mod response_head;
 pub mod response_identity;
--- a/crates/courier/src/upstream/outcomes.rs
+++ b/crates/courier/src/upstream/outcomes.rs
@@ -5,6 +5,7 @@
 use crate::system_errors::policy::OUTCOMES_PAUSES;
 use crate::system_errors::{Backoff, Operation, report};
 use crate::upstream::http_connection::HttpConnection;
+use crate::upstream::notice_holds::NoticeHolds;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
@@ -130,6 +131,8 @@
     file: Option<Arc<Mutex<NoticeFile>>>,
     /// File for notices that the receiver rejects as unreadable.
     rejected: Option<Arc<Mutex<NoticeFile>>>,
+    /// Which notices may be posted.
+    pub holds: Rc<NoticeHolds>,
 }
 
 /// The HTTP receiver of notices.
@@ -196,7 +199,7 @@
     /// Notices that are posted to the platform.
     pub fn platform(address: SocketAddr) -> Self {
         let http = HttpTarget { address: Rc::new(Cell::new(address)), path: "/v1/outcomes".into() };
-        OutcomeNotifier { http: Some(http), file: None, rejected: None }
+        OutcomeNotifier { http: Some(http), file: None, rejected: None, holds: Rc::default() }
     }
 
     /// Notices that are posted to the operator's `url`, appended to `file`, or both. Those that the receiver
@@ -206,7 +209,12 @@
         let http =
             url.map(|u| HttpTarget { address: Rc::new(Cell::new(u.address)), path: u.path.as_str().into() });
         let notice_file = |path| Arc::new(Mutex::new(NoticeFile { path, sync }));
-        OutcomeNotifier { http, file: file.map(notice_file), rejected: Some(notice_file(rejected)) }
+        OutcomeNotifier {
+            http,
+            file: file.map(notice_file),
+            rejected: Some(notice_file(rejected)),
+            holds: Rc::default(),
+        }
     }
 
     /// Changes the address of the receiver, also for retries of batches in flight.
@@ -217,31 +225,71 @@
     }
 
     /// Delivers a batch, with retries until it is acknowledged, and then reports it as
-    /// [`CourierEvent::NoticesAcknowledged`].
-    pub async fn deliver(self, batch: Vec<Notice>, events: Sender<DispatcherEvent>) {
+    /// [`DispatcherEvent::NoticesAcknowledged`]. Withdrawn notices are left out.
+    pub async fn deliver(self, mut batch: Vec<Notice>, events: Sender<DispatcherEvent>) {
         if let Some(file) = &self.file {
-            append(file, batch.iter().map(Notice::line).collect()).await;
+            batch = self.append_all(file, batch).await;
         }
         let delivered = match &self.http {
-            Some(target) => target.deliver_all(batch, self.rejected.as_ref()).await,
+            Some(target) => target.deliver_all(batch, self.rejected.as_ref(), &self.holds).await,
             None => batch.iter().map(|n| n.message).collect(),
         };
         let _ = events.send(DispatcherEvent::NoticesAcknowledged(delivered)).await;
     }
 }
 
+impl OutcomeNotifier {
+    /// Appends a batch to the file. Returns it without those that were withdrawn before.
+    async fn append_all(&self, file: &Arc<Mutex<NoticeFile>>, mut batch: Vec<Notice>) -> Vec<Notice> {
+        let (mut appended, mut backoff) = (Vec::new(), INITIAL_BACKOFF);
+        loop {
+            let count = self.holds.sort_batch(&mut batch);
+            if batch.is_empty() {
+                return appended;
+            }
+            if count == 0 {
+                sleep(next_delay(&mut backoff)).await;
+                continue;
+            }
+            let now: Vec<Notice> = batch.drain(..count).collect();
+            self.holds.begin(&now);
+            append(file, now.iter().map(Notice::line).collect()).await;
+            self.holds.end(&now);
+            appended.extend(now);
+        }
+    }
+}
+
+/// The delay before the next try, which doubles with each.
+fn next_delay(backoff: &mut Duration) -> Duration {
+    let delay = *backoff;
+    *backoff = (delay * 2).min(MAX_BACKOFF);
+    delay
+}
+
 impl HttpTarget {
     /// Posts all notices with retries and returns the numbers of their messages.
     async fn deliver_all(
         &self,
         mut batch: Vec<Notice>,
         rejected: Option<&Arc<Mutex<NoticeFile>>>,
+        holds: &NoticeHolds,
     ) -> Vec<u64> {
         let mut backoff = INITIAL_BACKOFF;
         let (mut delivered, mut batch_limit) = (Vec::new(), batch.len());
-        while !batch.is_empty() {
-            let count = batch_limit.min(batch.len());
-            match self.post_once(&batch[..count]).await {
+        loop {
+            let count = holds.sort_batch(&mut batch).min(batch_limit);
+            if batch.is_empty() {
+                return delivered;
+            }
+            if count == 0 {
+                sleep(next_delay(&mut backoff)).await;
+                continue;
+            }
+            holds.begin(&batch[..count]);
+            let status = self.post_once(&batch[..count]).await;
+            holds.end(&batch[..count]);
+            match status {
                 Some(status) if status.is_success() => {
                     delivered.extend(batch.drain(..count).map(|n| n.message));
                 }
@@ -254,13 +302,9 @@
                     }
                     delivered.extend(batch.drain(..count).map(|n| n.message));
                 }
-                _ => {
-                    sleep(backoff).await;
-                    backoff = (backoff * 2).min(MAX_BACKOFF);
-                }
+                _ => sleep(next_delay(&mut backoff)).await,
             }
         }
-        delivered
     }
 
     /// Posts a batch once on a new connection. A response does not identify its request, and on a reused
