Fault scenarios play SIGTERM and crowds, and judge requests of couriers that stop

Clients keep spare connections and send requests in two pieces; a crowd of silent connections.

On the platform a repeat is not taken on again after it bounced. term-kill counts SIGTERM, since a courier that stops in order is gone before SIGKILL; before, no such run could pass.

Found on the way, and not a fault: SIGHUP in the first moments of a process ends it. It never comes in the first second, so the runner leaves it out then.

--- a/crates/testkit/src/clients.rs
+++ b/crates/testkit/src/clients.rs
@@ -7,7 +7,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use stairshed_rig::{HttpMessage, request};
-use std::io::{BufReader, Write};
+use std::collections::VecDeque;
+use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -16,6 +17,8 @@
 
 /// Seeds of clients' generators are this far apart for each run.
 const SEED_STRIDE: u64 = 1000;
+/// Longest pause between two pieces of a request.
+const MAX_SPLIT_PAUSE: Duration = Duration::from_millis(600);
 
 /// The clients' threads and what they have submitted.
 pub struct ClientGroup {
@@ -35,6 +38,8 @@
     deadline_ms: u128,
     resubmit: f64,
     remember: Duration,
+    spare: usize,
+    split: f64,
 }
 
 /// One client.
@@ -70,6 +75,14 @@
     }
 }
 
+/// Whether the courier has not closed a connection that rests.
+fn is_usable(connection: &BufReader<TcpStream>) -> bool {
+    let stream = connection.get_ref();
+    let looked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
+    let waits = looked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+    waits && stream.set_nonblocking(false).is_ok()
+}
+
 /// The body of a message, of this length at least.
 pub fn body_of(id: &str, length: usize) -> String {
     format!("{id:x<length$}")
@@ -91,6 +104,8 @@
             deadline_ms: clients.deadline.0.as_millis(),
             resubmit: clients.resubmit,
             remember: clients.remember.map_or(Duration::ZERO, |span| span.0),
+            spare: clients.spare,
+            split: clients.split,
         });
         let mut threads = Vec::new();
         for (courier, address) in addresses.iter().enumerate() {
@@ -141,11 +156,18 @@
 
 impl Shared {
     fn run(&self, mut client: Client) {
-        let mut open = None;
+        // The connection in front is used next; with spare ones it has rested for some time.
+        let mut open = VecDeque::new();
         while !self.stop.load(Ordering::SeqCst) {
             thread::sleep(self.pause);
-            let Some(connection) = open.take().or_else(|| self.connect(client.address)) else { continue };
-            open = self.submit(&mut client, connection);
+            open.retain(is_usable);
+            while open.len() <= self.spare
+                && let Some(connection) = self.connect(client.address)
+            {
+                open.push_back(connection);
+            }
+            let Some(connection) = open.pop_front() else { continue };
+            open.extend(self.submit(&mut client, connection));
         }
     }
 
@@ -164,6 +186,17 @@
         Some(BufReader::new(stream))
     }
 
+    /// Writes a request, at once or in two pieces.
+    fn write(&self, client: &mut Client, stream: &mut TcpStream, text: &str) -> io::Result<()> {
+        if self.split == 0.0 || !client.rng.random_bool(self.split) {
+            return stream.write_all(text.as_bytes());
+        }
+        let (first, rest) = text.split_at(client.rng.random_range(1..text.len()));
+        stream.write_all(first.as_bytes())?;
+        thread::sleep(client.rng.random_range(Duration::ZERO..MAX_SPLIT_PAUSE));
+        stream.write_all(rest.as_bytes())
+    }
+
     /// Submits one message. Returns the connection if it can be used again.
     fn submit(
         &self,
@@ -187,10 +220,11 @@
         );
         let body = body_of(&id, self.body);
         let sent = Instant::now();
-        let written = connection.get_mut().write_all(request(&path, &id, &headers, &body).as_bytes());
-        let answer = written.ok().and_then(|()| HttpMessage::read(&mut connection));
-        let waited = sent.elapsed();
-        let is_closed = answer.is_none() && waited < self.patience;
+        let written = self.write(client, connection.get_mut(), &request(&path, &id, &headers, &body));
+        let last_byte = Instant::now();
+        // A courier may answer before the end of a request.
+        let answer = HttpMessage::read(&mut connection);
+        let is_closed = answer.is_none() && (written.is_err() || last_byte.elapsed() < self.patience);
         self.submissions.lock().expect("the submissions").push(Submission {
             id,
             class: client.class.clone(),
@@ -200,7 +234,7 @@
             is_mqtt: false,
             sent,
             answer: answer.as_ref().map(|answer| (Instant::now(), answer.status())),
-            closed_after: is_closed.then_some(waited),
+            closed_after: is_closed.then(|| sent.elapsed()),
         });
         let closes = answer?.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
         (!closes).then_some(connection)
--- a/crates/testkit/src/courier_process.rs
+++ b/crates/testkit/src/courier_process.rs
@@ -36,6 +36,7 @@
     rules: String,
     faults: Option<MachineFaults>,
     child: Option<Child>,
+    started: Option<Instant>,
     log: CourierLog,
 }
 
@@ -63,6 +64,7 @@
             rules: String::new(),
             faults: None,
             child: None,
+            started: None,
             log,
         }
     }
@@ -80,6 +82,7 @@
             self.collect(lines);
         }
         self.child = Some(child);
+        self.started = Some(Instant::now());
         Ok(())
     }
 
@@ -123,6 +126,11 @@
         self.faults.as_ref().map(MachineFaults::injected).unwrap_or_default()
     }
 
+    /// Whether the process has run for this time.
+    pub fn has_run_for(&self, time: Duration) -> bool {
+        self.started.is_some_and(|started| started.elapsed() >= time)
+    }
+
     /// Sends a signal. Returns false if no process runs.
     pub fn signal(&self, signal: Signal) -> bool {
         let id = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock_effect;
 pub mod courier_file;
 pub mod courier_process;
+pub mod crowd;
 pub mod endpoints;
 pub mod fault_cost;
 pub mod folder_cost;
--- a/crates/testkit/src/record.rs
+++ b/crates/testkit/src/record.rs
@@ -34,6 +34,7 @@
     /// What was done to the couriers and links.
     pub steps: Vec<StepRecord>,
     pub kills: Vec<LifeEnd>,
+    pub stops: Vec<StopRecord>,
     pub freezes: Vec<FreezeRecord>,
     pub drains: Vec<DrainRecord>,
     /// Processes that ended by themselves, not as planned.
@@ -104,6 +105,15 @@
 pub struct LifeEnd {
     pub courier: usize,
     pub kill: CourierKill,
+    /// Whether SIGKILL ended it; otherwise it ended by itself, or had ended before.
+    pub was_killed: bool,
+}
+
+/// A SIGTERM to a courier that ran.
+#[derive(Clone, Copy, Debug)]
+pub struct StopRecord {
+    pub courier: usize,
+    pub at: Instant,
 }
 
 /// A time in which a courier's process was stopped.
@@ -145,6 +155,7 @@
             log: Vec::new(),
             steps: Vec::new(),
             kills: Vec::new(),
+            stops: Vec::new(),
             freezes: Vec::new(),
             drains: Vec::new(),
             crashes: Vec::new(),
@@ -176,6 +187,13 @@
         taken.map(|line| line.at)
     }
 
+    /// When the life of a message began that its end is to follow: when it was last taken on, if its client
+    /// submitted it again.
+    pub fn last_life_began(&self, id: &str) -> Instant {
+        let last_taken = self.times_taken(id).last().filter(|_| self.has_several_lives(id));
+        last_taken.unwrap_or(self.begun)
+    }
+
     /// Whether a message that a client submitted again was taken on again: what is said of it may be of either life.
     pub fn has_several_lives(&self, id: &str) -> bool {
         let is_repeated = self.submissions.iter().any(|message| message.is_repeat && message.id == id);
@@ -236,3 +254,10 @@
     let mut words = line.split_whitespace().skip(2);
     line.starts_with("follow ") && words.next() == Some(id) && words.next() == Some(step)
 }
+
+/// The id of the message that a line of `--follow` says was taken on.
+pub fn taken_id(line: &str) -> Option<&str> {
+    let mut words = line.strip_prefix("follow ")?.split_whitespace().skip(1);
+    let id = words.next()?;
+    (words.next() == Some(TAKEN)).then_some(id)
+}
--- a/crates/testkit/src/runner.rs
+++ b/crates/testkit/src/runner.rs
@@ -3,18 +3,21 @@
 use crate::clients::ClientGroup;
 use crate::courier_file::CourierFile;
 use crate::courier_process::{CourierLog, CourierProcess, reserved_address, was_killed};
+use crate::crowd::Crowd;
 use crate::endpoints::{ListingService, PlacedEndpoint};
 use crate::mqtt_clients::{MqttClients, MqttRecord};
 use crate::plan::{Plan, PlannedFault};
 use crate::proxy::{Proxy, ProxyFault};
 use crate::reach::{FaultCounts, difference, injected_names, own_name};
-use crate::record::{Crash, DrainRecord, FreezeRecord, LifeEnd, Notice, Record, StepRecord, Submission};
+use crate::record::{
+    Crash, DrainRecord, FreezeRecord, LifeEnd, Notice, Record, StepRecord, StopRecord, Submission, taken_id,
+};
 use crate::scenario::{FaultKind, Link, LinkFault, Scenario};
 use crate::timeline::{Step, TimedStep, steps};
 use rustix::process::Signal;
 use stairshed_rig::delivery_rules::CourierKill;
 use stairshed_rig::duplicating_endpoint::CallLog;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -25,6 +28,10 @@
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time from the end of a process by itself to the next start.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
+/// SIGHUP never comes in the first second of a program.
+const MIN_AGE_FOR_HANGUP: Duration = Duration::from_secs(1);
+/// Within this time something that happened is noted.
+const NOTE_TIME: Duration = Duration::from_millis(100);
 
 /// Why a run could not be done.
 #[derive(Debug, thiserror::Error)]
@@ -91,10 +98,13 @@
     run.wait_until_serving()?;
     run.record.begun = Instant::now();
     let addresses: Vec<_> = run.client_proxies.iter().map(|proxy| proxy.address).collect();
+    let couriers: Vec<_> = run.couriers.iter().map(|courier| courier.address).collect();
+    let crowd = Crowd::start(scenario.clients.crowd, &couriers);
     let clients = ClientGroup::start(scenario, seed, &addresses);
     let mqtt_addresses: Vec<_> = run.mqtt_proxies.iter().map(|proxy| proxy.address).collect();
     let mqtt_clients = MqttClients::start(scenario, seed, &mqtt_addresses);
     run.play(&clients, &mqtt_clients);
+    drop(crowd);
     Ok(run.finish(clients, mqtt_clients))
 }
 
@@ -180,22 +190,39 @@
         let clients = &self.record.scenario.clients;
         let accepted = submissions.iter().filter_map(|message| Some((&message.id, message.accepted_at()?)));
         let limit = clients.deadline.0 + clients.lateness.0;
+        let lives = self.lives(submissions);
+        // What is noted just after a message was taken on again may be about its life before.
+        let is_last_life =
+            |id: &String, at: Instant| lives.get(id).is_none_or(|began| at >= *began + NOTE_TIME);
         let calls = self.calls.lock().expect("the calls");
-        let final_calls = calls.iter().filter(|call| call.is_final()).map(|call| &call.id);
-        let ended: BTreeSet<_> =
-            final_calls.chain(self.record.notices.iter().map(|notice| &notice.id)).collect();
-        accepted.into_iter().all(|(id, at)| ended.contains(id) || at.elapsed() > limit)
+        let final_calls = calls.iter().filter(|call| call.is_final());
+        let final_calls = final_calls.filter_map(|call| Some((&call.id, call.ended?)));
+        let notices = self.record.notices.iter().map(|notice| (&notice.id, notice.at));
+        let ends = final_calls.chain(notices).filter(|(id, at)| is_last_life(id, *at));
+        let ended: BTreeSet<_> = ends.map(|(id, _)| id).collect();
+        // A message that was taken on again has its time from then.
+        let since = |id: &String, at: Instant| lives.get(id).copied().unwrap_or(at).max(at).elapsed();
+        accepted.into_iter().all(|(id, at)| ended.contains(id) || since(id, at) > limit)
+    }
+
+    /// When messages that clients submitted again were last taken on.
+    fn lives(&self, submissions: &[Submission]) -> BTreeMap<String, Instant> {
+        let repeats = submissions.iter().filter(|message| message.is_repeat);
+        let repeated: BTreeSet<_> = repeats.map(|message| message.id.as_str()).collect();
+        let log = self.courier_log.lock().expect("the log");
+        let taken = log.iter().filter_map(|line| Some((taken_id(&line.text)?, line.at)));
+        let again = taken.filter(|(id, _)| repeated.contains(id));
+        again.map(|(id, at)| (id.to_owned(), at)).collect()
     }
 
     fn perform(&mut self, step: Step) {
         match step {
             Step::Begin(fault) => self.begin(fault),
             Step::End(fault) => self.end(fault),
+            // A program that has not opened its signals yet would end.
+            Step::Hangup { courier, .. } if !self.couriers[courier].has_run_for(MIN_AGE_FOR_HANGUP) => {}
             Step::Hangup { fault, courier } => self.signal(fault, courier, Signal::HUP),
-            Step::Terminate { courier, .. } => {
-                self.couriers[courier].signal(Signal::TERM);
-                self.note(format!("SIGTERM to courier {courier}"));
-            }
+            Step::Terminate { fault, courier } => self.terminate(fault, courier),
             Step::Kill { fault, courier } => self.kill(fault, courier),
             Step::Start { courier } => self.start(courier),
             Step::Freeze { fault, courier } => {
@@ -354,18 +381,27 @@
         *self.record.reached[fault].entry(name).or_default() += u64::from(happened);
     }
 
+    fn terminate(&mut self, fault: usize, courier: usize) {
+        let sent = self.couriers[courier].signal(Signal::TERM);
+        if sent {
+            self.record.stops.push(StopRecord { courier, at: Instant::now() });
+        }
+        self.count_stroke(fault, sent);
+        self.note(format!("SIGTERM to courier {courier}"));
+    }
+
     fn kill(&mut self, fault: usize, courier: usize) {
         self.thaw(courier);
         let killed = self.couriers[courier].kill();
         self.restarts[courier] = None;
         self.count_stroke(fault, killed);
-        self.record_end(courier);
+        self.record_end(courier, killed);
         self.note(format!("SIGKILL to courier {courier}"));
     }
 
-    fn record_end(&mut self, courier: usize) {
+    fn record_end(&mut self, courier: usize, was_killed: bool) {
         let kill = CourierKill { at: Instant::now(), folder_failed_since: self.folder_failed_since(courier) };
-        self.record.kills.push(LifeEnd { courier, kill });
+        self.record.kills.push(LifeEnd { courier, kill, was_killed });
     }
 
     /// Since when writes to the courier's folder may have failed.
@@ -403,7 +439,7 @@
     fn supervise(&mut self) {
         for courier in 0..self.couriers.len() {
             if let Some(status) = self.couriers[courier].take_exit() {
-                self.record_end(courier);
+                self.record_end(courier, was_killed(status));
                 self.note(format!("courier {courier} ended: {status}"));
                 // SIGTERM ends it with 0, and a kill in the middle of a write is planned.
                 if !status.success() && !was_killed(status) {
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -161,6 +161,12 @@
     pub remember: Option<Span>,
     /// Probability that a client submits one of its earlier messages again, in place of a new one, within `remember`.
     pub resubmit: f64,
+    /// Connections that each client opens ahead and uses in turn, so that some rest for long.
+    pub spare: usize,
+    /// Probability that a request is sent in two pieces, with a pause of up to 600 ms between them.
+    pub split: f64,
+    /// Silent connections that are kept open at each courier, and opened again when it closes them.
+    pub crowd: usize,
     /// MQTT clients of each class at each courier. For an operator's file.
     pub mqtt: usize,
     /// Probability that an MQTT client leaves its connection after a message, without a DISCONNECT.
@@ -181,6 +187,9 @@
             attempts: None,
             remember: None,
             resubmit: 0.0,
+            spare: 0,
+            split: 0.0,
+            crowd: 0,
             mqtt: 0,
             reconnect: 0.0,
         }
@@ -278,6 +287,9 @@
     /// Time from the end of a process to the next start.
     #[serde(default)]
     pub down: Option<SpanRange>,
+    /// For `term-kill`: how many more times SIGTERM is sent until SIGKILL, evenly spaced.
+    #[serde(default)]
+    pub again: usize,
 }
 
 /// The kind of a signal.
@@ -417,6 +429,7 @@
             ((0.0..=1.0).contains(&endpoints.closing), "endpoints.closing: from 0 to 1"),
             (clients.rate > 0.0, "clients.rate: more than 0"),
             ((0.0..=1.0).contains(&clients.reconnect), "clients.reconnect: from 0 to 1"),
+            ((0.0..=1.0).contains(&clients.split), "clients.split: from 0 to 1"),
             (clients.mqtt == 0 || self.start == StartMode::File, "clients.mqtt: needs an operator's file"),
             (clients.mqtt == 0 || clients.remember.is_some(), "clients.mqtt: needs clients.remember"),
             ((0.0..=1.0).contains(&clients.resubmit), "clients.resubmit: from 0 to 1"),
--- a/crates/testkit/src/timeline.rs
+++ b/crates/testkit/src/timeline.rs
@@ -78,7 +78,10 @@
         }
         FaultKind::Signal(signal) => {
             if signal.kind == SignalKind::TermKill {
-                add(stroke.at, Step::Terminate { fault, courier });
+                let all = signal.again as u32 + 1;
+                for number in 0..all {
+                    add(stroke.at + stroke.length * number / all, Step::Terminate { fault, courier });
+                }
             }
             add(ends, Step::Kill { fault, courier });
             add(ends + stroke.down, Step::Start { courier });
--- a/crates/testkit/src/verdict/endings.rs
+++ b/crates/testkit/src/verdict/endings.rs
@@ -17,11 +17,11 @@
 pub fn ends_once(record: &Record) -> Judgement {
     let mut ends = delivered(record);
     if notices_arrive(record) {
-        for notice in &record.notices {
+        let of_last_life = |notice: &&Notice| is_of_last_life(record, &notice.id, notice.at);
+        for notice in record.notices.iter().filter(of_last_life) {
             ends.entry(&notice.id).or_insert((notice.at, ACKNOWLEDGEMENT));
         }
     }
-    ends.retain(|id, _| !record.has_several_lives(id));
     if ends.is_empty() {
         return Judgement::not_judged("no message ended");
     }
@@ -46,13 +46,21 @@
         let Some(id) = message_of(&line.text) else { continue };
         if line.text.contains(GIVEN_UP) {
             given_up.insert(id);
-        } else if line.text.contains(DELIVERED) && !given_up.contains(id) {
+        } else if line.text.contains(DELIVERED)
+            && !given_up.contains(id)
+            && is_of_last_life(record, id, line.at)
+        {
             ends.entry(id).or_insert((line.at, NOTE_TIME));
         }
     }
     ends
 }
 
+/// Whether something that was noted of a message at this time is surely about its last life, if it was taken on again.
+fn is_of_last_life(record: &Record, id: &str, at: Instant) -> bool {
+    !record.has_several_lives(id) || at >= record.last_life_began(id) + NOTE_TIME
+}
+
 /// The message that a line of `--follow` is about: the word after `follow` and the time.
 fn message_of(line: &str) -> Option<&str> {
     line.strip_prefix("follow ")?.split_whitespace().nth(1)
--- a/crates/testkit/src/verdict/repeats.rs
+++ b/crates/testkit/src/verdict/repeats.rs
@@ -1,8 +1,10 @@
 //! Repeats are recognised: a message that was taken on is not taken on again within its class's `remember`, unless it
-//! has bounced. Clients repeat within that time only.
+//! has bounced. Clients repeat within that time only. On the platform, whose notices end an id for good, it is not
+//! taken on again after it bounced either.
 
 use super::Judgement;
 use crate::record::{ACCEPTED, LogLine, Record, Submission, is_step};
+use crate::scenario::StartMode;
 use std::time::Instant;
 
 /// Words in the log line on a message that never ran, whose id is free from then on.
@@ -25,7 +27,11 @@
 
 fn was_taken_again(record: &Record, id: &str) -> bool {
     let times: Vec<_> = record.times_taken(id).collect();
-    times.windows(2).any(|pair| !bounced(record, id, pair[0], pair[1]) && was_accepted(record, id, pair[1]))
+    let is_free = |from, until| match record.scenario.start {
+        StartMode::File => bounced(record, id, from, until),
+        StartMode::Platform => false,
+    };
+    times.windows(2).any(|pair| !is_free(pair[0], pair[1]) && was_accepted(record, id, pair[1]))
 }
 
 /// Whether the courier logged between two times that the message bounces.
--- a/crates/testkit/src/verdict_test.rs
+++ b/crates/testkit/src/verdict_test.rs
@@ -2,8 +2,10 @@
 
 use super::*;
 use crate::plan::Plan;
-use crate::record::{Crash, DrainRecord, FreezeRecord, LifeEnd, LogLine, Notice, Outcome, Submission};
-use crate::scenario::Scenario;
+use crate::record::{
+    Crash, DrainRecord, FreezeRecord, LifeEnd, LogLine, Notice, Outcome, StopRecord, Submission,
+};
+use crate::scenario::{Scenario, StartMode};
 use stairshed_rig::delivery_rules::CourierKill;
 use stairshed_rig::duplicating_endpoint::ServedCall;
 use std::time::Instant;
@@ -110,7 +112,7 @@
     record.call("status-1", "p0-a", 700, Some(200));
     assert!(offender(&record, Rule::NoEffectTwice).is_some());
     let kill = CourierKill { at: record.begun + ms(30), folder_failed_since: None };
-    record.kills.push(LifeEnd { courier: 0, kill });
+    record.kills.push(LifeEnd { courier: 0, kill, was_killed: true });
     assert_eq!(judgement(&record, Rule::NoEffectTwice), Judgement::Held);
 }
 
@@ -281,7 +283,7 @@
         let mut record = delivered();
         record.notice("status-1", 900, "dead");
         let kill = CourierKill { at: record.begun + ms(kill_ms), folder_failed_since: None };
-        record.kills.push(LifeEnd { courier: 0, kill });
+        record.kills.push(LifeEnd { courier: 0, kill, was_killed: true });
         assert_eq!(offender(&record, Rule::EndsOnce).is_some(), is_broken, "{kill_ms}");
     }
 }
@@ -312,6 +314,59 @@
     assert!(matches!(judgement(&reset, Rule::RequestsAnswered), Judgement::NotJudged(_)));
 }
 
+/// A record of a courier that is told to stop at 0 ms, ends at 3,300 ms, and closes the connection of a request that was
+/// sent at 3,000 ms at 3,010 ms.
+fn closed_during_a_stop(rest: &str) -> Record {
+    let mut record = record(rest);
+    record.stops.push(StopRecord { courier: 0, at: record.begun });
+    let kill = CourierKill { at: record.begun + ms(3_300), folder_failed_since: None };
+    record.kills.push(LifeEnd { courier: 0, kill, was_killed: false });
+    record.accept("status-1", 3_000);
+    record.submissions[0].answer = None;
+    record.submissions[0].closed_after = Some(ms(10));
+    record
+}
+
+// Guards against a check that is blind once a courier has ended, or a client's link was cut (incident 4cb77b).
+#[test]
+fn requests_that_were_read_are_owed_an_answer_also_from_a_courier_that_stops() {
+    let rule = Rule::RequestsAnswered;
+    assert_eq!(judgement(&closed_during_a_stop(""), rule), Judgement::Held, "it was not read");
+    for step in ["received connection=1 stopping=true", "answered status=202"] {
+        let mut read = closed_during_a_stop("");
+        read.step("status-1", 3_005, step);
+        assert_eq!(offender(&read, rule).as_deref(), Some("status-1"), "{step}");
+        let crowded = "[clients]\ncrowd = 9\n";
+        read.scenario = Scenario::parse(&format!("{HEAD}{crowded}")).expect("a scenario");
+        assert_eq!(offender(&read, rule).as_deref(), Some("status-1"), "{step}, in a crowd");
+        read.kills[0].kill.at = read.begun + ms(3_020);
+        assert!(offender(&read, rule).is_some(), "it ended by itself");
+        read.kills[0].was_killed = true;
+        assert_eq!(judgement(&read, rule), Judgement::Held, "it was killed just then");
+    }
+    let mut running = closed_during_a_stop("");
+    running.stops.clear();
+    assert_eq!(offender(&running, rule).as_deref(), Some("status-1"), "it ended later, and was not told to");
+    let mut unfinished = closed_during_a_stop("");
+    let text =
+        "stopped after 3.30 s: 0 messages held; 1 connections of clients open, 1 unanswered".to_owned();
+    unfinished.log.push(LogLine { at: unfinished.begun, courier: 0, text });
+    assert!(matches!(judgement(&unfinished, rule), Judgement::Broken(_)));
+}
+
+#[test]
+fn only_what_a_cut_link_overlaps_is_not_owed_an_answer() {
+    let cut = "[[faults]]\nat = \"1s\"\nspan = \"1s\"\n\
+               link = { between = \"client-courier\", action = \"cut\" }\n";
+    for (sent_ms, is_owed) in [(500, true), (1_500, false), (2_500, true)] {
+        let mut record = record(cut);
+        record.accept("status-1", sent_ms);
+        record.submissions[0].answer = None;
+        record.submissions[0].closed_after = Some(ms(3));
+        assert_eq!(offender(&record, Rule::RequestsAnswered).is_some(), is_owed, "{sent_ms}");
+    }
+}
+
 #[test]
 fn accepts_that_fail_without_pauses_are_found() {
     // 50 and 200 per second are allowed.
@@ -374,6 +429,8 @@
     let mut bounced = resubmitted(&[0, 500]);
     bounced.step("payment-1", 300, "ends verdict=Bounced { wait: None } attempts=1");
     assert_eq!(judgement(&bounced, rule), Judgement::Held);
+    bounced.scenario.start = StartMode::Platform;
+    assert_eq!(offender(&bounced, rule).as_deref(), Some("payment-1"), "the notice ends its id for good");
     let mut dead = resubmitted(&[0, 500]);
     dead.step("payment-1", 300, "ends verdict=Dead attempts=1");
     assert_eq!(offender(&dead, rule).as_deref(), Some("payment-1"));
@@ -401,6 +458,18 @@
     assert_eq!(judgement(&record, Rule::TrueAnswers), Judgement::Held);
 }
 
+// Guards against a check that takes the end of a first life for no end of the second (incident 4cb77b).
+#[test]
+fn a_message_that_is_sent_after_a_notice_ended_its_second_life_is_found() {
+    let rule = Rule::EndsOnce;
+    let mut record = resubmitted(&[0, 500]);
+    record.notice("payment-1", 300, "bounced");
+    record.call("payment-1", "p0-a", 2_900, Some(200));
+    assert_eq!(judgement(&record, rule), Judgement::NotJudged("no message ended".to_owned()));
+    record.notice("payment-1", 700, "bounced");
+    assert_eq!(offender(&record, rule).as_deref(), Some("payment-1"));
+}
+
 /// A record with a payment that an MQTT client published, that an endpoint answered so, and whose outcomes are these.
 fn published(status: Option<u16>, outcomes: &[&str]) -> Record {
     let mut record = record("[clients]\nmqtt = 1\nremember = \"9s\"\n");
