A bounced message keeps its notice until the client of its repeat is told

Change: the notice is withdrawn when the client is told that the new message is accepted; if the new message is withdrawn, the bounced one has its id again and its notice is posted.

--- a/crates/courier/src/dispatcher/acceptance.rs
+++ b/crates/courier/src/dispatcher/acceptance.rs
@@ -22,13 +22,20 @@
     memory: MessageMemory,
 }
 
+/// An accepted message whose clients are not told so yet.
+struct Unconfirmed {
+    /// The client that submitted the message, and those that submitted it again meanwhile.
+    clients: Vec<ReplyTo>,
+    /// As in [`PendingSubmission`].
+    bounced: Option<u64>,
+}
+
 #[derive(Default)]
 pub(super) struct Acceptance {
     /// Submissions that wait for the scheduler's decision, by message number.
     pub(super) pending: BTreeMap<u64, PendingSubmission>,
-    /// Accepted messages whose record is not durable yet, with the clients that wait for that: the one that
-    /// submitted the message, and those that submitted it again meanwhile.
-    unconfirmed: BTreeMap<u64, Vec<ReplyTo>>,
+    /// Accepted messages whose record is not durable yet.
+    unconfirmed: BTreeMap<u64, Unconfirmed>,
     /// Message numbers by the id that the client gave, until the message has ended.
     pub(super) ids: HashMap<String, u64>,
     /// The next message number.
@@ -59,7 +66,7 @@
         }
         if let Some(message) = known.filter(|_| bounced.is_none()) {
             if let Some(waiting) = self.acceptance.unconfirmed.get_mut(&message) {
-                return waiting.push(submission.reply);
+                return waiting.clients.push(submission.reply);
             }
             let is_accepted = !self.acceptance.pending.contains_key(&message);
             return respond(submission, if is_accepted { Reply::Accepted } else { Reply::Unavailable });
@@ -192,12 +199,13 @@
         for submission in pending.into_iter().filter_map(|message| self.remove_pending(message)) {
             let _ = submission.reply.send(Reply::Unavailable);
         }
-        let unconfirmed = std::mem::take(&mut self.acceptance.unconfirmed);
-        for message in unconfirmed.keys() {
-            self.withdraw(*message);
+        let mut clients = Vec::new();
+        for (message, unconfirmed) in std::mem::take(&mut self.acceptance.unconfirmed) {
+            self.withdraw_submission(message, unconfirmed.bounced);
+            clients.extend(unconfirmed.clients);
         }
         self.flush_journal();
-        for reply in unconfirmed.into_values().flatten() {
+        for reply in clients {
             let _ = reply.send(Reply::Failed);
         }
     }
@@ -254,11 +262,9 @@
             if !recorded {
                 // The message is not accepted, whether or not its client gets this reply.
                 let _ = reply.send(Reply::JournalRefused(Refusal::DiskUnreliable));
-                self.withdraw(message);
-                bounced.into_iter().for_each(|bounced| self.notices.outcomes.holds.release(bounced));
+                self.withdraw_submission(message, bounced);
             } else {
-                bounced.into_iter().for_each(|bounced| self.withdraw_notice(bounced));
-                self.acceptance.unconfirmed.insert(message, vec![reply]);
+                self.acceptance.unconfirmed.insert(message, Unconfirmed { clients: vec![reply], bounced });
                 self.run_when_durable(seq, DeferredAction::ConfirmAcceptance { message });
             }
         }
@@ -267,8 +273,11 @@
     /// Tells the clients that wait for it that their message is accepted. A client that has disconnected counts
     /// it as not accepted, so the message is withdrawn if all have.
     pub(super) fn confirm_acceptance(&mut self, message: u64) {
-        let waiting = self.acceptance.unconfirmed.remove(&message).unwrap_or_default();
-        let told = waiting.into_iter().filter_map(|reply| reply.send(Reply::Accepted).ok()).count();
+        // At the end of a stop it was answered before.
+        let Some(Unconfirmed { clients, bounced }) = self.acceptance.unconfirmed.remove(&message) else {
+            return;
+        };
+        let told = clients.into_iter().filter_map(|reply| reply.send(Reply::Accepted).ok()).count();
         if told == 0 {
             if let Some(m) = self.attempts.held.get(&message) {
                 message_trace::log_step(
@@ -276,7 +285,18 @@
                     format_args!("withdrawn: the client disconnected before the reply"),
                 );
             }
-            self.withdraw(message);
+            self.withdraw_submission(message, bounced);
+        } else if let Some(bounced) = bounced {
+            self.withdraw_notice(bounced);
+        }
+    }
+
+    /// Withdraws a message whose client was not told that it is accepted.
+    fn withdraw_submission(&mut self, message: u64, bounced: Option<u64>) {
+        let id = self.journal.get(message).map(|live| live.accepted.id.clone());
+        self.withdraw(message);
+        if let Some(id) = id {
+            self.free_submitted_id(&id, bounced);
         }
     }
 
--- a/crates/courier/tests/bounced_again.rs
+++ b/crates/courier/tests/bounced_again.rs
@@ -2,8 +2,10 @@
 //! told as well.
 
 use serde_json::json;
+use stairshed_rig::machine_faults::MachineFaults;
 use stairshed_rig::*;
-use std::net::{SocketAddr, TcpListener};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -24,6 +26,11 @@
     (endpoint, open)
 }
 
+/// Syncs of the journal that take 200 ms.
+const SLOW_SYNCS: &str = "sync slow 1";
+/// Within this time a request is read, and its message is recorded and waits for the sync.
+const RECORD_TIME: Duration = Duration::from_millis(60);
+
 fn file(endpoint: &Endpoint, outcomes: SocketAddr) -> String {
     format!(
         "name = \"depot\"\n[listen]\nhttp = \"127.0.0.1:0\"\n[outcomes]\nurl = \"http://{outcomes}/outcomes\"\n\
@@ -106,3 +113,34 @@
         receiver.results("again")
     );
 }
+
+// Guards against a message whose end is never told: its notice was taken back for a new message under its id, which was
+// withdrawn, since its client left before it heard that it was accepted.
+#[test]
+fn notice_of_a_bounced_payment_is_posted_if_the_client_leaves_that_submitted_it_again() {
+    let (endpoint, _open) = gated_endpoint();
+    let receiver = Discovery::new(json!({}));
+    receiver.refuse_posts.store(usize::MAX, Ordering::SeqCst);
+    let folder = TestFolder::new();
+    let text = file(&endpoint, receiver.address) + "[journal]\ndurability = \"machine\"\n";
+    let mut command = serve_command(&folder, &text);
+    let faults = MachineFaults::load(&mut command, &folder, "");
+    let courier = Courier::spawn(command.args(["--follow", "1/1"]));
+    assert_eq!(courier.post("/pay", "again", "", "42 EUR").status(), 202);
+    wait_until("a notice that is not taken", || receiver.posts.load(Ordering::SeqCst) > 0);
+    faults.set(SLOW_SYNCS);
+    let is_taken_again = || {
+        let mut stream = TcpStream::connect(courier.address).expect("a connection");
+        stream.write_all(request("/pay", "again", "", "42 EUR").as_bytes()).expect("sent");
+        thread::sleep(RECORD_TIME);
+        courier
+            .unread_log()
+            .iter()
+            .any(|line| line.contains("again taken number=") && !line.contains("number=1 "))
+    };
+    wait_until("a repeat that is recorded", is_taken_again);
+    courier.wait_for_log("again withdrawn: the client disconnected");
+    receiver.refuse_posts.store(0, Ordering::SeqCst);
+    wait_until("the notice", || !receiver.results("again").is_empty());
+    assert_eq!(receiver.results("again"), ["bounced"]);
+}
