A kill soon after a folder works again counts as one that may have lost records

Cause: the check 'each message ends once' asked for a record that no courier can have made. A courier that could not write tries again after 200 ms (operating-faults.md), so what ended while the folder failed is not on record; the runner took the folder for healthy as soon as the fault's rules were gone, against the definition of folder_failed_since ('since when no write had succeeded'). A status was sent again, a keyed message told as dead: what a courier must do without the record.

Change: the runner keeps the outages of folders (folder_outages.rs). The check is as strict outside of this time; the courier is unchanged.

--- a/crates/rig/src/delivery_rules.rs
+++ b/crates/rig/src/delivery_rules.rs
@@ -64,7 +64,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct CourierKill {
     pub at: Instant,
-    /// Since when no write to the state folder had succeeded; None if writes succeeded.
+    /// Since when no write to the state folder had succeeded; None if writes succeeded. A courier whose folder works
+    /// again writes with its next try.
     pub folder_failed_since: Option<Instant>,
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod endpoints;
 pub mod fault_cost;
 pub mod folder_cost;
+pub mod folder_outages;
 pub mod mqtt_clients;
 pub mod plan;
 pub mod planted;
