A call that waits is not written to an endpoint that a whole list leaves out

Cause: apply_endpoint_list ended the use of an endpoint by its own entry alone. Only the platform's courier applies whole lists to the scheduler's endpoints.

Change: a whole list ends the use of the endpoints that it leaves out, as of those that it calls gone (end_use). One entry is applied by a function of its own; the two look-ups of an endpoint that another destination has now are one. moved_endpoints.rs: the shared last lines of its two tests are one function.

--- a/crates/courier/src/dispatcher/members.rs
+++ b/crates/courier/src/dispatcher/members.rs
@@ -287,38 +287,16 @@
         };
         let before: Vec<_> = before.into_iter().filter(|id| self.members.endpoints[id].ready).collect();
         if list.whole {
-            self.members.endpoints.values_mut().for_each(|e| e.ready = false);
+            self.end_use_of_unlisted(&list.hosts);
         }
         for host in list.hosts {
-            if self.concerns_earlier_endpoint(&host) {
-                continue;
+            match self.member_elsewhere(&host) {
+                // It tells of the end of the one whose name belongs to another destination by now.
+                Some(_) if host.health == Health::Gone => continue,
+                Some(endpoint) => entries.extend(self.end_membership(endpoint)),
+                None => {}
             }
-            entries.extend(self.end_membership_elsewhere(&host));
-            let (endpoint, zone) = (self.endpoint_id(&host.host), self.zone_index(&host.site));
-            let kinds = &self.setup.endpoint_kinds;
-            let kind = kinds.iter().position(|k| *k == host.class).unwrap_or(kinds.len());
-            let Some(e) = self.members.endpoints.get_mut(&endpoint) else { continue };
-            (e.zone, e.destination, e.topic) = (zone, Some(host.block), host.topic.clone());
-            e.leased = host.leased;
-            let requires_lease = host.leased;
-            e.address = host.dial.parse().ok().or(e.address);
-            let address = e.address.filter(|_| host.health != Health::Gone);
-            self.attempts.calls.set_address(endpoint, address);
-            // Without a valid address nothing can be sent to the endpoint.
-            let state = match host.health {
-                Health::Ready if e.address.is_some() => interface::EndpointState::Ready,
-                Health::Gone => interface::EndpointState::Gone,
-                _ if is_planted(PlantedFault::DrainIgnored) => interface::EndpointState::Ready,
-                _ => interface::EndpointState::Draining,
-            };
-            e.ready = state == interface::EndpointState::Ready;
-            let ready = e.ready;
-            self.attempts.calls.set_available(endpoint, ready);
-            self.attempts.calls.set_leased(endpoint, host.leased);
-            self.broker_state_changed(endpoint, ready);
-            self.members.destinations.insert(host.block);
-            let (destination, weight) = (DestinationId(host.block), host.share);
-            entries.push(EndpointEntry { endpoint, destination, zone, kind, state, weight, requires_lease });
+            entries.extend(self.apply_entry(&host));
         }
         self.events.push(Event::EndpointList { complete: list.whole, entries });
         for endpoint in before {
@@ -326,22 +304,45 @@
         }
     }
 
-    /// Whether an entry tells of the end of an endpoint whose name belongs to one of another destination by now.
-    fn concerns_earlier_endpoint(&self, host: &ListedEndpoint) -> bool {
-        let known = self.members.ids_by_host.get(&host.host).and_then(|id| self.members.endpoints.get(id));
-        let destination = known.and_then(|e| e.destination);
-        host.health == Health::Gone && destination.is_some_and(|destination| destination != host.block)
+    /// Applies one entry of a list. Returns it for the scheduler.
+    fn apply_entry(&mut self, host: &ListedEndpoint) -> Option<EndpointEntry> {
+        let (endpoint, zone) = (self.endpoint_id(&host.host), self.zone_index(&host.site));
+        let kinds = &self.setup.endpoint_kinds;
+        let kind = kinds.iter().position(|k| *k == host.class).unwrap_or(kinds.len());
+        let e = self.members.endpoints.get_mut(&endpoint)?;
+        (e.zone, e.destination, e.topic) = (zone, Some(host.block), host.topic.clone());
+        e.leased = host.leased;
+        e.address = host.dial.parse().ok().or(e.address);
+        let address = e.address.filter(|_| host.health != Health::Gone);
+        self.attempts.calls.set_address(endpoint, address);
+        // Without a valid address nothing can be sent to the endpoint.
+        let state = match host.health {
+            Health::Ready if e.address.is_some() => interface::EndpointState::Ready,
+            Health::Gone => interface::EndpointState::Gone,
+            _ if is_planted(PlantedFault::DrainIgnored) => interface::EndpointState::Ready,
+            _ => interface::EndpointState::Draining,
+        };
+        e.ready = state == interface::EndpointState::Ready;
+        let ready = e.ready;
+        self.attempts.calls.set_available(endpoint, ready);
+        self.attempts.calls.set_leased(endpoint, host.leased);
+        self.broker_state_changed(endpoint, ready);
+        self.members.destinations.insert(host.block);
+        let (destination, weight, requires_lease) = (DestinationId(host.block), host.share, host.leased);
+        Some(EndpointEntry { endpoint, destination, zone, kind, state, weight, requires_lease })
+    }
+
+    /// The endpoint that is known by the name of an entry, if that is listed for another destination than before.
+    fn member_elsewhere(&self, host: &ListedEndpoint) -> Option<EndpointId> {
+        let endpoint = *self.members.ids_by_host.get(&host.host)?;
+        let destination = self.members.endpoints.get(&endpoint)?.destination?;
+        (destination != host.block).then_some(endpoint)
     }
 
     /// A name or address that is listed for another destination than before is another endpoint: ends the earlier
     /// one, so that the name is free for a new id. Returns its last entry for the scheduler.
-    fn end_membership_elsewhere(&mut self, host: &ListedEndpoint) -> Option<EndpointEntry> {
-        let endpoint = *self.members.ids_by_host.get(&host.host)?;
-        let e = self.members.endpoints.get_mut(&endpoint)?;
-        if e.destination == Some(host.block) || e.destination.is_none() {
-            return None;
-        }
-        e.ready = false;
+    fn end_membership(&mut self, endpoint: EndpointId) -> Option<EndpointEntry> {
+        let e = self.members.endpoints.get(&endpoint)?;
         let entry = EndpointEntry {
             endpoint,
             destination: DestinationId(e.destination?),
@@ -351,11 +352,30 @@
             weight: 0.0,
             requires_lease: e.leased,
         };
-        self.members.ids_by_host.remove(&host.host);
+        self.members.ids_by_host.remove(&e.host);
+        self.end_use(endpoint);
+        Some(entry)
+    }
+
+    /// Ends the use of the endpoints that a whole list leaves out. The scheduler takes them for gone, too.
+    fn end_use_of_unlisted(&mut self, listed: &[ListedEndpoint]) {
+        let listed = listed.iter().filter(|host| host.health != Health::Gone);
+        let listed: BTreeSet<&str> = listed.map(|host| host.host.as_str()).collect();
+        let is_unlisted = |e: &Endpoint| e.destination.is_some() && !listed.contains(e.host.as_str());
+        let members = self.members.endpoints.iter();
+        let unlisted: Vec<_> = members.filter(|(_, e)| is_unlisted(e)).map(|(id, _)| *id).collect();
+        unlisted.into_iter().for_each(|endpoint| self.end_use(endpoint));
+    }
+
+    /// Ends the use of an endpoint that is gone: calls that still wait for a connection or to be written are not
+    /// written to it.
+    fn end_use(&mut self, endpoint: EndpointId) {
+        if let Some(e) = self.members.endpoints.get_mut(&endpoint) {
+            e.ready = false;
+        }
         self.attempts.calls.set_available(endpoint, false);
         self.attempts.calls.set_address(endpoint, None);
         self.broker_state_changed(endpoint, false);
-        Some(entry)
     }
 
     /// Closes the idle connections to an endpoint that is not ready: it gets no new calls, so they would only
--- a/crates/courier/tests/moved_endpoints.rs
+++ b/crates/courier/tests/moved_endpoints.rs
@@ -66,11 +66,12 @@
     in_effect
 }
 
-/// The messages of other pools that an endpoint received once the grace period was over, and the number of its own.
-fn received(endpoint: &Endpoint, pool: &str, in_effect: Instant) -> (Vec<String>, usize) {
+/// Asserts that an endpoint received messages of its pool, and no others once the grace period was over.
+fn assert_only_own_messages(endpoint: &Endpoint, pool: &str, in_effect: Instant) {
     let calls = endpoint.calls().into_iter().filter(|call| call.at > in_effect + GRACE).map(|call| call.id);
     let (own, other): (Vec<_>, Vec<_>) = calls.partition(|id| id.starts_with(pool));
-    (other, own.len())
+    assert!(other.is_empty(), "the endpoint of {pool} received {} others: {:?}", other.len(), other.first());
+    assert!(own.len() > 20, "the endpoint of {pool} received {} of its messages", own.len());
 }
 
 // Guards against calls that go on to the old address of an endpoint that has moved, where another pool's endpoint is by
@@ -86,14 +87,7 @@
         file(&[pool("fuel", 1, &named("main", new.address)), pool("toll", 2, &named("other", old.address))]);
     let in_effect = change_under_traffic(&before, &after);
     for (endpoint, pool) in [(&old, "toll"), (&new, "fuel")] {
-        let (other, own) = received(endpoint, pool, in_effect);
-        assert!(
-            other.is_empty(),
-            "the endpoint of {pool} received {} others: {:?}",
-            other.len(),
-            other.first()
-        );
-        assert!(own > 20, "the endpoint of {pool} received {own} of its messages");
+        assert_only_own_messages(endpoint, pool, in_effect);
     }
 }
 
@@ -107,13 +101,6 @@
         |first, second| file(&[pool("fuel", first, &address(&fuel)), pool("toll", second, &address(&toll))]);
     let in_effect = change_under_traffic(&of(1, 2), &of(2, 1));
     for (endpoint, pool) in [(&fuel, "fuel"), (&toll, "toll")] {
-        let (other, own) = received(endpoint, pool, in_effect);
-        assert!(
-            other.is_empty(),
-            "the endpoint of {pool} received {} others: {:?}",
-            other.len(),
-            other.first()
-        );
-        assert!(own > 20, "the endpoint of {pool} received {own} of its messages");
+        assert_only_own_messages(endpoint, pool, in_effect);
     }
 }
--- a/crates/courier/tests/system_errors.rs
+++ b/crates/courier/tests/system_errors.rs
@@ -267,9 +267,9 @@
     assert_eq!(setup.endpoint.ids(), ["m1"]);
 }
 
-// Guards against a request that was decided on long ago and is written to an endpoint that drains.
-#[test]
-fn a_call_that_waits_for_memory_is_not_written_once_its_endpoint_has_drained() {
+/// Lets a call wait for memory while discovery tells a list, and expects that it goes to the new endpoint of that list:
+/// `change` makes the list of the entries of the old and the new one.
+fn assert_waiting_call_heeds(change: impl Fn(&Endpoint, &Endpoint) -> Value) {
     let answering = || Endpoint::new(|_| EndpointAction::RespondDistinct(MS));
     let (old, new, folder) = (answering(), answering(), TestFolder::new());
     let known = list(1, true, vec![host("s-old", &old, 7, "ready")]);
@@ -283,8 +283,7 @@
     let address = courier.address;
     let client = thread::spawn(move || exchange(address, message("m1", "payment", 7, 10_000).as_bytes()));
     thread::sleep(500 * MS);
-    let drains = vec![host("s-old", &old, 7, "draining"), host("s-new", &new, 7, "ready")];
-    discovery.tell(list(2, false, drains));
+    discovery.tell(change(&old, &new));
     // The grace of a drain, 1 s, is over when the system has memory again.
     thread::sleep(Duration::from_secs(2));
     faults.set("");
@@ -293,6 +292,20 @@
     assert_eq!(old.ids(), ["m0"]);
 }
 
+// Guards against a request that was decided on long ago and is written to an endpoint that drains.
+#[test]
+fn a_call_that_waits_for_memory_is_not_written_once_its_endpoint_has_drained() {
+    assert_waiting_call_heeds(|old, new| {
+        list(2, false, vec![host("s-old", old, 7, "draining"), host("s-new", new, 7, "ready")])
+    });
+}
+
+// Guards against the same for an endpoint that a whole list leaves out.
+#[test]
+fn a_call_that_waits_for_memory_is_not_written_once_a_whole_list_leaves_its_endpoint_out() {
+    assert_waiting_call_heeds(|_, new| list(2, true, vec![host("s-new", new, 7, "ready")]));
+}
+
 // Guards against a loop without pauses, and against closing sessions that are served, while there are no descriptors.
 #[test]
 fn mqtt_clients_stay_served_and_silent_ones_make_room_while_there_are_no_descriptors() {
