--- a/crates/courier/src/dispatcher/attempts.rs
+++ b/crates/courier/src/dispatcher/attempts.rs
@@ -13,11 +13,30 @@
 use stairshed_journal::{Attempt, Verdict};
 use stairshed_planted_faults::{PlantedFault, is_planted};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
 use tokio::time::Instant;
 
+/// Why a call is given up before its first byte is written.
+#[derive(Clone, Copy, Debug)]
+enum DropCause {
+    /// Its message has ended or was withdrawn, or the call was cancelled.
+    NotWanted,
+    /// The journal cannot write its attempt.
+    NotRecorded,
+}
+
+impl fmt::Display for DropCause {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            DropCause::NotWanted => "no longer wanted",
+            DropCause::NotRecorded => "its record cannot be written",
+        })
+    }
+}
+
 /// Messages held, by number, and the calls to endpoints.
 pub(super) struct Attempts {
     pub(super) held: BTreeMap<u64, HeldMessage>,
@@ -187,7 +206,7 @@
         let seq = self.journal.last_seq();
         // Attempts must be in the journal before their first byte is sent, and verdicts before their notice.
         if !self.flush_journal() {
-            return ready.iter().for_each(|call| self.drop_call(call));
+            return ready.iter().for_each(|call| self.drop_call(call, DropCause::NotRecorded));
         }
         for call in ready {
             let (cancel, cancelled) = oneshot::channel();
@@ -209,7 +228,7 @@
     /// wanted any more.
     pub(super) fn start_call(&mut self, call: Call, mut cancelled: oneshot::Receiver<()>) {
         if !self.is_call_wanted(&call, &mut cancelled) {
-            return self.drop_call(&call);
+            return self.drop_call(&call, DropCause::NotWanted);
         }
         match call.target {
             CallTarget::Broker(id) => self.publish(call, id),
@@ -234,14 +253,14 @@
 
     /// Gives up a call before its first byte is written: its attempt never ran, and its call slot and packet id
     /// are free again.
-    fn drop_call(&mut self, call: &Call) {
+    fn drop_call(&mut self, call: &Call, cause: DropCause) {
         self.journal.record_never_ran(call.message, call.attempt);
         self.release_packet_id(&call.target, call.endpoint);
         if let Some(m) = self.attempts.held.get_mut(&call.message) {
             m.in_flight = None;
             message_trace::log_step(
                 &m.accepted.id,
-                format_args!("attempt={} not started: no longer wanted", call.attempt),
+                format_args!("attempt={} not started: {cause}", call.attempt),
             );
         }
         if self.journal.get(call.message).is_none_or(|live| live.verdict.is_some()) {
--- a/crates/courier/src/ingress/session_shares.rs
+++ b/crates/courier/src/ingress/session_shares.rs
@@ -2,12 +2,9 @@
 //! sessions of all. A client id is a name that anybody can choose, so a client is known by its address, or by its
 //! verified user.
 
-use stairshed_memory::Client;
+use stairshed_memory::{CLIENT_SHARE_THRESHOLD, Client};
 use std::collections::HashMap;
 
-/// Share of the sessions in use from which a client is held to its own share.
-const TIGHT_SHARE: f64 = 0.65;
-
 /// The clients that sessions belong to.
 #[derive(Default)]
 pub struct SessionShares {
@@ -33,7 +30,7 @@
     /// Whether a client may create one more session. `in_use` sessions are the share `used` of those that there may
     /// be, and one client may have `client_share` of them while they are scarce.
     pub fn may_create(&self, client: &Client, in_use: usize, used: f64, client_share: f64) -> bool {
-        if used <= TIGHT_SHARE {
+        if used <= CLIENT_SHARE_THRESHOLD {
             return true;
         }
         let own = self.clients.values().filter(|other| *other == client).count();
--- a/crates/memory/src/ledger.rs
+++ b/crates/memory/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use crate::Time;
 use crate::caps::Caps;
-use crate::level::{FULL_THRESHOLDS, Level, LevelChange, TIGHT_THRESHOLDS};
+use crate::level::{CLIENT_SHARE_THRESHOLD, FULL_THRESHOLDS, Level, LevelChange};
 use crate::purpose::{ByPurpose, Purpose};
 use crate::reason::Reason;
 use crate::release_rate::{MIN_UPDATE_INTERVAL, ReleaseRate};
@@ -238,7 +238,7 @@
         let (cap, after) = (account.cap.get(), account.held().saturating_add(bytes));
         let exceeds_share = |client: &ClientAccount| {
             let max_share = cap as f64 * self.0.client_share.get();
-            after as f64 > cap as f64 * TIGHT_THRESHOLDS.1
+            after as f64 > cap as f64 * CLIENT_SHARE_THRESHOLD
                 && (client.0.held[purpose].get() + bytes) as f64 > max_share
         };
         let why = match client {
@@ -353,7 +353,7 @@
         // A client over its share is served again once the purpose is no longer tight, or once it holds less.
         let room = match refused.why {
             RefusalCause::Cap | RefusalCause::Total => cap,
-            RefusalCause::Share => (cap as f64 * TIGHT_THRESHOLDS.1) as u64,
+            RefusalCause::Share => (cap as f64 * CLIENT_SHARE_THRESHOLD) as u64,
         };
         let mut over = account.held().saturating_add(refused.bytes).saturating_sub(room);
         if let (RefusalCause::Total, Some(total)) = (refused.why, self.0.total.get()) {
--- a/crates/memory/src/level.rs
+++ b/crates/memory/src/level.rs
@@ -19,6 +19,8 @@
 
 /// Fraction of the cap at which a purpose becomes tight, and below which it is ample again.
 pub const TIGHT_THRESHOLDS: (f64, f64) = (0.75, 0.65);
+/// Fraction of the cap in use above which no client gets more than its share.
+pub const CLIENT_SHARE_THRESHOLD: f64 = TIGHT_THRESHOLDS.1;
 /// Fraction of the cap at which a purpose becomes full, and below which it is only tight again.
 pub const FULL_THRESHOLDS: (f64, f64) = (0.95, 0.85);
 
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -31,7 +31,7 @@
 pub use caps::{CapError, CapSetting, Caps};
 pub use client_identification::ClientIdentification;
 pub use ledger::{Charge, Client, ClientAccount, Ledger, PurposeUsage, RefusalCause, Refused, Reserve};
-pub use level::{Level, LevelChange};
+pub use level::{CLIENT_SHARE_THRESHOLD, Level, LevelChange};
 pub use purpose::{ByPurpose, Purpose};
 pub use reason::Reason;
 pub use rejected_connections::RejectedConnections;
