Tests: an id that was gone is refused, and an answer is not lost behind further input

An id whose message ended with 410 and that comes again on the platform: refused (503) and not sent.

Part of a request that comes while the one before it waits for its answer: the HTTP library reads nothing until that is written, or, if both come at once, the courier answers 400. So 'a next request that was read behind one being answered' does not arise on the final code; what may be lost is the first answer, when SIGTERM closes the connection over unread input. The test expects it.

The file of the operator's courier is one function.

--- a/crates/courier/tests/answered_requests.rs
+++ b/crates/courier/tests/answered_requests.rs
@@ -55,6 +55,16 @@
     }
 }
 
+/// The file of an operator's courier that accepts payments once their records are synced.
+fn operator_file(endpoint: SocketAddr) -> String {
+    format!(
+        "name = \"depot\"\n[listen]\nhttp = \"127.0.0.1:0\"\n[journal]\ndurability = \"machine\"\n\
+         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\nremember = \"1h\"\n\
+         [pools.p]\nendpoints = [{{ address = \"{endpoint}\" }}]\n\
+         [routes.pay]\nprefix = \"/pay\"\npool = \"p\"\nclass = \"payment\"\n"
+    )
+}
+
 fn connect(to: SocketAddr) -> BufReader<TcpStream> {
     buffered(TcpStream::connect(to).expect("a connection"))
 }
@@ -165,13 +175,7 @@
     const FINISH_INTERVAL: Duration = Duration::from_millis(12);
     let folder = TestFolder::new();
     let endpoint = Endpoint::new(|_| EndpointAction::RespondDistinct(MS));
-    let file = format!(
-        "name = \"depot\"\n[listen]\nhttp = \"127.0.0.1:0\"\n[journal]\ndurability = \"machine\"\n\
-         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\nremember = \"1h\"\n\
-         [pools.p]\nendpoints = [{{ address = \"{}\" }}]\n\
-         [routes.pay]\nprefix = \"/pay\"\npool = \"p\"\nclass = \"payment\"\n",
-        endpoint.address
-    );
+    let file = operator_file(endpoint.address);
     let mut command = serve_command(&folder, &file);
     let faults = MachineFaults::load(&mut command, &folder, "");
     let mut courier = Courier::spawn(command.args(["--follow", "1/1"]));
@@ -234,6 +238,31 @@
     assert!(matches!(status, Some(202 | 429 | 503)), "{status:?}");
 }
 
+// Guards against an answer that is lost because its connection closes over part of the next request: SIGTERM comes while
+// the first one waits for its sync.
+#[test]
+fn request_is_answered_though_part_of_the_next_one_came_before_sigterm() {
+    let folder = TestFolder::new();
+    let endpoint = Endpoint::new(|_| EndpointAction::RespondDistinct(MS));
+    let file = operator_file(endpoint.address);
+    let mut command = serve_command(&folder, &file);
+    let faults = MachineFaults::load(&mut command, &folder, "");
+    let courier = Courier::spawn(&mut command);
+    faults.set("sync slow 1");
+    let mut connection = connect(courier.address);
+    send(&mut connection, &request("/pay", "first", "", "42 EUR"));
+    thread::sleep(READ_TIME);
+    let second = request("/pay", "second", "", "42 EUR");
+    let (begun, rest) = second.split_at(second.len() / 2);
+    send(&mut connection, begun);
+    thread::sleep(READ_TIME);
+    courier.signal("-TERM");
+    thread::sleep(READ_TIME);
+    send(&mut connection, rest);
+    assert_eq!(answer(&mut connection), Some(ACCEPTED));
+    wait_until("the first payment", || endpoint.ids().contains(&"first".to_owned()));
+}
+
 // Guards against requests that are dropped because SIGTERM ends a start that already serves clients, and still waits for
 // another address.
 #[test]
--- a/crates/courier/tests/bounced_again.rs
+++ b/crates/courier/tests/bounced_again.rs
@@ -89,6 +89,24 @@
     wait_until("the next message", || endpoint.ids().contains(&"next".to_owned()));
 }
 
+// Guards against a message that is sent again after its end: its endpoint answered 410, and its id comes again.
+#[test]
+fn platform_message_that_was_gone_is_not_sent_again() {
+    const GONE: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+    let endpoint = Endpoint::new(|_| EndpointAction::Respond(GONE));
+    let discovery = Discovery::new(list(1, true, vec![host("s-1", &endpoint, 7, "ready")]));
+    let folder = TestFolder::new();
+    let courier = Courier::start(&folder, &discovery);
+    courier.submit_accepted("gone", "status", 7, 20_000);
+    wait_until("the call", || endpoint.ids() == ["gone"]);
+    thread::sleep(RECORD_TIME);
+    assert_eq!(courier.submit("gone", "status", 7, 20_000).status(), 503);
+    courier.submit_accepted("next", "status", 7, 20_000);
+    wait_until("the next message", || endpoint.ids().contains(&"next".to_owned()));
+    thread::sleep(RECORD_TIME);
+    assert_eq!(endpoint.ids(), ["gone", "next"]);
+}
+
 // Guards against an operator who is told `bounced` of a payment that runs: the notice of its first life came after it had
 // been accepted again.
 #[test]
