--- a/crates/courier/src/ingress/rejection.rs
+++ b/crates/courier/src/ingress/rejection.rs
@@ -1,6 +1,6 @@
 //! Rejects connections for which there is no capacity. Each gets the reason and a retry delay in its own
 //! protocol and a lingering close, so that no TCP reset destroys the answer. One task serves them all.
-//! [`Partings`] decides which connections are answered, which are displaced and for how long; this module
+//! [`stairshed_memory::RejectedConnections`] decides which connections are answered, which are displaced and for how long; this module
 //! owns their sockets.
 
 use crate::events::DEFAULT_RETRY_AFTER;
