Review case 6: a reload that renumbers a pool of a broker lets a payment run again

A pool of an MQTT broker whose `destination` a reload sets gets a second connection with the client id of the first, which still has a payment out. The two push each other off, and the payment is published anew in a session that never had its packet id.

Nothing outside `review/`.

--- /dev/null
+++ b/review/stand-2/main.rs
@@ -0,0 +1,17 @@
+//! The cases of the second review: `review-2 NAME` runs one.
+
+#![allow(dead_code)]
+
+mod common;
+mod renumbered;
+
+fn main() {
+    common::limit_time();
+    let name = std::env::args().nth(1).unwrap_or_default();
+    let code = match name.as_str() {
+        "renumbered" => renumbered::run(),
+        other => common::no_run(&format!("no case {other:?}")),
+    };
+    common::end_processes();
+    std::process::exit(code);
+}
