--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -3,12 +3,14 @@
 #![allow(dead_code)]
 
 mod common;
+mod moved;
 mod renumbered;
 
 fn main() {
     common::limit_time();
     let name = std::env::args().nth(1).unwrap_or_default();
     let code = match name.as_str() {
+        "moved" => moved::run(),
         "renumbered" => renumbered::run(),
         other => common::no_run(&format!("no case {other:?}")),
     };
