--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -3,7 +3,9 @@
 #![allow(dead_code)]
 
 mod common;
+mod endpoint;
 mod moved;
+mod receiver;
 mod renumbered;
 
 fn main() {
@@ -11,6 +13,7 @@
     let name = std::env::args().nth(1).unwrap_or_default();
     let code = match name.as_str() {
         "moved" => moved::run(),
+        "receiver" => receiver::run(),
         "renumbered" => renumbered::run(),
         other => common::no_run(&format!("no case {other:?}")),
     };
