Review case 9: a keyed message is published at a broker after its key is forgotten

The window in which a PUBLISH may go again counts from its own attempt, not from the first one that may have run.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,6 +7,7 @@
 mod moved;
 mod receiver;
 mod renumbered;
+mod window;
 
 fn main() {
     common::limit_time();
@@ -15,6 +16,7 @@
         "moved" => moved::run(),
         "receiver" => receiver::run(),
         "renumbered" => renumbered::run(),
+        "window" => window::run(),
         other => common::no_run(&format!("no case {other:?}")),
     };
     common::end_processes();
