Review case 10: a class that a reload makes `once` does not bind what is out at a broker

Quality and repeats of a PUBLISH are fixed by the effect that its class had when it was published; the stricter effect after a reload does not reach it.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,6 +7,7 @@
 mod moved;
 mod receiver;
 mod renumbered;
+mod stricter;
 mod window;
 
 fn main() {
@@ -16,6 +17,7 @@
         "moved" => moved::run(),
         "receiver" => receiver::run(),
         "renumbered" => renumbered::run(),
+        "stricter" => stricter::run(),
         "window" => window::run(),
         other => common::no_run(&format!("no case {other:?}")),
     };
