Review case 9: payments go on to a broker that a reload has given to another pool

A connection to a broker that is never idle is not left when a reload moves its endpoint; with the old address in another pool, that partner's broker gets the payments. It takes the place of the case of a keyed message beyond its window, which needs two disruptions; that one stays as a program.

Change: `review/9` is the new case; the program `window` stays in `review/stand-2`.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -10,7 +10,7 @@
 fi
 WORK_FOLDER=$(mktemp -d) || exit 2
 export WORK_FOLDER
-"$root/target/review-2/review-2" window &
+"$root/target/review-2/review-2" busy &
 run=$!
 trap 'kill "$run" 2>/dev/null' INT TERM
 trap 'rm -rf "$WORK_FOLDER"' EXIT
--- a/review/stand-2/common.rs
+++ b/review/stand-2/common.rs
@@ -317,6 +317,7 @@
     pub id: u16,
     pub dup: bool,
     pub qos: u8,
+    pub topic: String,
     pub body: String,
 }
 
@@ -500,7 +501,7 @@
             }
             3 => {
                 let (qos, dup) = ((kind >> 1) & 3, kind & 8 != 0);
-                let (_, mut at) = string_at(packet, 0);
+                let (topic, mut at) = string_at(packet, 0);
                 let id = u16::from_be_bytes([packet[at], packet[at + 1]]);
                 at += 2;
                 let (properties, n) = varint(&packet[at..]).unwrap_or((0, 1));
@@ -516,11 +517,11 @@
                 });
                 let word = if passes { "passed on" } else { "known, not passed on again" };
                 self.say(&format!(
-                    "connection {number}: PUBLISH {body:?} QoS {qos} id {id}{}: {word}",
-                    if dup { " DUP" } else { "" }
+                    "connection {number}: PUBLISH {body:?} to {topic:?}, QoS {qos}, id {id}{}: {word}",
+                    if dup { ", DUP" } else { "" }
                 ));
                 if passes {
-                    let passed = Passed { at: Instant::now(), client: client.clone(), id, dup, qos, body };
+                    let passed = Passed { at: Instant::now(), client: client.clone(), id, dup, qos, topic, body };
                     self.with(|s| s.passed.push(passed));
                 }
                 let answer = ack(if qos == 2 { 0x50 } else { 0x40 }, id);
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+mod busy;
 mod common;
 mod endpoint;
 mod moved;
@@ -14,6 +15,7 @@
     common::limit_time();
     let name = std::env::args().nth(1).unwrap_or_default();
     let code = match name.as_str() {
+        "busy" => busy::run(),
         "moved" => moved::run(),
         "receiver" => receiver::run(),
         "renumbered" => renumbered::run(),
