--- a/review/stand-2/common.rs
+++ b/review/stand-2/common.rs
@@ -67,7 +67,7 @@
 }
 
 extern "C" {
-    fn prctl(option: i32, value: u64) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// The process gets SIGKILL when the one that started it ends.
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -10,6 +10,7 @@
 mod renumbered;
 mod stricter;
 mod window;
+mod zone;
 
 fn main() {
     common::limit_time();
@@ -21,6 +22,7 @@
         "renumbered" => renumbered::run(),
         "stricter" => stricter::run(),
         "window" => window::run(),
+        "zone" => zone::run(),
         other => common::no_run(&format!("no case {other:?}")),
     };
     common::end_processes();
--- a/review/stand-2/renumbered.rs
+++ b/review/stand-2/renumbered.rs
@@ -5,7 +5,9 @@
 use std::thread;
 use std::time::Duration;
 
-const PAYMENTS: usize = 3;
+/// Before the reload, and after it.
+const EARLY: usize = 3;
+const LATER: usize = 40;
 
 pub fn run() -> i32 {
     let record = Record::new();
@@ -30,10 +32,9 @@
         record.line(&format!("client: {id} answered {status:?}"));
         accepted.extend((status == Some(202)).then(|| id.to_owned()));
     };
-    // These are acknowledged at once.
-    for n in 1..=PAYMENTS {
+    for n in 1..=EARLY {
         pay(&format!("early-{n}"));
-        thread::sleep(100 * MS);
+        thread::sleep(300 * MS);
     }
     // The broker takes this one, and acknowledges it late.
     broker.change(|b| {
@@ -53,11 +54,12 @@
         }
         record.line("operator: SIGHUP; the pool has `destination = 7` now, and is otherwise as before");
     }
-    for n in 1..=PAYMENTS {
+    for n in 1..=LATER {
         pay(&format!("later-{n}"));
-        thread::sleep(300 * MS);
+        thread::sleep(20 * MS);
     }
-    thread::sleep(Duration::from_secs(12));
+    // Until the time of the last one is up, and some more.
+    thread::sleep(Duration::from_secs(31));
     courier.log_into(&record);
     let outcomes = fs::read_to_string(folder.file("state/outcomes.ndjson")).unwrap_or_default();
     outcomes.lines().for_each(|line| record.line(&format!("outcome: {line}")));
@@ -68,7 +70,7 @@
             broken.push(format!("payment {body} of a class that runs once was passed on {count} times"));
         }
     }
-    for body in accepted.iter().filter(|body| !broker.effects().contains_key(*body) && !outcomes.contains(*body)) {
+    for body in accepted.iter().filter(|body| !broker.effects().contains_key(*body) && !outcomes.contains(&format!("\"{body}\""))) {
         broken.push(format!("payment {body} was accepted, and neither passed on nor told of"));
     }
     drop(courier);
