--- a/crates/courier/src/dispatcher.rs
+++ b/crates/courier/src/dispatcher.rs
@@ -7,7 +7,8 @@
 //!   members         endpoints, zones, drains       lease      until when the endpoint list may be used
 //!   records         what waits on the journal, disk failures
 //!   notices         verdicts until their notices are acknowledged
-//!   ended_messages  records of ended messages      brokers    attempts at MQTT brokers
+//!   ended_messages  records of ended messages      brokers    sessions on MQTT brokers, publishing
+//!   open_attempts   attempts at brokers by the previous process
 //!   memory          memory of each message, measuring, releasing
 //!   stored_state    state of other parts by key    shutdown   the end after SIGTERM
 //!   clock_record    the clocks, for the next process
@@ -15,6 +16,7 @@
 
 mod acceptance;
 mod attempts;
+mod broker_config;
 mod brokers;
 mod clock_record;
 mod ended_messages;
@@ -23,6 +25,7 @@
 mod members;
 mod memory;
 mod notices;
+mod open_attempts;
 pub mod planted_settings;
 mod records;
 pub mod setup;
@@ -301,13 +304,11 @@
             DispatcherEvent::JournalSynced(done) => self.sync_finished(done),
             DispatcherEvent::StoreState(update) => self.store_state(update),
             DispatcherEvent::OutcomeNotified { message } => self.owner_notified(message),
-            DispatcherEvent::PubrecReceived { endpoint, id, message } => {
-                self.pubrec_received(endpoint, id, message)
+            DispatcherEvent::PubrecReceived { session, id, message } => {
+                self.pubrec_received(session, id, message)
             }
-            DispatcherEvent::SessionResuming { endpoint, pending } => {
-                self.session_resuming(endpoint, pending)
-            }
-            DispatcherEvent::PacketIdFreed { endpoint, id } => self.free_packet_id(endpoint, id),
+            DispatcherEvent::SessionResuming { session, pending } => self.session_resuming(session, pending),
+            DispatcherEvent::PacketIdFreed { session, id } => self.free_packet_id(&session, id),
             DispatcherEvent::Stop => self.begin_shutdown(),
         }
     }
@@ -359,12 +360,12 @@
             self.record_verdict(message, verdict);
         }
         self.start_calls(sends, now);
-        for (message, endpoint) in cancels {
+        for (message, session) in cancels {
             let in_flight = self.attempts.held.get_mut(&message).and_then(|m| m.in_flight.as_mut());
             match in_flight.and_then(|(_, cancel)| cancel.take()) {
                 Some(cancel) => drop(cancel.send(())),
                 // A PUBLISH that has begun cannot be cancelled, and must not be reported as cancelled.
-                None => endpoint.into_iter().for_each(|e| self.cancel_publish(e, message)),
+                None => session.into_iter().for_each(|session| self.cancel_publish(&session, message)),
             }
         }
     }
--- a/crates/courier/src/dispatcher/attempts.rs
+++ b/crates/courier/src/dispatcher/attempts.rs
@@ -85,6 +85,7 @@
             AfterAttempt::FailWithoutRetry => self.record_verdict(message, Verdict::Dead),
             AfterAttempt::Rejected => self.record_rejection(message, attempt, end.status),
         }
+        self.drop_left_sessions();
         if self.open_attempt_ended(message, &end) {
             return;
         }
@@ -180,7 +181,7 @@
                 // The attempt's names are longer than the space reserved for them, and the journal has no
                 // more.
                 m.in_flight = None;
-                self.release_packet_id(&target, endpoint);
+                self.release_packet_id(&target);
                 self.events.push(not_sent(message, endpoint, Outcome::Moot));
                 continue;
             };
@@ -218,9 +219,9 @@
     }
 
     /// Frees the packet id of a message that was not sent after all.
-    pub(super) fn release_packet_id(&mut self, target: &CallTarget, endpoint: EndpointId) {
-        if let CallTarget::Broker(id) = target {
-            self.free_packet_id(endpoint, *id);
+    pub(super) fn release_packet_id(&mut self, target: &CallTarget) {
+        if let CallTarget::Broker(target) = target {
+            self.free_packet_id(&target.session, target.id);
         }
     }
 
@@ -230,9 +231,10 @@
         if !self.is_call_wanted(&call, &mut cancelled) {
             return self.drop_call(&call, DropCause::NotWanted);
         }
-        match call.target {
-            CallTarget::Broker(id) => self.publish(call, id),
+        match &call.target {
+            CallTarget::Broker(target) => self.publish(&call, target),
             CallTarget::Http(address) => {
+                let address = *address;
                 let call = self.attempts.calls.clone().call(call, address, cancelled, self.event_tx.clone());
                 tokio::task::spawn_local(call);
             }
@@ -255,7 +257,7 @@
     /// are free again.
     fn drop_call(&mut self, call: &Call, cause: DropCause) {
         self.journal.record_never_ran(call.message, call.attempt);
-        self.release_packet_id(&call.target, call.endpoint);
+        self.release_packet_id(&call.target);
         if let Some(m) = self.attempts.held.get_mut(&call.message) {
             m.in_flight = None;
             message_trace::log_step(
--- a/crates/courier/src/dispatcher/brokers.rs
+++ b/crates/courier/src/dispatcher/brokers.rs
@@ -1,373 +1,262 @@
-//! Attempts at MQTT brokers. Each is in the journal with its packet id, so that an attempt whose result is
-//! unknown is resumed under the same id after a restart and does not deliver the message a second time.
+//! Endpoints that are MQTT brokers: which session each uses, the connection of each session, and the publishing of
+//! messages. A broker has one session and one connection for a client identifier, so endpoints with the same
+//! address and client identifier share them; an endpoint that moves leaves its session, which lives on until
+//! nothing is in flight in it.
 
 use super::Dispatcher;
-use super::held_message::{DeferredAction, HeldMessage};
-use crate::events::{AfterAttempt, CallResult};
+use super::broker_config::{BrokerSettings, broker_settings};
+use super::held_message::DeferredAction;
+use super::open_attempts::{OpenAttempts, PacketIdRecord};
 use crate::upstream::broker_connection::BrokerConnection;
-use crate::upstream::endpoint_client::{Call, MAX_WRITE_AFTER_DRAIN};
-use serde::{Deserialize, Serialize};
-use stairshed_clock::StableTime;
+use crate::upstream::broker_session::BrokerSession;
+use crate::upstream::endpoint_client::{BrokerTarget, Call, MAX_WRITE_AFTER_DRAIN};
 use stairshed_decide::interface::*;
-use stairshed_journal::{LiveMessage, Verdict};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use stairshed_mqtt::Qos;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::Instant;
 
-/// Key prefix of the state records of packet ids in use: `broker/ID/HOST`.
-const PACKET_ID_PREFIX: &str = "broker/";
-/// Key prefix of the state records of brokers whose session is being resumed: `resuming/HOST`.
-const RESUMING_PREFIX: &str = "resuming/";
-/// A message whose result is still unknown after a restart ends this long before its deadline.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(50);
+/// Key prefix of the state records of sessions that are being resumed: `resuming/ADDRESS/CLIENT`.
+pub(super) const RESUMING_PREFIX: &str = "resuming/";
 
-/// The journal's state record of a packet id.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct PacketIdRecord {
-    message: u64,
-    /// Whether PUBREC has arrived.
-    released: bool,
+/// The connection of a session, and the endpoints that use the session.
+struct SharedConnection {
+    connection: Rc<BrokerConnection>,
+    endpoints: HashSet<EndpointId>,
 }
 
-/// An attempt of a previous process whose result is unknown.
-struct OpenAttempt {
-    host: String,
-    id: u16,
-    released: bool,
-    /// Whether it was handed to its broker to be resumed.
-    resumed: bool,
-    /// When its message is ended at the latest.
-    until: Instant,
+/// The session that an endpoint uses.
+struct SessionUse {
+    session: Rc<BrokerSession>,
+    /// QoS of messages that may run again.
+    qos: Qos,
 }
 
-/// The brokers, and the attempts that a previous process left.
+/// Sessions on brokers, and the attempts that a previous process left in them.
 #[derive(Default)]
 pub struct Brokers {
-    by_endpoint: HashMap<EndpointId, Rc<BrokerConnection>>,
-    /// Endpoints whose broker settings may have changed: checked before the next message, once nothing is in
-    /// flight.
+    /// Connections of the sessions that an endpoint uses or in which a message is in flight.
+    connections: HashMap<Rc<BrokerSession>, SharedConnection>,
+    /// The session of each endpoint that has one.
+    by_endpoint: HashMap<EndpointId, SessionUse>,
+    /// Endpoints whose session or settings may have changed: checked before the next message.
     stale: HashSet<EndpointId>,
-    /// Unresolved attempts of a previous process, by message. The scheduler does not know these messages.
-    open_attempts: BTreeMap<u64, OpenAttempt>,
-    /// Hosts and packet ids of ended messages: the ids may still be in use in a broker's session.
-    blocked_ids: Vec<(String, u16)>,
-}
-
-fn packet_id_key(host: &str, id: u16) -> String {
-    format!("{PACKET_ID_PREFIX}{id}/{host}")
+    /// Sessions that no endpoint uses any more and in which a message is in flight.
+    left: Vec<Rc<BrokerSession>>,
+    pub(super) open_attempts: OpenAttempts,
 }
 
 impl Dispatcher {
-    /// Loads the attempts of a previous process that may be resumed.
-    pub(super) fn load_open_attempts(&mut self) {
-        let now = self.clock.now();
-        // Sessions that were being resumed at the stop count as lost; see `Client::opened`.
-        let lost: HashSet<String> =
-            self.states_with_prefix(RESUMING_PREFIX).into_iter().map(|(host, _)| host).collect();
-        for host in &lost {
-            self.delete_state(&format!("{RESUMING_PREFIX}{host}"));
+    fn connection(&self, session: &BrokerSession) -> Option<&Rc<BrokerConnection>> {
+        self.brokers.connections.get(session).map(|shared| &shared.connection)
+    }
+
+    /// The connection of the session that an endpoint uses.
+    fn connection_of(&self, endpoint: EndpointId) -> Option<&Rc<BrokerConnection>> {
+        self.connection(&self.brokers.by_endpoint.get(&endpoint)?.session)
+    }
+
+    /// How the configuration has an endpoint used that is a broker. None if it is none, or its pool is gone.
+    pub(super) fn broker_settings_of(&self, endpoint: EndpointId) -> Option<BrokerSettings> {
+        let e = self.members.endpoints.get(&endpoint).filter(|e| e.topic.is_some())?;
+        let installation = self.setup.installation.as_ref()?;
+        broker_settings(installation, &self.setup.config_folder, &e.host, e.address?)
+    }
+
+    /// The connection for new messages of an endpoint, with the current settings as far as messages in flight
+    /// allow.
+    pub(super) fn broker_for(&mut self, endpoint: EndpointId) -> Option<Rc<BrokerConnection>> {
+        let known = self.connection_of(endpoint).cloned();
+        if known.is_some() && !self.brokers.stale.contains(&endpoint) {
+            return known;
         }
-        for (key, value) in self.states_with_prefix(PACKET_ID_PREFIX) {
-            let of = key.split_once('/').and_then(|(id, host)| Some((id.parse().ok()?, host.to_owned())));
-            let read = of.zip(serde_json::from_slice::<PacketIdRecord>(&value).ok());
-            let Some(((id, host), of)) = read else {
-                log_line!("mqtt: a record of a packet id cannot be read, and is dropped: {key}");
-                self.delete_state(&format!("{PACKET_ID_PREFIX}{key}"));
-                continue;
-            };
-            if lost.contains(&host) {
-                self.delete_state(&self::packet_id_key(&host, id));
-                continue;
-            }
-            match self.journal.get(of.message) {
-                Some(live) if live.verdict.is_none() => {
-                    let left =
-                        live.accepted.deadline.saturating_duration_since(now).saturating_sub(EXPIRY_MARGIN);
-                    let until = Instant::now() + left;
-                    let open = OpenAttempt { host, id, released: of.released, resumed: false, until };
-                    self.brokers.open_attempts.insert(of.message, open);
-                }
-                // The message has ended: nothing more is sent for it, and its id is not reused while the
-                // session lasts.
-                _ => self.brokers.blocked_ids.push((host, id)),
+        let Some(settings) = self.broker_settings_of(endpoint) else { return known };
+        self.leave_former_session(endpoint, &settings.session);
+        let session = Rc::new(settings.session);
+        let connection = match self.connection(&session).cloned() {
+            Some(connection) => connection,
+            None => {
+                let events = self.event_tx.clone();
+                BrokerConnection::start(session.clone(), settings.connection.clone(), self.clock, events)
             }
+        };
+        let shared = self.brokers.connections.entry(session.clone());
+        let is_new = matches!(shared, std::collections::hash_map::Entry::Vacant(_));
+        let shared = shared.or_insert_with(|| SharedConnection {
+            connection: connection.clone(),
+            endpoints: HashSet::new(),
+        });
+        shared.endpoints.insert(endpoint);
+        self.brokers.left.retain(|left| *left != session);
+        let session_use = SessionUse { session: session.clone(), qos: settings.qos };
+        self.brokers.by_endpoint.insert(endpoint, session_use);
+        self.update_session_use(&session);
+        if connection.reconfigure(&settings.connection) {
+            self.brokers.stale.remove(&endpoint);
         }
+        if is_new {
+            self.resume_attempts_in(&session, endpoint, &connection);
+        }
+        Some(connection)
     }
 
-    /// Holds a message whose attempt by a previous process is unresolved, without passing it to the
-    /// scheduler. Returns whether it is one.
-    pub(super) fn hold_open_attempt(&mut self, message: u64, live: &LiveMessage, class: usize) -> bool {
-        if !self.brokers.open_attempts.contains_key(&message) {
-            return false;
+    /// Ends the use of another session than this one by an endpoint.
+    fn leave_former_session(&mut self, endpoint: EndpointId, current: &BrokerSession) {
+        let former = self.brokers.by_endpoint.get(&endpoint);
+        if former.is_some_and(|former| *former.session != *current) {
+            self.leave_session(endpoint);
         }
-        let (accepted, attempts) = (live.accepted.clone(), live.attempts.len() as u32);
-        let in_flight = Some((Instant::now(), None));
-        self.attempts.held.insert(message, HeldMessage { accepted, class, attempts, in_flight });
-        true
     }
 
-    /// The broker at an endpoint, started or restarted with the current settings where needed.
-    fn broker_for(&mut self, endpoint: EndpointId) -> Option<Rc<BrokerConnection>> {
-        let known = self.brokers.by_endpoint.get(&endpoint);
-        if let Some(broker) = known.filter(|b| !self.brokers.stale.contains(&endpoint) || b.is_busy()) {
-            return Some(broker.clone());
+    /// Ends the use of a session by an endpoint: messages in flight are completed, and what has not been sent
+    /// within the grace period is not sent.
+    fn leave_session(&mut self, endpoint: EndpointId) {
+        let Some(SessionUse { session, .. }) = self.brokers.by_endpoint.remove(&endpoint) else { return };
+        let Some(shared) = self.brokers.connections.get_mut(&session) else { return };
+        shared.endpoints.remove(&endpoint);
+        shared.connection.drain_after(endpoint, MAX_WRITE_AFTER_DRAIN);
+        if shared.endpoints.is_empty() {
+            self.brokers.left.push(session.clone());
         }
-        let e = self.members.endpoints.get(&endpoint)?;
-        let (address, topic) = (e.address?, e.topic.clone()?);
-        let installation = self.setup.installation.as_ref()?;
-        let pool = installation.pools.iter().find(|p| Some(p.destination) == e.destination);
-        let settings = pool.and_then(|p| p.broker.clone()).unwrap_or_default();
-        self.brokers.stale.remove(&endpoint);
-        if let Some(broker) = known.filter(|b| b.matches(address, &topic, &settings)) {
-            return Some(broker.clone());
-        }
-        let courier = installation.file.name.clone().unwrap_or_else(|| "stairshed".to_owned());
-        let client = settings.client.clone().unwrap_or_else(|| format!("{courier}/{}", e.host));
-        let connect = installation.settings.connect_timeout;
-        let broker = BrokerConnection::start(
-            endpoint,
-            (address, topic),
-            (settings, client, connect),
-            &self.setup.config_folder,
-            self.clock,
-            self.event_tx.clone(),
-        );
-        self.brokers.by_endpoint.insert(endpoint, broker.clone());
-        Some(broker)
+        self.update_session_use(&session);
+        self.drop_left_sessions();
     }
 
-    /// Reserves a packet id for a message and records it. None if the limit on messages in flight is reached.
-    pub(super) fn reserve_packet_id(&mut self, endpoint: EndpointId, message: u64) -> Option<u16> {
-        let broker = self.broker_for(endpoint)?;
-        let id = broker.reserve_packet_id()?;
-        let host = self.members.endpoints.get(&endpoint)?.host.clone();
-        self.record_packet_id(&host, id, PacketIdRecord { message, released: false });
-        Some(id)
+    /// Has the connection of a session closed when it is idle, unless one of its endpoints is ready.
+    fn update_session_use(&self, session: &BrokerSession) {
+        let Some(shared) = self.brokers.connections.get(session) else { return };
+        let is_ready = |endpoint| self.members.endpoints.get(endpoint).is_some_and(|e| e.ready);
+        shared.connection.set_in_use(shared.endpoints.iter().any(is_ready));
     }
 
-    fn record_packet_id(&mut self, host: &str, id: u16, of: PacketIdRecord) {
-        // Written even if the journal is full: these records are few, and held messages cannot be delivered
-        // without them.
-        let value = serde_json::to_vec(&of).unwrap_or_default();
-        self.put_state(&packet_id_key(host, id), value.into());
+    /// Drops the connections of sessions that no endpoint uses and in which nothing is in flight.
+    pub(super) fn drop_left_sessions(&mut self) {
+        let Brokers { left, connections, .. } = &mut self.brokers;
+        left.retain(|session| {
+            let Some(shared) = connections.get(session) else { return false };
+            let is_busy = shared.connection.is_busy();
+            if !is_busy {
+                shared.connection.stop();
+                connections.remove(session);
+            }
+            is_busy
+        });
+    }
+
+    /// Reserves a packet id for a message and records it. None if the limit on messages in flight is reached.
+    pub(super) fn reserve_packet_id(&mut self, endpoint: EndpointId, message: u64) -> Option<BrokerTarget> {
+        let id = self.broker_for(endpoint)?.reserve_packet_id()?;
+        let session_use = self.brokers.by_endpoint.get(&endpoint)?;
+        // At QoS 1 a broker treats a retransmission as a new message.
+        let qos = match self.effect_of(message) {
+            Effect::Once => Qos::ExactlyOnce,
+            Effect::Keyed { .. } | Effect::Repeatable => session_use.qos,
+        };
+        let topic = self.members.endpoints.get(&endpoint)?.topic.clone()?;
+        let target = BrokerTarget { session: session_use.session.clone(), id, topic, qos };
+        self.record_packet_id(&target.session, id, &PacketIdRecord::sent(message, &target));
+        Some(target)
     }
 
-    /// The broker that a message is in flight to, if any.
-    pub(super) fn publishing_to(&self, message: u64) -> Option<EndpointId> {
-        let of = self.brokers.by_endpoint.iter().find(|(_, broker)| broker.has_message(message));
-        of.map(|(endpoint, _)| *endpoint)
+    /// The session that a message is in flight in, if any.
+    pub(super) fn publishing_to(&self, message: u64) -> Option<Rc<BrokerSession>> {
+        let mut connections = self.brokers.connections.iter();
+        let of = connections.find(|(_, shared)| shared.connection.has_message(message));
+        of.map(|(session, _)| session.clone())
     }
 
     /// The effect of a held message; `once`, the strictest, if the message or its class is unknown.
-    fn effect_of(&self, message: u64) -> Effect {
+    pub(super) fn effect_of(&self, message: u64) -> Effect {
         let class = self.attempts.held.get(&message).and_then(|m| self.setup.classes.get(m.class));
         class.map_or(Effect::Once, |c| c.effect)
     }
 
     /// Publishes a message whose attempt is in the journal.
-    pub(super) fn publish(&self, call: Call, id: u16) {
-        if let Some(broker) = self.brokers.by_endpoint.get(&call.endpoint) {
-            let effect = self.effect_of(call.message);
-            broker.publish(id, call, effect);
-        }
-    }
-
-    /// Deletes the record of a packet id that is no longer in use.
-    pub(super) fn free_packet_id(&mut self, endpoint: EndpointId, id: u16) {
-        if let Some(host) = self.members.endpoints.get(&endpoint).map(|e| e.host.clone()) {
-            self.delete_state(&packet_id_key(&host, id));
+    pub(super) fn publish(&self, call: &Call, target: &BrokerTarget) {
+        if let Some(connection) = self.connection(&target.session) {
+            connection.publish(call, target, self.effect_of(call.message));
         }
     }
 
     /// Records a PUBREC; the broker goes on with PUBREL once the record is durable.
-    pub(super) fn pubrec_received(&mut self, endpoint: EndpointId, id: u16, message: u64) {
-        let Some(host) = self.members.endpoints.get(&endpoint).map(|e| e.host.clone()) else { return };
-        self.record_packet_id(&host, id, PacketIdRecord { message, released: true });
+    pub(super) fn pubrec_received(&mut self, session: Rc<BrokerSession>, id: u16, message: u64) {
+        self.record_packet_id(&session, id, &PacketIdRecord::released(message));
         self.flush_journal();
-        self.run_when_durable(self.journal.last_seq(), DeferredAction::ConfirmPubrec { endpoint, id });
+        self.run_when_durable(self.journal.last_seq(), DeferredAction::ConfirmPubrec { session, id });
     }
 
     /// Records that a broker's session is about to be resumed, or deletes that record once the result is
     /// known.
-    pub(super) fn session_resuming(&mut self, endpoint: EndpointId, pending: bool) {
-        let Some(host) = self.members.endpoints.get(&endpoint).map(|e| e.host.clone()) else { return };
-        let key = format!("{RESUMING_PREFIX}{host}");
+    pub(super) fn session_resuming(&mut self, session: Rc<BrokerSession>, pending: bool) {
+        let key = format!("{RESUMING_PREFIX}{session}");
         if !pending {
             return self.delete_state(&key);
         }
         self.put_state(&key, bytes::Bytes::new());
         self.flush_journal();
-        self.run_when_durable(self.journal.last_seq(), DeferredAction::ResumeSession { endpoint });
+        self.run_when_durable(self.journal.last_seq(), DeferredAction::ResumeSession { session });
     }
 
-    pub(super) fn resume_session(&self, endpoint: EndpointId) {
-        if let Some(broker) = self.brokers.by_endpoint.get(&endpoint) {
-            broker.resume_recorded();
+    pub(super) fn resume_session(&self, session: &BrokerSession) {
+        if let Some(connection) = self.connection(session) {
+            connection.resume_recorded();
         }
     }
 
-    pub(super) fn pubrec_recorded(&self, endpoint: EndpointId, id: u16) {
-        if let Some(broker) = self.brokers.by_endpoint.get(&endpoint) {
-            broker.release_recorded(id);
+    pub(super) fn pubrec_recorded(&self, session: &BrokerSession, id: u16) {
+        if let Some(connection) = self.connection(session) {
+            connection.release_recorded(id);
         }
     }
 
     /// Tells the broker to give up a message.
-    pub(super) fn cancel_publish(&self, endpoint: EndpointId, message: u64) {
-        if let Some(broker) = self.brokers.by_endpoint.get(&endpoint) {
-            broker.cancel(message);
+    pub(super) fn cancel_publish(&self, session: &BrokerSession, message: u64) {
+        if let Some(connection) = self.connection(session) {
+            connection.cancel(message);
         }
     }
 
-    /// Handles a changed state of an endpoint that is a broker: resumes its attempts if it is ready, else
-    /// drains it.
+    /// Handles a changed entry of an endpoint: it leaves the session that it no longer uses, resumes attempts in
+    /// its session if it is ready, and else drains.
     pub(super) fn broker_state_changed(&mut self, endpoint: EndpointId, ready: bool) {
-        let Some(e) = self.members.endpoints.get(&endpoint).filter(|e| e.topic.is_some()) else { return };
-        self.brokers.stale.insert(endpoint);
-        let host = e.host.clone();
-        if ready {
-            if let Some(broker) = self.brokers.by_endpoint.get(&endpoint) {
-                broker.cancel_drain();
-            }
-            self.resume_attempts_at(endpoint, &host);
-        } else if let Some(broker) = self.brokers.by_endpoint.get(&endpoint) {
-            broker.drain_after(MAX_WRITE_AFTER_DRAIN);
+        let Some(e) = self.members.endpoints.get(&endpoint) else { return };
+        if e.topic.is_none() {
+            return self.leave_session(endpoint);
         }
-    }
-
-    /// Resumes attempts at brokers that were listed before the attempts were loaded.
-    pub(super) fn resume_open_attempts(&mut self) {
-        let ready = self.members.endpoints.iter().filter(|(_, e)| e.ready && e.topic.is_some());
-        let ready: Vec<EndpointId> = ready.map(|(id, _)| *id).collect();
-        ready.into_iter().for_each(|endpoint| self.broker_state_changed(endpoint, true));
-    }
-
-    fn resume_attempts_at(&mut self, endpoint: EndpointId, host: &str) {
-        let due: Vec<u64> = self
-            .brokers
-            .open_attempts
-            .iter()
-            .filter(|(_, o)| o.host == host && !o.resumed)
-            .map(|(m, _)| *m)
-            .collect();
-        let blocked: Vec<u16> =
-            self.brokers.blocked_ids.extract_if(.., |(h, _)| h == host).map(|(_, id)| id).collect();
-        if due.is_empty() && blocked.is_empty() {
-            return;
-        }
-        let Some(broker) = self.broker_for(endpoint) else { return };
-        blocked.into_iter().for_each(|id| broker.block_packet_id(id));
-        for message in due {
-            let Some(live) = self.journal.get(message) else { continue };
-            let attempt = live.attempts.len().saturating_sub(1) as u32;
-            let sent = live.attempts.last().map_or(StableTime::EPOCH, |a| a.sent_at);
-            let accepted = live.accepted.clone();
-            let effect = self.effect_of(message);
-            let Some(open) = self.brokers.open_attempts.get_mut(&message) else { continue };
-            open.resumed = true;
-            broker.resume(open.id, (message, attempt, accepted), effect, (sent, open.released));
+        self.brokers.stale.insert(endpoint);
+        if let Some(settings) = self.broker_settings_of(endpoint).filter(|_| ready) {
+            self.leave_former_session(endpoint, &settings.session);
         }
-    }
-
-    /// Handles the end of an attempt of a previous process, and returns whether it was one. Unless the
-    /// message has ended too, it is handed over to the scheduler.
-    pub(super) fn open_attempt_ended(&mut self, message: u64, end: &CallResult) -> bool {
-        if self.brokers.open_attempts.remove(&message).is_none() {
-            return false;
+        if let Some(connection) = self.connection_of(endpoint) {
+            match ready {
+                true => connection.cancel_drain(endpoint),
+                false => connection.drain_after(endpoint, MAX_WRITE_AFTER_DRAIN),
+            }
         }
-        if end.after == AfterAttempt::Settled || self.journal.get(message).is_none_or(|m| m.verdict.is_some())
-        {
-            self.attempts.held.remove(&message);
-            return true;
+        if let Some(session) = self.brokers.by_endpoint.get(&endpoint).map(|of| of.session.clone()) {
+            self.update_session_use(&session);
         }
-        self.hand_over_to_module(message);
-        true
-    }
-
-    /// Hands a message over to the scheduler, with its earlier attempts.
-    fn hand_over_to_module(&mut self, message: u64) {
-        let Some(live) = self.journal.get(message).cloned() else { return };
-        let Some(held) = self.attempts.held.get_mut(&message) else { return };
-        held.in_flight = None;
-        let class = held.class;
-        let taken = self.resumed_message(message, &live, class);
-        self.events.push(Event::Accepted(taken));
-    }
-
-    /// When the next message with an unresolved attempt expires.
-    pub(super) fn next_open_expiry(&self) -> Option<Instant> {
-        self.brokers.open_attempts.values().map(|o| o.until).min()
-    }
-
-    /// Ends messages whose unresolved attempt has expired: it is not known whether they took effect.
-    pub(super) fn end_expired_open_attempts(&mut self) {
-        let now = Instant::now();
-        let due: Vec<u64> =
-            self.brokers.open_attempts.iter().filter(|(_, o)| o.until <= now).map(|(m, _)| *m).collect();
-        for message in due {
-            let Some(open) = self.brokers.open_attempts.remove(&message) else { continue };
-            let repeatable = self.effect_of(message) == Effect::Repeatable;
-            if let Some(held) = self.attempts.held.get_mut(&message) {
-                held.in_flight = None;
-            }
-            if !open.resumed {
-                self.brokers.blocked_ids.push((open.host, open.id));
-            }
-            self.record_verdict(
-                message,
-                if repeatable { Verdict::Bounced { wait: None } } else { Verdict::Dead },
-            );
-            self.flush_journal();
-            self.post_notices();
+        if ready {
+            self.resume_attempts_at(endpoint);
         }
     }
 
-    /// Has all broker settings checked after a change of the configuration.
+    /// Has all sessions and their settings checked after a change of the configuration.
     pub(super) fn mark_brokers_stale(&mut self) {
         self.brokers.stale.extend(self.brokers.by_endpoint.keys());
         self.drop_lost_sessions();
     }
 
-    /// Gives up unresolved attempts at endpoints that the configuration no longer has, since their sessions
-    /// are lost, and hands their messages over to the scheduler.
-    pub(super) fn drop_lost_sessions(&mut self) {
-        let Some(installation) = self.setup.installation.clone() else { return };
-        if self.brokers.open_attempts.is_empty() && self.brokers.blocked_ids.is_empty() {
-            return;
-        }
-        // Each address of a name that is looked up in DNS is an endpoint `NAME@ADDRESS`.
-        let brokers = installation.pools.iter().flat_map(|p| &p.members).filter(|m| m.topic.is_some());
-        let configured: HashSet<&str> = brokers.map(|m| m.host.as_str()).collect();
-        let known = |host: &str| {
-            configured.contains(host)
-                || host.rsplit_once('@').is_some_and(|(name, _)| configured.contains(name))
-        };
-        let open = self.brokers.open_attempts.iter().filter(|(_, o)| !o.resumed && !known(&o.host));
-        let gone: Vec<u64> = open.map(|(m, _)| *m).collect();
-        for message in gone {
-            if let Some(open) = self.brokers.open_attempts.remove(&message) {
-                self.delete_state(&packet_id_key(&open.host, open.id));
-                self.hand_over_to_module(message);
-            }
-        }
-        for (host, id) in
-            self.brokers.blocked_ids.extract_if(.., |(host, _)| !known(host)).collect::<Vec<_>>()
-        {
-            self.delete_state(&packet_id_key(&host, id));
-        }
-    }
-
+    /// Closes the connection of an endpoint's session if nothing is in flight and no other endpoint uses it.
     pub(super) fn close_broker(&self, endpoint: EndpointId) {
-        if let Some(broker) = self.brokers.by_endpoint.get(&endpoint) {
-            broker.disconnect_if_idle();
+        let Some(session_use) = self.brokers.by_endpoint.get(&endpoint) else { return };
+        let shared = self.brokers.connections.get(&session_use.session);
+        if let Some(shared) = shared.filter(|shared| shared.endpoints.len() == 1) {
+            shared.connection.disconnect_if_idle();
         }
     }
 
     pub(super) fn forget_broker(&mut self, endpoint: EndpointId) {
+        self.leave_session(endpoint);
         self.brokers.stale.remove(&endpoint);
-        if let Some(broker) = self.brokers.by_endpoint.remove(&endpoint) {
-            broker.stop();
-        }
     }
 }
--- a/crates/courier/src/dispatcher/held_message.rs
+++ b/crates/courier/src/dispatcher/held_message.rs
@@ -2,8 +2,8 @@
 //! the placeholder for an unknown zone.
 
 use crate::events::ReplyTo;
+use crate::upstream::broker_session::BrokerSession;
 use crate::upstream::endpoint_client::Call;
-use stairshed_decide::interface::EndpointId;
 use stairshed_journal::AcceptedMessage;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -33,7 +33,7 @@
     /// Tell the ingress that its state is stored.
     ConfirmState { token: u64 },
     /// Go on after a broker's PUBREC.
-    ConfirmPubrec { endpoint: EndpointId, id: u16 },
+    ConfirmPubrec { session: Rc<BrokerSession>, id: u16 },
     /// Resume a broker's session.
-    ResumeSession { endpoint: EndpointId },
+    ResumeSession { session: Rc<BrokerSession> },
 }
--- a/crates/courier/src/dispatcher/records.rs
+++ b/crates/courier/src/dispatcher/records.rs
@@ -196,8 +196,8 @@
                     ingress.on_stored(token, Ok(()));
                 }
             }
-            DeferredAction::ConfirmPubrec { endpoint, id } => self.pubrec_recorded(endpoint, id),
-            DeferredAction::ResumeSession { endpoint } => self.resume_session(endpoint),
+            DeferredAction::ConfirmPubrec { session, id } => self.pubrec_recorded(&session, id),
+            DeferredAction::ResumeSession { session } => self.resume_session(&session),
         }
     }
 
--- a/crates/courier/src/events.rs
+++ b/crates/courier/src/events.rs
@@ -3,6 +3,7 @@
 
 use crate::memory_budget::MemoryRefusal;
 use crate::socket::PeerWatch;
+use crate::upstream::broker_session::BrokerSession;
 use crate::upstream::exchange::Exchange;
 use crate::upstream::outcomes::AttemptSummary;
 use serde::Deserialize;
@@ -84,19 +85,19 @@
     },
     /// A broker has sent PUBREC for this packet id; it must be in the journal before PUBREL is sent.
     PubrecReceived {
-        endpoint: EndpointId,
+        session: Rc<BrokerSession>,
         id: u16,
         message: u64,
     },
     /// A broker's session with unresolved attempts is about to be resumed (`pending`), which must be in the
     /// journal first; or it is known whether the session was resumed (not `pending`).
     SessionResuming {
-        endpoint: EndpointId,
+        session: Rc<BrokerSession>,
         pending: bool,
     },
     /// The packet id may be reused.
     PacketIdFreed {
-        endpoint: EndpointId,
+        session: Rc<BrokerSession>,
         id: u16,
     },
     /// The courier is to stop.
--- a/crates/courier/src/upstream.rs
+++ b/crates/courier/src/upstream.rs
@@ -4,6 +4,7 @@
 pub mod answer_profiles;
 pub mod attempt_outcome;
 pub mod broker_connection;
+pub mod broker_session;
 mod connection_pool;
 pub mod connection_status;
 pub mod endpoint_client;
--- a/crates/courier/src/upstream/broker_connection.rs
+++ b/crates/courier/src/upstream/broker_connection.rs
@@ -1,9 +1,11 @@
-//! Connection to one MQTT broker: the socket I/O for the protocol state machine of `stairshed-mqtt`.
+//! The connection of one session on an MQTT broker: the socket I/O for the protocol state machine of
+//! `stairshed-mqtt`. Any number of endpoints may use it.
 
 use crate::events::{AfterAttempt, CallResult, DispatcherEvent};
 use crate::socket::is_transient;
 use crate::system_errors::{Operation, RetryPause, report};
-use crate::upstream::endpoint_client::Call;
+use crate::upstream::broker_session::BrokerSession;
+use crate::upstream::endpoint_client::{BrokerTarget, Call};
 use bytes::Bytes;
 use stairshed_clock::{StableClock, StableTime};
 use stairshed_config::file::{self, MqttVersion};
@@ -16,8 +18,7 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,17 +33,43 @@
 /// Longer than this process runs.
 const NEVER: Duration = Duration::from_secs(1 << 32);
 
-/// The connection to one broker, served by a task of its own.
-pub struct BrokerConnection {
+/// Settings of a connection; which messages are published, and how, does not depend on them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConnectionSettings {
+    pub broker: file::Broker,
+    /// Time limit for establishing a connection.
+    pub connect_timeout: Duration,
+    /// Folder that the path of the password file is relative to.
+    pub folder: PathBuf,
+}
+
+/// A message in flight.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    /// Number of the attempt.
+    attempt: u32,
     endpoint: EndpointId,
-    address: SocketAddr,
-    topic: String,
-    settings: file::Broker,
+}
+
+/// An attempt of a previous process.
+pub struct EarlierAttempt {
+    pub message: u64,
+    pub attempt: u32,
+    pub accepted: Rc<AcceptedMessage>,
+    pub sent_at: StableTime,
+    /// Whether its PUBREC had arrived.
+    pub released: bool,
+}
+
+/// The connection of one session, served by a task of its own.
+pub struct BrokerConnection {
+    session: Rc<BrokerSession>,
+    settings: RefCell<ConnectionSettings>,
     origin: Instant,
     clock: StableClock,
     mqtt_client: RefCell<Client>,
-    /// Messages in flight, with the number of the attempt.
-    attempts: RefCell<HashMap<u64, u32>>,
+    /// Messages in flight.
+    attempts: RefCell<HashMap<u64, InFlight>>,
     wake: Notify,
     stopped: Cell<bool>,
 }
@@ -53,47 +80,45 @@
     Ok(Bytes::from(text.lines().next().unwrap_or_default().to_owned()))
 }
 
+/// Options of the protocol state machine. Without a readable password file there is no password.
+fn client_options(session: &BrokerSession, settings: &ConnectionSettings) -> Options {
+    let broker = &settings.broker;
+    let password = broker.password_file.as_ref().and_then(|file| {
+        let read = password(&settings.folder, file);
+        read.inspect_err(|e| {
+            let (address, file) = (session.address, file.display());
+            log_line!("mqtt: {address}: its password cannot be read, and none is sent: {file}: {e}");
+        })
+        .ok()
+    });
+    Options {
+        version: match broker.version {
+            MqttVersion::V311 => Version::V311,
+            MqttVersion::V5 => Version::V5,
+        },
+        client: session.client.clone(),
+        user: broker.user.clone(),
+        password,
+        // The configuration check ensures that these values fit.
+        keep_alive: u16::try_from(broker.keep_alive.0.as_secs()).unwrap_or(u16::MAX),
+        expiry: u32::try_from(broker.session_expiry.0.as_secs()).unwrap_or(u32::MAX - 1),
+        connect_timeout: settings.connect_timeout,
+        in_flight: broker.in_flight,
+    }
+}
+
 impl BrokerConnection {
-    /// Creates the connection and starts its task. Without a readable password file it connects without a
-    /// password.
+    /// Creates the connection of a session and starts its task.
     pub fn start(
-        endpoint: EndpointId,
-        (address, topic): (SocketAddr, String),
-        (settings, client, connect_timeout): (file::Broker, String, Duration),
-        folder: &Path,
+        session: Rc<BrokerSession>,
+        settings: ConnectionSettings,
         clock: StableClock,
         events: Sender<DispatcherEvent>,
     ) -> Rc<BrokerConnection> {
-        let password = settings.password_file.as_ref().and_then(|f| match password(folder, f) {
-            Ok(password) => Some(password),
-            Err(e) => {
-                log_line!(
-                    "mqtt: {address}: its password cannot be read, and none is sent: {}: {e}",
-                    f.display()
-                );
-                None
-            }
-        });
-        let options = Options {
-            version: match settings.version {
-                MqttVersion::V311 => Version::V311,
-                MqttVersion::V5 => Version::V5,
-            },
-            client,
-            user: settings.user.clone(),
-            password,
-            topic: topic.clone(),
-            // The configuration check ensures that these values fit.
-            keep_alive: u16::try_from(settings.keep_alive.0.as_secs()).unwrap_or(u16::MAX),
-            expiry: u32::try_from(settings.session_expiry.0.as_secs()).unwrap_or(u32::MAX - 1),
-            connect_timeout,
-            in_flight: settings.in_flight,
-        };
+        let options = client_options(&session, &settings);
         let broker = Rc::new(BrokerConnection {
-            endpoint,
-            address,
-            topic,
-            settings,
+            session,
+            settings: RefCell::new(settings),
             origin: Instant::now(),
             clock,
             mqtt_client: RefCell::new(Client::new(options)),
@@ -105,9 +130,19 @@
         broker
     }
 
-    /// Whether the connection has this configuration.
-    pub fn matches(&self, address: SocketAddr, topic: &str, settings: &file::Broker) -> bool {
-        self.address == address && self.topic == topic && self.settings == *settings
+    /// Uses these settings from the next connection on. Returns whether that was possible: not while a message
+    /// is in flight.
+    pub fn reconfigure(&self, settings: &ConnectionSettings) -> bool {
+        if *self.settings.borrow() == *settings {
+            return true;
+        }
+        let options = client_options(&self.session, settings);
+        let changed = !self.is_busy() && self.mqtt_client.borrow_mut().reconfigure(options);
+        if changed {
+            *self.settings.borrow_mut() = settings.clone();
+            self.wake.notify_one();
+        }
+        changed
     }
 
     /// Whether any message is in flight to the broker.
@@ -138,65 +173,79 @@
     }
 
     /// Publishes a message with a reserved packet id.
-    pub fn publish(&self, id: u16, call: Call, effect: Effect) {
-        self.attempts.borrow_mut().insert(call.message, call.attempt);
+    pub fn publish(&self, call: &Call, target: &BrokerTarget, effect: Effect) {
+        let in_flight = InFlight { attempt: call.attempt, endpoint: call.endpoint };
+        self.attempts.borrow_mut().insert(call.message, in_flight);
         let response_timeout = call.deadline.saturating_duration_since(Instant::now());
-        let message = self.message(call.message, &call.accepted, response_timeout, effect, None);
-        self.with_client(|mqtt_client, now| mqtt_client.publish(id, message, now));
+        let retransmit_until = self.retransmit_until(target.qos, effect, None);
+        let publish = self.packet(&call.accepted, target);
+        let message = Message {
+            number: call.message,
+            group: u64::from(call.endpoint.0),
+            publish,
+            response_timeout,
+            until: self.deadline(&call.accepted),
+            retransmit_until,
+        };
+        self.with_client(|mqtt_client, now| mqtt_client.publish(target.id, message, now));
     }
 
-    /// Restores an attempt from before a restart. `sent` is its time; `released` is whether its PUBREC had
-    /// arrived.
+    /// Restores an attempt of a previous process, whose messages go through `endpoint` now.
     pub fn resume(
         &self,
-        id: u16,
-        (number, attempt, accepted): (u64, u32, Rc<AcceptedMessage>),
+        endpoint: EndpointId,
+        earlier: &EarlierAttempt,
+        target: &BrokerTarget,
         effect: Effect,
-        (sent, released): (StableTime, bool),
     ) {
-        self.attempts.borrow_mut().insert(number, attempt);
+        let in_flight = InFlight { attempt: earlier.attempt, endpoint };
+        self.attempts.borrow_mut().insert(earlier.message, in_flight);
+        let accepted = &earlier.accepted;
         let response_timeout = accepted.deadline.saturating_duration_since(self.clock.now());
-        let message = self.message(number, &accepted, response_timeout, effect, Some(sent));
-        self.with_client(|mqtt_client, now| mqtt_client.resume(id, message, released, now));
+        let message = Message {
+            number: earlier.message,
+            group: u64::from(endpoint.0),
+            publish: self.packet(accepted, target),
+            response_timeout,
+            until: self.deadline(accepted),
+            retransmit_until: self.retransmit_until(target.qos, effect, Some(earlier.sent_at)),
+        };
+        self.with_client(|mqtt_client, now| mqtt_client.resume(target.id, message, earlier.released, now));
     }
 
-    /// The MQTT message for a delivery. `sent` is the time of the attempt; None for a new one.
-    fn message(
-        &self,
-        number: u64,
-        accepted: &AcceptedMessage,
-        response_timeout: Duration,
-        effect: Effect,
-        sent: Option<StableTime>,
-    ) -> Message {
-        let (stable_now, now) = (self.clock.now(), self.origin.elapsed());
-        let left = accepted.deadline.saturating_duration_since(stable_now);
-        // At QoS 1 a broker treats a retransmission as a new message, so messages that must not run twice use
-        // QoS 2.
-        let qos = if effect == Effect::Once || self.settings.qos == 2 {
-            Qos::ExactlyOnce
-        } else {
-            Qos::AtLeastOnce
-        };
-        let retransmit_until = match effect {
+    /// The deadline of a message on the clock of this connection.
+    fn deadline(&self, accepted: &AcceptedMessage) -> Duration {
+        self.origin.elapsed() + accepted.deadline.saturating_duration_since(self.clock.now())
+    }
+
+    /// Until when a message may be retransmitted at QoS 1, where the broker may treat a retransmission as a new
+    /// message. `sent_at` is the time of the attempt; None for a new one.
+    fn retransmit_until(&self, qos: Qos, effect: Effect, sent_at: Option<StableTime>) -> Duration {
+        let now = self.origin.elapsed();
+        match effect {
             Effect::Keyed { window, .. } => {
                 // A window that is not provably open counts as closed.
-                let elapsed =
-                    sent.map_or(Some(Duration::ZERO), |at| self.clock.proven_duration(at, stable_now));
+                let elapsed = sent_at
+                    .map_or(Some(Duration::ZERO), |at| self.clock.proven_duration(at, self.clock.now()));
                 now + elapsed.map_or(Duration::ZERO, |elapsed| window.saturating_sub(elapsed))
             }
+            Effect::Once if qos == Qos::AtLeastOnce => now,
             Effect::Repeatable | Effect::Once => NEVER,
-        };
+        }
+    }
+
+    /// The PUBLISH of a message.
+    fn packet(&self, accepted: &AcceptedMessage, target: &BrokerTarget) -> Publish {
+        let left = accepted.deadline.saturating_duration_since(self.clock.now());
         let mut properties = vec![("X-Request-ID".to_owned(), accepted.id.clone())];
         properties.extend(accepted.key.iter().map(|key| ("Idempotency-Key".to_owned(), key.clone())));
         properties.extend(accepted.routed.iter().flat_map(|r| r.headers.iter().cloned()));
         let seconds = left.as_secs() + u64::from(left.subsec_nanos() > 0);
-        let publish = Publish {
+        Publish {
             expiry: Some(u32::try_from(seconds.max(1)).unwrap_or(u32::MAX)),
             properties,
-            ..Publish::new("", qos, None, accepted.body.clone())
-        };
-        Message { number, publish, response_timeout, until: now + left, retransmit_until }
+            ..Publish::new(&target.topic, target.qos, None, accepted.body.clone())
+        }
     }
 
     /// Excludes a packet id from use while the session lasts.
@@ -219,14 +268,21 @@
         self.with_client(|mqtt_client, _| mqtt_client.cancel(message));
     }
 
-    /// Stops sending new messages after `grace`. Messages in flight are completed.
-    pub fn drain_after(&self, grace: Duration) {
-        self.with_client(|mqtt_client, now| mqtt_client.drain_from(now + grace, now));
+    /// Stops sending new messages of an endpoint after `grace`. Messages in flight are completed.
+    pub fn drain_after(&self, endpoint: EndpointId, grace: Duration) {
+        self.with_client(|mqtt_client, now| {
+            mqtt_client.drain_group(u64::from(endpoint.0), now + grace, now);
+        });
+    }
+
+    /// Resumes sending new messages of an endpoint.
+    pub fn cancel_drain(&self, endpoint: EndpointId) {
+        self.with_client(|mqtt_client, _| mqtt_client.cancel_drain(u64::from(endpoint.0)));
     }
 
-    /// Resumes sending new messages.
-    pub fn cancel_drain(&self) {
-        self.with_client(|mqtt_client, _| mqtt_client.cancel_drain());
+    /// Sets whether any endpoint uses the session. Otherwise its connection is closed once nothing is in flight.
+    pub fn set_in_use(&self, in_use: bool) {
+        self.with_client(|mqtt_client, now| mqtt_client.set_close_when_idle(!in_use, now));
     }
 
     /// Disconnects if nothing is in flight. The broker keeps the session as configured.
@@ -252,7 +308,7 @@
                 match effect {
                     client::Effect::Open => {
                         socket = None;
-                        connecting = Some(Box::pin(TcpStream::connect(self.address)));
+                        connecting = Some(Box::pin(TcpStream::connect(self.session.address)));
                     }
                     client::Effect::Close { final_bytes } => {
                         if let Some(socket) = socket.take() {
@@ -331,20 +387,21 @@
 
     /// Reports an effect of the state machine to the dispatcher, or logs it.
     async fn report(&self, effect: client::Effect, events: &Sender<DispatcherEvent>) {
-        let endpoint = self.endpoint;
+        let session = self.session.clone();
         let event = match effect {
             client::Effect::RecordPubrec { id, message } => {
-                DispatcherEvent::PubrecReceived { endpoint, id, message }
+                DispatcherEvent::PubrecReceived { session, id, message }
             }
-            client::Effect::RecordResuming => DispatcherEvent::SessionResuming { endpoint, pending: true },
-            client::Effect::ClearResuming => DispatcherEvent::SessionResuming { endpoint, pending: false },
-            client::Effect::FreePacketId { id, .. } => DispatcherEvent::PacketIdFreed { endpoint, id },
+            client::Effect::RecordResuming => DispatcherEvent::SessionResuming { session, pending: true },
+            client::Effect::ClearResuming => DispatcherEvent::SessionResuming { session, pending: false },
+            client::Effect::FreePacketId { id, .. } => DispatcherEvent::PacketIdFreed { session, id },
             client::Effect::Ended { message, end, .. } => {
-                let Some(attempt) = self.attempts.borrow_mut().remove(&message) else { return };
+                let Some(in_flight) = self.attempts.borrow_mut().remove(&message) else { return };
+                let InFlight { attempt, endpoint } = in_flight;
                 DispatcherEvent::CallEnded { message, attempt, endpoint, end: call_end_of(end) }
             }
             client::Effect::Log(text) => {
-                log_line!("mqtt: {}: {text}", self.address);
+                log_line!("mqtt: {}: {text}", self.session.address);
                 return;
             }
             client::Effect::Open | client::Effect::Close { .. } => return,
--- a/crates/courier/src/upstream/endpoint_client.rs
+++ b/crates/courier/src/upstream/endpoint_client.rs
@@ -5,6 +5,7 @@
 use crate::memory_budget::MemoryBudget;
 use crate::upstream::answer_profiles::AnswerProfiles;
 use crate::upstream::attempt_outcome::{apply_gone, classify, without_response};
+use crate::upstream::broker_session::BrokerSession;
 use crate::upstream::connection_pool::{ConnectionPool, PooledConnection};
 use crate::upstream::connection_status::ConnectionStatus;
 use crate::upstream::exchange::Exchange;
@@ -18,6 +19,7 @@
 use stairshed_decide::interface::{EndpointId, LimitGroupId, Outcome};
 use stairshed_health::answers::{AnswerProfile, WaitScope};
 use stairshed_journal::AcceptedMessage;
+use stairshed_mqtt::Qos;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
@@ -56,11 +58,20 @@
 }
 
 /// Where a call is sent.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub enum CallTarget {
     Http(SocketAddr),
-    /// An MQTT broker, with this packet id.
-    Broker(u16),
+    Broker(BrokerTarget),
+}
+
+/// Where and how a message is published.
+#[derive(Clone, Debug)]
+pub struct BrokerTarget {
+    pub session: Rc<BrokerSession>,
+    /// Its packet id in this session.
+    pub id: u16,
+    pub topic: String,
+    pub qos: Qos,
 }
 
 /// Sends calls and probes to endpoints. Clones share all state.
--- /dev/null
+++ b/crates/courier/tests/broker_sessions.rs
@@ -0,0 +1,148 @@
+//! A packet id means something only in the session that it was used in: whatever a reload or a restart changes, each
+//! session has one connection, and a payment that waits for its acknowledgement is resumed in its own session or not at
+//! all.
+
+use stairshed_rig::broker::{Acks, Broker, BrokerFaults};
+use stairshed_rig::*;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How late the payment in flight is acknowledged.
+const LATE: Duration = Duration::from_millis(2500);
+/// Payments after a change of the configuration, more than before it, so that packet ids of two sessions would meet.
+const LATER: usize = 20;
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// An endpoint that is a broker, in a pool of its own with a route of the pool's name.
+struct BrokerPool<'a> {
+    name: &'a str,
+    endpoint: &'a str,
+    address: SocketAddr,
+    /// More keys of the pool, and of its `mqtt` section.
+    more: &'a str,
+}
+
+impl Default for BrokerPool<'_> {
+    fn default() -> Self {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        BrokerPool { name: "pumps", endpoint: "east", address, more: "" }
+    }
+}
+
+impl BrokerPool<'_> {
+    fn section(&self) -> String {
+        let BrokerPool { name, endpoint, address, more } = self;
+        format!(
+            "[pools.{name}]\nendpoints = [{{ name = \"{endpoint}\", address = \"mqtt://{address}/fuel/in\" }}]\n{more}\n\
+             [routes.{name}]\npath = \"/{name}\"\npool = \"{name}\"\nclass = \"payment\"\n"
+        )
+    }
+}
+
+fn file(pools: &[BrokerPool]) -> String {
+    let sections: String = pools.iter().map(BrokerPool::section).collect();
+    format!(
+        "name = \"depot\"\n[listen]\nhttp = \"127.0.0.1:0\"\n\
+         [classes.payment]\neffect = \"once\"\ndeadline = \"10s\"\n{sections}"
+    )
+}
+
+fn broker() -> Broker {
+    Broker::new(BrokerFaults::default())
+}
+
+fn effects(brokers: &[&Broker], id: &str) -> u32 {
+    brokers.iter().map(|broker| broker.effects().get(id).copied().unwrap_or_default()).sum()
+}
+
+fn pay(courier: &Courier, pool: &str, id: &str) {
+    assert_eq!(courier.post(&format!("/{pool}"), id, "", id).status(), 202, "{id}");
+}
+
+/// Submits payments that are acknowledged at once, and then one that is acknowledged late.
+fn pay_and_leave_one_unresolved(courier: &Courier, broker: &Broker, pool: &str) {
+    for n in 0..3 {
+        let id = format!("early-{n}");
+        pay(courier, pool, &id);
+        wait_until("the effect", || effects(&[broker], &id) == 1);
+    }
+    broker.change(|faults| faults.acks = Acks::Late(LATE));
+    pay(courier, pool, "slow");
+    wait_until("the late payment's effect", || effects(&[broker], "slow") == 1);
+    broker.change(|faults| faults.acks = Acks::AtOnce);
+}
+
+/// Submits payments after the change, and asserts that each takes effect once, as the late one has.
+fn assert_later_payments_run_once(courier: &Courier, brokers: &[&Broker], pool: &str) {
+    let ids: Vec<String> = (0..LATER).map(|n| format!("later-{n}")).collect();
+    let changed = Instant::now();
+    for id in &ids {
+        pay(courier, pool, id);
+        thread::sleep(PAUSE);
+    }
+    wait_until("all effects", || ids.iter().all(|id| effects(brokers, id) > 0));
+    thread::sleep((LATE + Duration::from_secs(1)).saturating_sub(changed.elapsed()));
+    assert_eq!(effects(brokers, "slow"), 1);
+    for id in &ids {
+        assert_eq!(effects(brokers, id), 1, "{id}");
+    }
+}
+
+fn reload(courier: &Courier, folder: &TestFolder, file: &str) {
+    courier.replace_config_file(folder, file);
+    courier.wait_for_log("the file is read again and in effect");
+}
+
+/// Runs a reload from `before` to `after` while a payment waits for the acknowledgement of a broker that both use under
+/// one client id, and asserts that the broker sees one connection.
+fn assert_reload_shares_the_session(
+    broker: &Broker,
+    before: &[BrokerPool],
+    after: &[BrokerPool],
+    pool: &str,
+) {
+    let folder = TestFolder::new();
+    let courier = Courier::serve(&folder, &file(before));
+    pay_and_leave_one_unresolved(&courier, broker, before[0].name);
+    reload(&courier, &folder, &file(after));
+    assert_later_payments_run_once(&courier, &[broker], pool);
+    assert_eq!((broker.takeovers(), broker.connections()), (0, 1));
+    assert_eq!(outcomes(&folder), []);
+}
+
+// Guards against two connections with one client id, which push each other off, so that a payment runs again and another
+// is taken for its repeat and lost (review case 6).
+#[test]
+fn a_pool_that_a_reload_renumbers_keeps_its_session_and_each_payment_runs_once() {
+    let broker = broker();
+    let pool = |more| BrokerPool { address: broker.address, more, ..BrokerPool::default() };
+    assert_reload_shares_the_session(&broker, &[pool("")], &[pool("destination = 7")], "pumps");
+}
+
+// The same of an endpoint that a reload renames under a client id of the operator's.
+#[test]
+fn an_endpoint_that_a_reload_renames_under_its_client_id_keeps_its_session() {
+    let broker = broker();
+    let pool = |endpoint| BrokerPool {
+        address: broker.address,
+        more: "mqtt.client = \"depot-fuel\"",
+        endpoint,
+        ..BrokerPool::default()
+    };
+    assert_reload_shares_the_session(&broker, &[pool("east")], &[pool("west")], "pumps");
+}
+
+// The same of two pools to which the operator gives one client id at one broker.
+#[test]
+fn two_pools_with_one_client_id_at_one_broker_share_its_session() {
+    let broker = broker();
+    let pool = |name| BrokerPool {
+        name,
+        address: broker.address,
+        more: "mqtt.client = \"depot-fuel\"",
+        ..BrokerPool::default()
+    };
+    let pools = || [pool("pumps"), pool("tolls")];
+    assert_reload_shares_the_session(&broker, &pools(), &pools(), "tolls");
+}
--- a/crates/mqtt/src/client.rs
+++ b/crates/mqtt/src/client.rs
@@ -39,7 +39,6 @@
     pub client: String,
     pub user: Option<String>,
     pub password: Option<Bytes>,
-    pub topic: String,
     /// Keep alive in seconds.
     pub keep_alive: u16,
     /// Requested Session Expiry Interval in seconds.
@@ -54,7 +53,9 @@
 #[derive(Clone, Debug)]
 pub struct Message {
     pub number: u64,
-    /// The PUBLISH, at QoS 1 or 2; the client fills in the topic and the packet id. At QoS 1 a broker may
+    /// The group that it belongs to: messages of a group are drained together ([`Client::drain_group`]).
+    pub group: u64,
+    /// The PUBLISH, at QoS 1 or 2, with its topic; the client fills in the packet id. At QoS 1 a broker may
     /// treat a retransmission as a new message, so messages that must not be repeated use QoS 2.
     pub publish: Publish,
     /// The connection is closed if nothing is received for this long while an acknowledgement is outstanding.
@@ -130,6 +131,7 @@
 #[derive(Debug)]
 struct Attempt {
     message: u64,
+    group: u64,
     /// PUBLISH to retransmit after a reconnect; `None` once PUBREC has been received.
     publish: Option<Publish>,
     qos: Qos,
@@ -204,8 +206,10 @@
     session_known: bool,
     /// Whether a record says that a session is being resumed.
     resuming_on_record: bool,
-    /// No new messages are sent from this time on.
-    drain_at: Option<Time>,
+    /// Groups that drain, and from when on none of their messages is sent that has not been sent yet.
+    drains: BTreeMap<u64, Time>,
+    /// Whether the connection is closed as soon as nothing is in flight.
+    close_when_idle: bool,
     effects: VecDeque<Effect>,
 }
 
@@ -232,7 +236,8 @@
             wait_until: Time::ZERO,
             session_known: false,
             resuming_on_record: false,
-            drain_at: None,
+            drains: BTreeMap::new(),
+            close_when_idle: false,
             effects: VecDeque::new(),
         }
     }
@@ -282,7 +287,7 @@
         let (response_timeout, until, retransmit_until) = (Time::MAX, Time::MAX, Time::ZERO);
         self.insert(
             id,
-            Message { number: 0, publish, response_timeout, until, retransmit_until },
+            Message { number: 0, group: 0, publish, response_timeout, until, retransmit_until },
             Stage::Sent,
             now,
         );
@@ -292,12 +297,12 @@
     }
 
     fn insert(&mut self, id: u16, message: Message, stage: Stage, now: Time) {
-        let Message { number, publish, response_timeout, until, retransmit_until } = message;
+        let Message { number, group, publish, response_timeout, until, retransmit_until } = message;
         let qos = publish.qos;
-        let topic = self.options.topic.clone();
-        let publish = Publish { topic, id: Some(id), dup: false, retain: false, alias: None, ..publish };
+        let publish = Publish { id: Some(id), dup: false, retain: false, alias: None, ..publish };
         let attempt = Attempt {
             message: number,
+            group,
             publish: (stage != Stage::Released).then_some(publish),
             qos,
             stage,
@@ -344,6 +349,16 @@
         }
     }
 
+    /// Withdraws the unsent messages of the groups whose grace period is over.
+    fn withdraw_drained(&mut self, now: Time) {
+        let is_drained = |attempt: &Attempt| self.drains.get(&attempt.group).is_some_and(|at| *at <= now);
+        let drained = self.attempts.iter().filter(|(_, attempt)| is_drained(attempt)).map(|(id, _)| *id);
+        let unsent: Vec<u16> = drained.filter(|id| self.is_unsent(*id)).collect();
+        for id in unsent {
+            self.withdraw(id, AttemptResult::Unsent);
+        }
+    }
+
     /// Ends an attempt and frees its packet id.
     fn ended(&mut self, id: u16, end: AttemptResult) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
@@ -353,16 +368,44 @@
         }
     }
 
-    /// Stops sending new messages at `at`, because the endpoint drains or is gone. Messages in flight are
-    /// completed.
-    pub fn drain_from(&mut self, at: Time, now: Time) {
-        self.drain_at.get_or_insert(at);
+    /// Stops sending new messages of a group at `at`, because their endpoint drains or is gone. Messages in
+    /// flight are completed.
+    pub fn drain_group(&mut self, group: u64, at: Time, now: Time) {
+        self.drains.entry(group).or_insert(at);
         self.advance(now);
     }
 
-    /// Allows new messages again.
-    pub fn cancel_drain(&mut self) {
-        self.drain_at = None;
+    /// Allows new messages of a group again.
+    pub fn cancel_drain(&mut self, group: u64) {
+        self.drains.remove(&group);
+    }
+
+    /// Sets whether the connection is closed as soon as nothing is in flight, because nobody uses it any more.
+    pub fn set_close_when_idle(&mut self, close: bool, now: Time) {
+        self.close_when_idle = close;
+        self.advance(now);
+    }
+
+    /// Uses other options from the next connection on, and ends the current one. Returns whether that was
+    /// possible: no message may be in flight.
+    pub fn reconfigure(&mut self, options: Options) -> bool {
+        if self.has_work() {
+            return false;
+        }
+        match self.state {
+            ConnectionState::None | ConnectionState::Backoff { .. } => {}
+            ConnectionState::Connected => self.close_if_idle(),
+            _ => {
+                self.close(None);
+                self.chunks.clear();
+                self.clear_resuming_record();
+                self.state = ConnectionState::None;
+            }
+        }
+        self.options = options;
+        // Under another version or user the broker may keep another session for the client identifier.
+        self.session_known = false;
+        true
     }
 
     // ---- connection
@@ -790,10 +833,7 @@
 
     fn advance(&mut self, now: Time) {
         self.expire_attempts(now);
-        let draining = self.drain_at.is_some_and(|at| at <= now);
-        if draining {
-            self.withdraw_all_unsent(AttemptResult::Unsent);
-        }
+        self.withdraw_drained(now);
         if self.wait_until > now {
             let wait = Some(self.wait_until - now);
             self.withdraw_all_unsent(AttemptResult::Busy { wait });
@@ -812,7 +852,7 @@
             {
                 self.drop_connection(now);
             }
-            ConnectionState::Connected if !has_work && draining => self.close_if_idle(),
+            ConnectionState::Connected if !has_work && self.close_when_idle => self.close_if_idle(),
             ConnectionState::Connected => self.service_connection(now),
             _ => {}
         }
@@ -945,9 +985,8 @@
             }
             _ => Some(f.until),
         };
-        let drain_at = self.drain_at.filter(|_| self.attempts.keys().any(|id| self.is_unsent(*id)));
-        let drain_at = drain_at
-            .or(self.drain_at.filter(|_| self.state == ConnectionState::Connected && !self.has_work()));
+        let unsent = self.attempts.iter().filter(|(id, _)| self.is_unsent(**id));
+        let drain_at = unsent.filter_map(|(_, f)| self.drains.get(&f.group).copied()).min();
         self.attempts.values().filter_map(attempt).chain(state).chain(drain_at).min()
     }
 }
--- a/crates/mqtt/src/client_test.rs
+++ b/crates/mqtt/src/client_test.rs
@@ -9,7 +9,6 @@
         client: "courier".to_owned(),
         user: None,
         password: None,
-        topic: "fuel".to_owned(),
         keep_alive: 30,
         expiry: 3600,
         connect_timeout: 1000 * MS,
@@ -33,9 +32,9 @@
     }
 
     fn message(&self, number: u64) -> Message {
-        let publish = Publish::new("", self.qos, None, Bytes::from_static(b"42 EUR"));
+        let publish = Publish::new("fuel", self.qos, None, Bytes::from_static(b"42 EUR"));
         let until = self.now + 20_000 * MS;
-        Message { number, publish, response_timeout: 5000 * MS, until, retransmit_until: Time::MAX }
+        Message { number, group: 0, publish, response_timeout: 5000 * MS, until, retransmit_until: Time::MAX }
     }
 
     fn send(&mut self, number: u64) -> u16 {
@@ -555,7 +554,8 @@
     harness.connect(false);
     harness.read_output();
     harness.effects();
-    harness.client.drain_from(harness.now + 900 * MS, harness.now);
+    harness.client.drain_group(0, harness.now + 900 * MS, harness.now);
+    harness.client.set_close_when_idle(true, harness.now);
     let b = harness.send(2);
     assert_eq!(published(&harness.read_output()), [(b, false)], "sent within the drain grace");
     harness.now += 900 * MS;
@@ -571,6 +571,45 @@
     );
 }
 
+#[test]
+fn the_drain_of_one_group_leaves_the_messages_of_others_alone() {
+    let mut harness = Harness::new(Version::V5, Qos::ExactlyOnce);
+    let unresolved = harness.send(1);
+    harness.connect(false);
+    harness.read_output();
+    harness.effects();
+    harness.client.drain_group(0, harness.now, harness.now);
+    harness.send(2);
+    assert_eq!(harness.ends(), [(2, AttemptResult::Unsent)]);
+    let id = harness.client.reserve().expect("a free packet id");
+    let message = Message { group: 1, ..harness.message(3) };
+    harness.client.publish(id, message, harness.now);
+    assert_eq!(published(&harness.read_output()), [(id, false)], "the other group is not drained");
+    for id in [unresolved, id] {
+        harness.reply(Packet::Pubrec(Ack::new(id, 0)));
+        harness.client.pubrec_recorded(id, harness.now);
+        harness.reply(Packet::Pubcomp(Ack::new(id, 0)));
+    }
+    assert_eq!(harness.ends(), [(1, AttemptResult::Delivered), (3, AttemptResult::Delivered)]);
+}
+
+#[test]
+fn options_change_only_while_no_message_is_in_flight() {
+    let mut harness = Harness::new(Version::V5, Qos::AtLeastOnce);
+    let changed = || Options { user: Some("depot".to_owned()), ..options(Version::V5) };
+    let id = harness.send(1);
+    harness.connect(false);
+    harness.read_output();
+    assert!(!harness.client.reconfigure(changed()), "a message is in flight");
+    harness.reply(Packet::Puback(Ack::new(id, 0)));
+    harness.effects();
+    assert!(harness.client.reconfigure(changed()));
+    assert!(matches!(harness.effects()[..], [Effect::Close { .. }]));
+    harness.send(2);
+    let connect = harness.connect(false);
+    assert_eq!((connect.user.as_deref(), connect.clean), (Some("depot"), true));
+}
+
 #[test]
 fn a_broker_that_redirects_or_refuses_is_not_followed_and_what_waits_never_ran() {
     for (code, end) in [
--- a/crates/mqtt/tests/drops.rs
+++ b/crates/mqtt/tests/drops.rs
@@ -96,7 +96,6 @@
         client: "courier".to_owned(),
         user: None,
         password: None,
-        topic: "t".to_owned(),
         keep_alive: 0,
         expiry: 3600,
         connect_timeout: 60_000 * MS,
@@ -126,7 +125,8 @@
         let payload = Bytes::copy_from_slice(&number.to_be_bytes());
         Message {
             number,
-            publish: Publish::new("", self.qos, None, payload),
+            group: 0,
+            publish: Publish::new("t", self.qos, None, payload),
             response_timeout: 600_000 * MS,
             until: Duration::from_secs(1 << 30),
             retransmit_until: Time::MAX,
--- a/crates/mqtt/tests/hostile.rs
+++ b/crates/mqtt/tests/hostile.rs
@@ -191,7 +191,6 @@
         client: "courier".to_owned(),
         user: None,
         password: None,
-        topic: "t".to_owned(),
         keep_alive: 2,
         expiry: 60,
         connect_timeout: Duration::from_secs(1),
@@ -200,11 +199,15 @@
     let mut now = Duration::from_secs(1);
     for number in 0..rng.random_range(1..5) {
         let qos = if rng.random() { Qos::AtLeastOnce } else { Qos::ExactlyOnce };
-        let publish = Publish::new("", qos, None, Bytes::from_static(b"x"));
+        let publish = Publish::new("t", qos, None, Bytes::from_static(b"x"));
         let until = now + Duration::from_millis(rng.random_range(1..9000));
         let (response_timeout, retransmit_until) = (Duration::from_secs(1), Time::MAX);
         if let Some(id) = client.reserve() {
-            client.publish(id, Message { number, publish, response_timeout, until, retransmit_until }, now);
+            client.publish(
+                id,
+                Message { number, group: 0, publish, response_timeout, until, retransmit_until },
+                now,
+            );
         }
     }
     for _ in 0..3 {
--- a/crates/rig/src/broker.rs
+++ b/crates/rig/src/broker.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use stairshed_mqtt::packet::{Ack, Connack, Disconnect, Packet, Publish, Qos, Version, property};
+use stairshed_mqtt::packet::{Ack, Connack, Disconnect, Packet, Publish, Qos, Version, code, property};
 use stairshed_mqtt::{Reader, encode};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::{Read, Write};
@@ -64,8 +64,11 @@
     rng: Option<SmallRng>,
     /// Packet ids at QoS 2 that wait for their PUBREL, by client id.
     sessions: HashMap<String, BTreeSet<u16>>,
+    /// The open connection of each client id, with its number.
+    open: HashMap<String, (u32, Version, TcpStream)>,
     received: Vec<ReceivedPublish>,
     connections: u32,
+    takeovers: u32,
     drops: u32,
 }
 
@@ -130,6 +133,11 @@
         self.with(|s| s.connections)
     }
 
+    /// Returns the number of connections that ended because their client id connected again.
+    pub fn takeovers(&self) -> u32 {
+        self.with(|s| s.takeovers)
+    }
+
     /// Discards all sessions.
     pub fn forget(&self) {
         self.with(|s| s.sessions.clear());
@@ -147,16 +155,18 @@
         if let Ok(handle) = stream.try_clone() {
             self.open.lock().expect("connections").push(handle);
         }
-        let left = self.with(|s| {
+        let (number, left) = self.with(|s| {
             s.connections += 1;
             if s.faults.lose_sessions_every.is_some_and(|n| s.connections % n == 0) {
                 s.sessions.clear();
             }
             let range = s.faults.drop_after.as_ref().map(|(_, range)| range.clone());
-            range.and_then(|range| s.rng.as_mut().map(|rng| rng.random_range(range)))
+            let left = range.and_then(|range| s.rng.as_mut().map(|rng| rng.random_range(range)));
+            (s.connections, left)
         });
         let connection = BrokerConnection {
             broker: self,
+            number,
             stream,
             left,
             reader: Reader::server(1 << 20),
@@ -171,6 +181,7 @@
 
 struct BrokerConnection<'a> {
     broker: &'a Broker,
+    number: u32,
     stream: TcpStream,
     /// Bytes left until the connection is dropped; None for no limit.
     left: Option<usize>,
@@ -184,6 +195,12 @@
 impl BrokerConnection<'_> {
     /// Serves the connection. Returns None if it was dropped at its byte limit.
     fn run(mut self) -> Option<()> {
+        let result = self.serve();
+        self.closed();
+        result
+    }
+
+    fn serve(&mut self) -> Option<()> {
         let mut bytes = [0; 4096];
         loop {
             let most = self.left.map_or(bytes.len(), |left| left.min(bytes.len()));
@@ -233,6 +250,7 @@
             Packet::Connect(connect) => {
                 self.version = connect.version;
                 self.client = connect.client.clone();
+                self.take_over();
                 let (refusal, present, maximum) = self.broker.with(|s| {
                     if connect.clean {
                         s.sessions.remove(&connect.client);
@@ -268,6 +286,34 @@
         Some(true)
     }
 
+    /// Ends the earlier connection with the same client id [MQTT-3.1.4-3].
+    fn take_over(&self) {
+        let Ok(stream) = self.stream.try_clone() else { return };
+        self.broker.with(|s| {
+            let earlier = s.open.insert(self.client.clone(), (self.number, self.version, stream));
+            let Some((_, version, mut earlier)) = earlier.filter(|(number, ..)| *number != self.number)
+            else {
+                return;
+            };
+            s.takeovers += 1;
+            if version == Version::V5 {
+                let packet = Packet::Disconnect(Disconnect::new(code::SESSION_TAKEN_OVER));
+                // The courier may have closed the connection.
+                let _ = earlier.write_all(&encode(version, packet, None).expect("written"));
+            }
+            let _ = earlier.shutdown(Shutdown::Both);
+        });
+    }
+
+    /// Notes that this connection has ended, unless its client has connected again.
+    fn closed(&self) {
+        self.broker.with(|s| {
+            if s.open.get(&self.client).is_some_and(|(number, ..)| *number == self.number) {
+                s.open.remove(&self.client);
+            }
+        });
+    }
+
     fn session<T: Default>(&self, act: impl FnOnce(&mut BTreeSet<u16>) -> T) -> T {
         self.broker.with(|s| s.sessions.get_mut(&self.client).map(act)).unwrap_or_default()
     }
