An attempt at a broker is resumed in the session it was published in, and no other

Change: an attempt is resumed only where the address and the client identifier are those of its record. A session that no endpoint of the configuration uses counts as lost; its attempts may have run. Topic and QoS are those of the record.

--- a/crates/courier/src/dispatcher/broker_config.rs
+++ b/crates/courier/src/dispatcher/broker_config.rs
@@ -60,10 +60,12 @@
 }
 
 fn uses(installation: &Installation, pool: &Pool, member: &PoolMember, session: &BrokerSession) -> bool {
-    let host = match &member.address {
-        MemberAddress::Address(_) => member.host.clone(),
+    let (host, is_at_address) = match &member.address {
+        MemberAddress::Address(address) => (member.host.clone(), *address == session.address),
         // Each address of a name is an endpoint of its own.
-        MemberAddress::Name(..) => format!("{}@{}", member.host, session.address.ip()),
+        MemberAddress::Name(_, port) => {
+            (format!("{}@{}", member.host, session.address.ip()), *port == session.address.port())
+        }
     };
-    client_id(installation, pool, &host) == session.client
+    is_at_address && client_id(installation, pool, &host) == session.client
 }
--- a/crates/courier/src/dispatcher/open_attempts.rs
+++ b/crates/courier/src/dispatcher/open_attempts.rs
@@ -185,7 +185,7 @@
         }
         let sessions = self.brokers.open_attempts.sessions();
         let settings = self.broker_settings_of(endpoint).filter(|_| !sessions.is_empty());
-        if settings.is_some_and(|settings| sessions.iter().any(|s| s.client == settings.session.client)) {
+        if settings.is_some_and(|settings| sessions.contains(&settings.session)) {
             self.broker_for(endpoint);
         }
     }
@@ -198,10 +198,10 @@
         connection: &BrokerConnection,
     ) {
         let OpenAttempts { by_message, blocked_ids, .. } = &mut self.brokers.open_attempts;
-        for (_, id) in blocked_ids.extract_if(.., |(of, _)| of.client == session.client) {
+        for (_, id) in blocked_ids.extract_if(.., |(of, _)| of == session) {
             connection.block_packet_id(id);
         }
-        let open = by_message.iter().filter(|(_, o)| o.target.session.client == session.client && !o.resumed);
+        let open = by_message.iter().filter(|(_, o)| o.target.session == *session && !o.resumed);
         let due: Vec<u64> = open.map(|(message, _)| *message).collect();
         for message in due {
             let effect = self.effect_of(message);
--- a/crates/courier/tests/broker_sessions.rs
+++ b/crates/courier/tests/broker_sessions.rs
@@ -15,6 +15,7 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// An endpoint that is a broker, in a pool of its own with a route of the pool's name.
+#[derive(Clone, Copy)]
 struct BrokerPool<'a> {
     name: &'a str,
     endpoint: &'a str,
@@ -56,6 +57,10 @@
     brokers.iter().map(|broker| broker.effects().get(id).copied().unwrap_or_default()).sum()
 }
 
+fn result(folder: &TestFolder, id: &str) -> Option<String> {
+    outcomes(folder).into_iter().find(|(i, _)| i == id).map(|(_, result)| result)
+}
+
 fn pay(courier: &Courier, pool: &str, id: &str) {
     assert_eq!(courier.post(&format!("/{pool}"), id, "", id).status(), 202, "{id}");
 }
@@ -146,3 +151,89 @@
     let pools = || [pool("pumps"), pool("tolls")];
     assert_reload_shares_the_session(&broker, &pools(), &pools(), "tolls");
 }
+
+/// Stops the courier while a payment waits in the session of `second`, and starts it with `first`, whose session the
+/// broker still has. Asserts that the payment is told as one that may have run, and runs at no other place.
+fn assert_restart_resumes_in_no_other_session(brokers: &[&Broker], first: &BrokerPool, second: &BrokerPool) {
+    let folder = TestFolder::new();
+    let courier = Courier::serve(&folder, &file(&[*first]));
+    pay(&courier, "pumps", "first");
+    wait_until("the first session", || effects(brokers, "first") == 1);
+    reload(&courier, &folder, &file(&[*second]));
+    let at = brokers.iter().find(|broker| broker.address == second.address).expect("the broker");
+    pay_and_leave_one_unresolved(&courier, at, "pumps");
+    courier.kill();
+    let courier = Courier::serve(&folder, &file(&[*first]));
+    assert_later_payments_run_once(&courier, brokers, "pumps");
+    wait_until("the outcome", || result(&folder, "slow").as_deref() == Some("dead"));
+    assert_eq!(outcomes(&folder).len(), 1, "{:?}", outcomes(&folder));
+}
+
+// Guards against a payment that runs at a second broker: it waits at the standby, and the next process finds a session
+// at the first broker and takes it for the one that had the packet id (review case 7).
+#[test]
+fn a_payment_that_waits_at_a_standby_is_not_resumed_at_the_broker_that_a_restart_goes_back_to() {
+    let (first, standby) = (broker(), broker());
+    let pool = |broker: &Broker| BrokerPool { address: broker.address, ..BrokerPool::default() };
+    assert_restart_resumes_in_no_other_session(&[&first, &standby], &pool(&first), &pool(&standby));
+}
+
+// The same of another session at the same broker: the client id changes.
+#[test]
+fn a_payment_is_not_resumed_in_the_session_of_another_client_id() {
+    let broker = broker();
+    let pool = |more| BrokerPool { address: broker.address, more, ..BrokerPool::default() };
+    let (first, second) = (pool("mqtt.client = \"a\""), pool("mqtt.client = \"b\""));
+    assert_restart_resumes_in_no_other_session(&[&broker], &first, &second);
+}
+
+// Guards against a payment that is given up, or told of as one that may have run, though its session is there: the
+// endpoint has another name in another pool, and the same session.
+#[test]
+fn a_payment_is_resumed_in_its_session_by_whichever_endpoint_uses_it_after_a_restart() {
+    let broker = Broker::new(BrokerFaults { acks: Acks::Never, ..BrokerFaults::default() });
+    let folder = TestFolder::new();
+    let pool =
+        |endpoint, more| BrokerPool { address: broker.address, endpoint, more, ..BrokerPool::default() };
+    let before = pool("east", "mqtt.client = \"depot-fuel\"");
+    let courier = Courier::serve(&folder, &file(&[before]));
+    pay(&courier, "pumps", "p");
+    wait_until("the PUBLISH", || effects(&[&broker], "p") == 1);
+    courier.kill();
+    broker.change(|faults| faults.acks = Acks::AtOnce);
+    let after = pool("west", "destination = 7\nmqtt.client = \"depot-fuel\"");
+    let courier = Courier::serve(&folder, &file(&[after]));
+    wait_until("the PUBLISH sent again", || broker.received().len() == 2);
+    pay(&courier, "pumps", "next");
+    wait_until("the next payment", || effects(&[&broker], "next") == 1);
+    assert_eq!((effects(&[&broker], "p"), outcomes(&folder)), (1, vec![]));
+}
+
+// Guards against a packet that comes again as another one: a restart after which the topic and the QoS are others.
+#[test]
+fn what_is_published_again_after_a_restart_has_its_topic_and_quality() {
+    let broker = Broker::new(BrokerFaults { acks: Acks::Never, ..BrokerFaults::default() });
+    let folder = TestFolder::new();
+    let text = |topic: &str, qos: u8| {
+        let more = format!("mqtt.qos = {qos}");
+        let pool = BrokerPool { address: broker.address, more: &more, ..BrokerPool::default() };
+        let state = "[classes.state]\neffect = \"repeatable\"\ndeadline = \"10s\"\n\
+                     [routes.state]\npath = \"/state\"\npool = \"pumps\"\nclass = \"state\"\n";
+        format!("{}{state}", file(&[pool])).replace("fuel/in", topic)
+    };
+    let courier = Courier::serve(&folder, &text("fuel/in", 1));
+    pay(&courier, "pumps", "p");
+    pay(&courier, "state", "s");
+    wait_until("both messages", || broker.received().len() == 2);
+    courier.kill();
+    broker.change(|faults| faults.acks = Acks::AtOnce);
+    let _courier = Courier::serve(&folder, &text("fuel/other", 2));
+    wait_until("both messages again", || broker.received().len() == 4);
+    let received = broker.received();
+    for id in ["p", "s"] {
+        let publishes: Vec<_> = received.iter().filter(|got| got.id == id).map(|got| &got.publish).collect();
+        let [first, again] = publishes[..] else { panic!("{id}: {publishes:?}") };
+        assert!(again.dup && again.id == first.id, "{id}: {again:?}");
+        assert_eq!((&again.topic, again.qos), (&first.topic, first.qos), "{id}");
+    }
+}
