A session on a broker that another connection takes over counts as lost

Callers would see: another program connects with the courier's client id and begins the session anew; a payment that waits for its acknowledgement is published again, and takes effect twice.

Cause: DISCONNECT 0x8E was treated as any end of a connection. The session that is present afterwards was taken for the one with the packet ids.

Change: 0x8E ends what is in flight as possibly executed, and the next connection begins the session anew. What a broken connection still holds is read before it is given up, so that the reason is not missed.

--- a/crates/courier/src/upstream/broker_connection.rs
+++ b/crates/courier/src/upstream/broker_connection.rs
@@ -17,7 +17,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
-use std::io;
+use std::io::{self, Read};
 use std::path::{Path, PathBuf};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -30,6 +30,8 @@
 
 /// Size of the read buffer.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Maximum number of reads from a connection that is broken.
+const MAX_FINAL_READS: usize = 16;
 /// Longer than this process runs.
 const NEVER: Duration = Duration::from_secs(1 << 32);
 
@@ -377,7 +379,9 @@
                         (None, _) => Ok(()),
                     };
                     if result.is_err() {
-                        socket = None;
+                        if let Some(socket) = socket.take() {
+                            self.read_rest(socket, &mut bytes);
+                        }
                         self.update_client(|mqtt_client, now| mqtt_client.connection_lost(now));
                     }
                 }
@@ -433,6 +437,21 @@
         }
     }
 
+    /// Passes what a broken connection still holds to the state machine: a DISCONNECT with the reason, or
+    /// acknowledgements.
+    fn read_rest(&self, socket: TcpStream, bytes: &mut [u8]) {
+        // It stays non-blocking.
+        let Ok(mut socket) = socket.into_std() else { return };
+        for _ in 0..MAX_FINAL_READS {
+            match socket.read(bytes) {
+                Ok(0) => return,
+                Ok(n) => self.mqtt_client.borrow_mut().received(&bytes[..n], self.origin.elapsed()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return,
+            }
+        }
+    }
+
     /// Passes received bytes to the state machine.
     fn read(&self, socket: &TcpStream, bytes: &mut [u8], pause: &mut RetryPause) -> io::Result<()> {
         match socket.try_read(bytes) {
--- a/crates/courier/tests/broker_sessions.rs
+++ b/crates/courier/tests/broker_sessions.rs
@@ -2,9 +2,12 @@
 //! session has one connection, and a payment that waits for its acknowledgement is resumed in its own session or not at
 //! all.
 
+use stairshed_mqtt::encode;
+use stairshed_mqtt::packet::{Connect, Packet, Version};
 use stairshed_rig::broker::{Acks, Broker, BrokerFaults};
 use stairshed_rig::*;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -237,3 +240,24 @@
         assert_eq!((&again.topic, again.qos), (&first.topic, first.qos), "{id}");
     }
 }
+
+// Guards against a payment that runs twice: a second program connects with the courier's client id and begins the session
+// anew, in which the payment is published again.
+#[test]
+fn a_payment_is_not_published_again_in_a_session_that_another_program_took_over() {
+    let broker = broker();
+    let folder = TestFolder::new();
+    let pool =
+        BrokerPool { address: broker.address, more: "mqtt.client = \"depot-fuel\"", ..BrokerPool::default() };
+    let courier = Courier::serve(&folder, &file(&[pool]));
+    pay_and_leave_one_unresolved(&courier, &broker, "pumps");
+    let mut other = TcpStream::connect(broker.address).expect("a connection");
+    let connect = Connect { clean: true, expiry: 3600, ..Connect::new(Version::V5, "depot-fuel") };
+    let connect = encode(Version::V5, Packet::Connect(Box::new(connect)), None).expect("a packet");
+    other.write_all(&connect).expect("the CONNECT");
+    assert!(other.read(&mut [0; 64]).expect("the CONNACK") > 0);
+    drop(other);
+    assert_later_payments_run_once(&courier, &[&broker], "pumps");
+    wait_until("the outcome", || result(&folder, "slow").as_deref() == Some("dead"));
+    assert_eq!(outcomes(&folder).len(), 1, "{:?}", outcomes(&folder));
+}
--- a/crates/mqtt/src/client.rs
+++ b/crates/mqtt/src/client.rs
@@ -717,6 +717,12 @@
         if matches!(code, code::RECEIVE_MAXIMUM_EXCEEDED | code::QUOTA_EXCEEDED | code::SERVER_BUSY | 0x96) {
             self.withdraw_all_unsent(AttemptResult::Busy { wait });
         }
+        if code == code::SESSION_TAKEN_OVER {
+            // The other connection may have begun the session anew, and a session that is present later may be
+            // its own.
+            self.lose_session();
+            self.session_known = false;
+        }
         self.drop_connection(now);
     }
 
--- a/crates/mqtt/src/client_test.rs
+++ b/crates/mqtt/src/client_test.rs
@@ -610,6 +610,25 @@
     assert_eq!((connect.user.as_deref(), connect.clean), (Some("depot"), true));
 }
 
+// Guards against a message that takes effect twice: another connection with the same client identifier began the session
+// anew, and the broker says truthfully that a session is present.
+#[test]
+fn a_session_that_another_connection_takes_over_counts_as_lost() {
+    for qos in [Qos::AtLeastOnce, Qos::ExactlyOnce] {
+        let mut harness = Harness::new(Version::V5, qos);
+        harness.send(1);
+        harness.connect(false);
+        harness.read_output();
+        harness.reply(Packet::Disconnect(Disconnect::new(code::SESSION_TAKEN_OVER)));
+        assert_eq!(harness.ends(), [(1, AttemptResult::Lost)]);
+        harness.now += 100 * MS;
+        harness.client.handle_timeout(harness.now);
+        let id = harness.send(2);
+        assert!(harness.connect(false).clean, "the session of the other connection is not resumed");
+        assert_eq!(published(&harness.read_output()), [(id, false)]);
+    }
+}
+
 #[test]
 fn a_broker_that_redirects_or_refuses_is_not_followed_and_what_waits_never_ran() {
     for (code, end) in [
