Packet ids of a lost session are deleted before the record of its resumption

The record that the session is being resumed was deleted before those of its packet ids. A process killed between the two leaves packet ids whose session the next process finds present, and publishes again.

Change: the packet ids go first.

Result: the test of the order failed before and passes; a kill within that window was not played.

--- a/crates/mqtt/src/client.rs
+++ b/crates/mqtt/src/client.rs
@@ -605,9 +605,9 @@
     }
 
     fn handle_connack(&mut self, clean: bool, connack: &Connack, now: Time) -> Result<(), ConnectionError> {
-        // A refusal resolves this as well: it does not start a session.
-        self.clear_resuming_record();
         if connack.code != code::SUCCESS {
+            // A refusal does not start a session, so the state of the session is known as well.
+            self.clear_resuming_record();
             self.connection_refused(connack, now);
             return Ok(());
         }
@@ -631,7 +631,10 @@
             self.withdraw(id, AttemptResult::Rejected);
         }
         if !connack.session_present {
+            // In this order: a process that finds the records of packet ids without that of the resumption would
+            // take the session that has begun now for the one that is lost.
             self.lose_session();
+            self.clear_resuming_record();
             self.session_known = true;
             if clean && self.options.version == Version::V311 {
                 self.close(Some(code::SUCCESS));
@@ -639,6 +642,7 @@
             }
             return Ok(());
         }
+        self.clear_resuming_record();
         let mut retransmissions: Vec<(u64, u16)> = self
             .attempts
             .iter()
--- a/crates/mqtt/src/client_test.rs
+++ b/crates/mqtt/src/client_test.rs
@@ -629,6 +629,25 @@
     }
 }
 
+// Guards against a message that takes effect twice: a process that is killed between the two finds packet ids, and no
+// record of the resumption, and resumes the session that has begun meanwhile.
+#[test]
+fn packet_ids_of_a_lost_session_are_freed_before_the_record_of_its_resumption_is_deleted() {
+    let mut harness = Harness::new(Version::V5, Qos::ExactlyOnce);
+    harness.send(1);
+    harness.connect(false);
+    harness.read_output();
+    harness.disconnect_and_wait();
+    harness.open();
+    harness.effects();
+    harness.reply(Packet::Connack(Box::new(Connack::new(0))));
+    let effects: Vec<Effect> = std::iter::from_fn(|| harness.client.poll()).collect();
+    let position = |of: fn(&Effect) -> bool| effects.iter().position(of).expect("the effect");
+    let freed = position(|effect| matches!(effect, Effect::FreePacketId { .. }));
+    let cleared = position(|effect| matches!(effect, Effect::ClearResuming));
+    assert!(freed < cleared, "{effects:?}");
+}
+
 #[test]
 fn a_broker_that_redirects_or_refuses_is_not_followed_and_what_waits_never_ran() {
     for (code, end) in [
