The log tells what becomes of a session on a broker: resumed, lost, or used by no endpoint

Change: one line when a session with messages in flight is resumed or lost, when its last endpoint leaves it, and when a start finds messages in flight in a session that no endpoint uses.

--- a/crates/courier/src/dispatcher/brokers.rs
+++ b/crates/courier/src/dispatcher/brokers.rs
@@ -115,6 +115,10 @@
         shared.endpoints.remove(&endpoint);
         shared.connection.drain_after(endpoint, MAX_WRITE_AFTER_DRAIN);
         if shared.endpoints.is_empty() {
+            let in_flight = shared.connection.in_flight();
+            log_line!(
+                "mqtt: no endpoint uses the session {session} any more; {in_flight} messages in flight"
+            );
             self.brokers.left.push(session.clone());
         }
         self.update_session_use(&session);
--- a/crates/courier/src/dispatcher/open_attempts.rs
+++ b/crates/courier/src/dispatcher/open_attempts.rs
@@ -268,6 +268,11 @@
         }
     }
 
+    fn is_open_in(&self, message: u64, session: &Rc<BrokerSession>) -> bool {
+        let open = self.brokers.open_attempts.by_message.get(&message);
+        open.is_some_and(|open| open.target.session == *session)
+    }
+
     /// Gives up unresolved attempts in sessions that no endpoint of the configuration uses any more, and hands
     /// their messages over to the scheduler as ones that may have run.
     pub(super) fn drop_lost_sessions(&mut self) {
@@ -280,6 +285,12 @@
         let open = self.brokers.open_attempts.by_message.iter();
         let open = open.filter(|(_, o)| !o.resumed && lost.contains(&o.target.session));
         let given_up: Vec<u64> = open.map(|(m, _)| *m).collect();
+        for session in &lost {
+            let in_flight = given_up.iter().filter(|message| self.is_open_in(**message, session)).count();
+            log_line!(
+                "mqtt: no endpoint uses the session {session}; {in_flight} messages in flight may have run"
+            );
+        }
         for message in given_up {
             if let Some(open) = self.brokers.open_attempts.by_message.remove(&message) {
                 self.free_packet_id(&open.target.session, open.target.id);
--- a/crates/courier/src/upstream/broker_connection.rs
+++ b/crates/courier/src/upstream/broker_connection.rs
@@ -149,7 +149,12 @@
 
     /// Whether any message is in flight to the broker.
     pub fn is_busy(&self) -> bool {
-        !self.attempts.borrow().is_empty()
+        self.in_flight() > 0
+    }
+
+    /// Number of messages in flight to the broker.
+    pub fn in_flight(&self) -> usize {
+        self.attempts.borrow().len()
     }
 
     /// Whether this message is in flight to the broker.
--- a/crates/mqtt/src/client.rs
+++ b/crates/mqtt/src/client.rs
@@ -630,6 +630,7 @@
             self.effects.push_back(Effect::Log(text));
             self.withdraw(id, AttemptResult::Rejected);
         }
+        self.log_session_state(connack.session_present);
         if !connack.session_present {
             // In this order: a process that finds the records of packet ids without that of the resumption would
             // take the session that has begun now for the one that is lost.
@@ -676,6 +677,17 @@
         Ok(())
     }
 
+    /// Logs what becomes of the messages in flight in an earlier session, if there are any.
+    fn log_session_state(&mut self, session_present: bool) {
+        let in_flight = self.attempts.values().filter(|f| may_have_reached_broker(f) && !f.abandoned).count();
+        let text = match (in_flight, session_present) {
+            (0, _) => return,
+            (n, true) => format!("the session is resumed with {n} messages in flight"),
+            (n, false) => format!("the session is lost with {n} messages in flight, which may have run"),
+        };
+        self.effects.push_back(Effect::Log(text));
+    }
+
     /// Ends all attempts that may have taken effect. Nothing is retransmitted from here; the class decides
     /// about a retry.
     fn lose_session(&mut self) {
