--- a/crates/courier/tests/broker_sessions.rs
+++ b/crates/courier/tests/broker_sessions.rs
@@ -261,3 +261,60 @@
     wait_until("the outcome", || result(&folder, "slow").as_deref() == Some("dead"));
     assert_eq!(outcomes(&folder).len(), 1, "{:?}", outcomes(&folder));
 }
+
+/// When each endpoint that moves gets nothing more at its old address: 1 s, and 50 ms for sockets.
+const GRACE: Duration = Duration::from_millis(1050);
+/// Time of an acknowledgement, longer than the pause between payments: something is always in flight.
+const ACKNOWLEDGEMENT: Duration = Duration::from_millis(200);
+const TRAFFIC_TIME: Duration = Duration::from_millis(3000);
+
+/// Submits payments to pools `fuel` and `tolls` for a while. The id of each names its pool.
+fn submit_for_a_while(courier: &Courier, phase: &str) -> usize {
+    let (start, mut number) = (Instant::now(), 0);
+    while start.elapsed() < TRAFFIC_TIME {
+        for pool in ["fuel", "tolls"] {
+            pay(courier, pool, &format!("{pool}-{phase}-{number}"));
+        }
+        number += 1;
+        thread::sleep(PAUSE);
+    }
+    number
+}
+
+fn received_ids(broker: &Broker, since: Instant) -> Vec<String> {
+    broker.received().into_iter().filter(|got| got.at > since).map(|got| got.id).collect()
+}
+
+// Guards against payments that go on to the old address of an endpoint that has moved, where another pool's broker is by
+// then: its connection was kept for as long as anything was in flight (review case 9).
+#[test]
+fn endpoints_that_exchange_their_brokers_under_traffic_leave_them_within_the_grace_period() {
+    let late = || Broker::new(BrokerFaults { acks: Acks::Late(ACKNOWLEDGEMENT), ..BrokerFaults::default() });
+    let (first, second) = (late(), late());
+    let folder = TestFolder::new();
+    let text = |fuel: &Broker, tolls: &Broker| {
+        let pool =
+            |name, broker: &Broker| BrokerPool { name, address: broker.address, ..BrokerPool::default() };
+        file(&[pool("fuel", fuel), pool("tolls", tolls)])
+    };
+    let courier = Courier::serve(&folder, &text(&first, &second));
+    let before = submit_for_a_while(&courier, "a");
+    reload(&courier, &folder, &text(&second, &first));
+    let in_effect = Instant::now();
+    let after = submit_for_a_while(&courier, "b");
+    let ids = |phase, count| (0..count).map(move |n| format!("{phase}-{n}"));
+    let all: Vec<String> = ids("a", before).chain(ids("b", after)).collect();
+    let all: Vec<String> = all.iter().flat_map(|id| [format!("fuel-{id}"), format!("tolls-{id}")]).collect();
+    let brokers = [&first, &second];
+    wait_until("all effects", || all.iter().all(|id| effects(&brokers, id) > 0));
+    assert!(all.iter().all(|id| effects(&brokers, id) == 1));
+    for (broker, pool) in [(&second, "fuel"), (&first, "tolls")] {
+        let (own, other): (Vec<_>, Vec<_>) =
+            received_ids(broker, in_effect + GRACE).into_iter().partition(|id| id.starts_with(pool));
+        assert_eq!(other, Vec::<String>::new(), "messages of another pool than {pool}");
+        assert!(own.len() > 20, "the broker of {pool} received {} of its messages", own.len());
+    }
+    wait_until("the sessions that were left to be closed", || {
+        brokers.iter().all(|b| b.open_connections() == 1)
+    });
+}
--- a/crates/mqtt/src/client.rs
+++ b/crates/mqtt/src/client.rs
@@ -652,31 +652,48 @@
             .collect();
         retransmissions.sort_unstable();
         for (_, id) in retransmissions {
-            let Some(attempt) = self.attempts.get_mut(&id) else { continue };
-            attempt.awaiting_since = now;
-            match (attempt.stage, &attempt.publish) {
-                (Stage::Released, _) => drop(self.write(Packet::Pubrel(Ack::new(id, code::SUCCESS)), None)),
-                // The message has ended and is not retransmitted. The packet id stays in use.
-                (Stage::Sent, _) if attempt.abandoned => {}
-                // The receivers behind the broker no longer remember the key of the message.
-                (Stage::Sent, _) if attempt.qos == Qos::AtLeastOnce && now >= attempt.retransmit_until => {
-                    attempt.abandoned = true;
-                    let message = attempt.message;
-                    self.effects.push_back(Effect::Ended { id, message, end: AttemptResult::Lost });
-                }
-                (Stage::Sent, Some(publish)) => {
-                    attempt.retransmitted = true;
-                    let publish = Publish { dup: true, ..publish.clone() };
-                    // It was sent before, so it does not exceed the maximum packet size. It belongs to the
-                    // same attempt and cannot be withdrawn.
-                    self.write(Packet::Publish(Box::new(publish)), None);
-                }
-                _ => {}
-            }
+            self.resume_attempt(id, now);
         }
         Ok(())
     }
 
+    /// Goes on with an attempt in a session that was resumed.
+    fn resume_attempt(&mut self, id: u16, now: Time) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let may_retransmit = self.may_retransmit(attempt, now);
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        attempt.awaiting_since = now;
+        match (attempt.stage, &attempt.publish) {
+            (Stage::Released, _) => drop(self.write(Packet::Pubrel(Ack::new(id, code::SUCCESS)), None)),
+            // The message has ended and is not retransmitted. The packet id stays in use.
+            (Stage::Sent, _) if attempt.abandoned => {}
+            (Stage::Sent, _) if !may_retransmit => {
+                attempt.abandoned = true;
+                let message = attempt.message;
+                self.effects.push_back(Effect::Ended { id, message, end: AttemptResult::Lost });
+            }
+            (Stage::Sent, Some(publish)) => {
+                attempt.retransmitted = true;
+                let publish = Publish { dup: true, ..publish.clone() };
+                // It was sent before, so it does not exceed the maximum packet size. It belongs to the same
+                // attempt and cannot be withdrawn.
+                self.write(Packet::Publish(Box::new(publish)), None);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the PUBLISH of an attempt may be sent again.
+    fn may_retransmit(&self, attempt: &Attempt, now: Time) -> bool {
+        // The receivers behind the broker no longer remember the key of the message, or it must not run again.
+        let has_expired = attempt.qos == Qos::AtLeastOnce && now >= attempt.retransmit_until;
+        // Another partner may be at the address of a session that nobody uses any more, and the PUBLISH could be the
+        // first one that arrives there.
+        let is_drained = self.drains.get(&attempt.group).is_some_and(|at| *at <= now);
+        let is_left = self.close_when_idle && is_drained;
+        !has_expired && !is_left
+    }
+
     /// Logs what becomes of the messages in flight in an earlier session, if there are any.
     fn log_session_state(&mut self, session_present: bool) {
         let in_flight = self.attempts.values().filter(|f| may_have_reached_broker(f) && !f.abandoned).count();
--- a/crates/mqtt/src/client_test.rs
+++ b/crates/mqtt/src/client_test.rs
@@ -593,6 +593,33 @@
     assert_eq!(harness.ends(), [(1, AttemptResult::Delivered), (3, AttemptResult::Delivered)]);
 }
 
+// Guards against a PUBLISH that arrives for the first time at an address that has another partner by then.
+#[test]
+fn what_may_not_have_arrived_is_not_sent_again_in_a_session_that_nobody_uses() {
+    for (is_left, grace, sent_again) in
+        [(true, Time::ZERO, false), (true, 60_000 * MS, true), (false, Time::ZERO, true)]
+    {
+        let mut harness = Harness::new(Version::V5, Qos::ExactlyOnce);
+        let (sent, released) = (harness.send(1), harness.send(2));
+        harness.connect(false);
+        harness.read_output();
+        harness.reply(Packet::Pubrec(Ack::new(released, 0)));
+        harness.client.pubrec_recorded(released, harness.now);
+        harness.read_output();
+        harness.client.drain_group(0, harness.now + grace, harness.now);
+        harness.client.set_close_when_idle(is_left, harness.now);
+        harness.effects();
+        harness.disconnect_and_wait();
+        harness.connect(true);
+        let packets = harness.read_output();
+        let expected: &[(u16, bool)] = if sent_again { &[(sent, true)] } else { &[] };
+        assert_eq!(published(&packets), expected);
+        assert!(packets.iter().any(|packet| matches!(packet, Packet::Pubrel(ack) if ack.id == released)));
+        let expected: &[(u64, AttemptResult)] = if sent_again { &[] } else { &[(1, AttemptResult::Lost)] };
+        assert_eq!(harness.ends(), expected);
+    }
+}
+
 #[test]
 fn options_change_only_while_no_message_is_in_flight() {
     let mut harness = Harness::new(Version::V5, Qos::AtLeastOnce);
--- a/crates/rig/src/broker.rs
+++ b/crates/rig/src/broker.rs
@@ -133,6 +133,11 @@
         self.with(|s| s.connections)
     }
 
+    /// Returns the number of clients that have a connection open.
+    pub fn open_connections(&self) -> usize {
+        self.with(|s| s.open.len())
+    }
+
     /// Returns the number of connections that ended because their client id connected again.
     pub fn takeovers(&self) -> u32 {
         self.with(|s| s.takeovers)
