--- a/crates/courier/src/dispatcher/brokers.rs
+++ b/crates/courier/src/dispatcher/brokers.rs
@@ -10,6 +10,7 @@
 use crate::upstream::broker_connection::BrokerConnection;
 use crate::upstream::broker_session::BrokerSession;
 use crate::upstream::endpoint_client::{BrokerTarget, Call, MAX_WRITE_AFTER_DRAIN};
+use stairshed_clock::StableTime;
 use stairshed_decide::interface::*;
 use stairshed_mqtt::Qos;
 use std::collections::{HashMap, HashSet};
@@ -248,6 +249,19 @@
     pub(super) fn mark_brokers_stale(&mut self) {
         self.brokers.stale.extend(self.brokers.by_endpoint.keys());
         self.drop_lost_sessions();
+        self.limit_retransmissions();
+    }
+
+    /// Has messages in flight retransmitted only as far as their classes allow now: one may have become stricter.
+    fn limit_retransmissions(&self) {
+        for shared in self.brokers.connections.values() {
+            for message in shared.connection.messages() {
+                let attempts = self.journal.get(message).map(|live| live.attempts.as_slice());
+                let sent_at = attempts.and_then(|attempts| attempts.last()).map(|attempt| attempt.sent_at);
+                let sent_at = sent_at.unwrap_or(StableTime::EPOCH);
+                shared.connection.limit_retransmission(message, self.effect_of(message), sent_at);
+            }
+        }
     }
 
     /// Closes the connection of an endpoint's session if nothing is in flight and no other endpoint uses it.
--- a/crates/courier/src/upstream/broker_connection.rs
+++ b/crates/courier/src/upstream/broker_connection.rs
@@ -255,6 +255,18 @@
         }
     }
 
+    /// Limits the retransmission of a message to what its class allows now. `sent_at` is the time of its attempt.
+    pub fn limit_retransmission(&self, message: u64, effect: Effect, sent_at: StableTime) {
+        // At QoS 2 a retransmission cannot run again, and the limit is not used.
+        let until = self.retransmit_until(Qos::AtLeastOnce, effect, Some(sent_at));
+        self.mqtt_client.borrow_mut().limit_retransmission(message, until);
+    }
+
+    /// Numbers of the messages in flight.
+    pub fn messages(&self) -> Vec<u64> {
+        self.attempts.borrow().keys().copied().collect()
+    }
+
     /// Excludes a packet id from use while the session lasts.
     pub fn block_packet_id(&self, id: u16) {
         self.with_client(|mqtt_client, now| mqtt_client.block_packet_id(id, now));
--- a/crates/courier/tests/broker_sessions.rs
+++ b/crates/courier/tests/broker_sessions.rs
@@ -318,3 +318,35 @@
         brokers.iter().all(|b| b.open_connections() == 1)
     });
 }
+
+/// Publishes a message of class `state`, reloads a file in which the class has another effect while the message waits for
+/// its acknowledgement, and returns how often the message was passed on until it had ended.
+fn effects_after_reload(before: &str, after: &str) -> (u32, Option<String>) {
+    let broker = Broker::new(BrokerFaults { acks: Acks::Never, ..BrokerFaults::default() });
+    let folder = TestFolder::new();
+    let text = |effect: &str| {
+        let pool = BrokerPool { address: broker.address, ..BrokerPool::default() };
+        let state = format!("[classes.state]\n{effect}\ndeadline = \"6s\"\n");
+        let route = "[routes.state]\npath = \"/state\"\npool = \"pumps\"\nclass = \"state\"\n";
+        format!("{}{state}{route}", file(&[pool]))
+    };
+    let courier = Courier::serve(&folder, &text(before));
+    let head = "Idempotency-Key: k\r\n";
+    assert_eq!(courier.post("/state", "s", head, "s").status(), 202);
+    wait_until("the PUBLISH", || effects(&[&broker], "s") == 1);
+    reload(&courier, &folder, &text(after));
+    broker.cut();
+    wait_until("the outcome", || result(&folder, "s").is_some());
+    (effects(&[&broker], "s"), result(&folder, "s"))
+}
+
+// Guards against a message that runs again under a class that forbids it: it was published under a class that allowed
+// repeats, and the connection breaks after the reload (review case 10).
+#[test]
+fn a_message_in_flight_is_not_published_again_once_a_reload_makes_its_class_stricter() {
+    let dead = || Some("dead".to_owned());
+    assert_eq!(effects_after_reload("effect = \"repeatable\"", "effect = \"once\""), (1, dead()));
+    let keyed = "effect = \"keyed\"\nkey_window = ";
+    let windows = (format!("{keyed}\"6s\""), format!("{keyed}\"1ms\""));
+    assert_eq!(effects_after_reload(&windows.0, &windows.1), (1, dead()));
+}
--- a/crates/mqtt/src/client.rs
+++ b/crates/mqtt/src/client.rs
@@ -328,6 +328,14 @@
         }
     }
 
+    /// Allows the retransmission of a message at QoS 1 until this time at the latest.
+    pub fn limit_retransmission(&mut self, message: u64, until: Time) {
+        let mut attempts = self.attempts.values_mut();
+        if let Some(attempt) = attempts.find(|f| f.message == message && !f.abandoned) {
+            attempt.retransmit_until = attempt.retransmit_until.min(until);
+        }
+    }
+
     /// Whether none of its bytes have been written.
     fn is_unsent(&self, id: u16) -> bool {
         match self.attempts.get(&id).map(|f| f.stage) {
