--- a/crates/courier/src/upstream.rs
+++ b/crates/courier/src/upstream.rs
@@ -16,3 +16,4 @@
 pub mod outcomes;
 pub mod response_head;
 pub mod response_identity;
+mod response_timeout;
--- a/crates/courier/src/upstream/outcomes.rs
+++ b/crates/courier/src/upstream/outcomes.rs
@@ -6,6 +6,7 @@
 use crate::system_errors::{Backoff, Operation, report};
 use crate::upstream::http_connection::HttpConnection;
 use crate::upstream::notice_holds::NoticeHolds;
+use crate::upstream::response_timeout::ResponseTimeout;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
@@ -25,8 +26,12 @@
 
 /// Time-out for connecting to the receiver of notices.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time-out for the response to a batch of notices.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time-out for the response to a batch of notices: the platform's receiver answers at once.
+const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The longest that an operator's receiver may take for its response.
+const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Minimum interval between log lines on a receiver that does not answer in time.
+const REPORT_INTERVAL: Duration = Duration::from_secs(60);
 /// Delay before the first retry; it doubles with each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(20);
 /// Maximum delay between retries.
@@ -141,6 +146,21 @@
     /// Shared with batches in flight, since a reload may change it.
     address: Rc<Cell<SocketAddr>>,
     path: Rc<str>,
+    response_timeout: Rc<Cell<ResponseTimeout>>,
+    /// When it was last logged that the receiver does not answer in time.
+    reported: Rc<Cell<Option<Instant>>>,
+}
+
+impl HttpTarget {
+    fn new(address: SocketAddr, path: &str, max_response_timeout: Duration) -> Self {
+        let response_timeout = ResponseTimeout::new(MIN_RESPONSE_TIMEOUT, max_response_timeout);
+        HttpTarget {
+            address: Rc::new(Cell::new(address)),
+            path: path.into(),
+            response_timeout: Rc::new(Cell::new(response_timeout)),
+            reported: Rc::default(),
+        }
+    }
 }
 
 /// A file that lines are appended to.
@@ -198,7 +218,7 @@
 impl OutcomeNotifier {
     /// Notices that are posted to the platform.
     pub fn platform(address: SocketAddr) -> Self {
-        let http = HttpTarget { address: Rc::new(Cell::new(address)), path: "/v1/outcomes".into() };
+        let http = HttpTarget::new(address, "/v1/outcomes", MIN_RESPONSE_TIMEOUT);
         OutcomeNotifier { http: Some(http), file: None, rejected: None, holds: Rc::default() }
     }
 
@@ -206,8 +226,7 @@
     /// rejects as unreadable are appended to `rejected`. With `sync`, lines are synced to the device before
     /// their messages count as ended.
     pub fn operator(url: Option<&Url>, file: Option<PathBuf>, rejected: PathBuf, sync: bool) -> Self {
-        let http =
-            url.map(|u| HttpTarget { address: Rc::new(Cell::new(u.address)), path: u.path.as_str().into() });
+        let http = url.map(|u| HttpTarget::new(u.address, &u.path, MAX_RESPONSE_TIMEOUT));
         let notice_file = |path| Arc::new(Mutex::new(NoticeFile { path, sync }));
         OutcomeNotifier {
             http,
@@ -319,11 +338,38 @@
             .header(header::CONTENT_TYPE, "application/x-ndjson")
             .body(Full::new(Bytes::from(text)))
             .ok()?;
-        let response = connection
-            .send_request(request, Instant::now() + RESPONSE_TIMEOUT, |status| StatusCode::OK == status)
-            .await
-            .ok()?;
-        Some(response.status)
+        let (sent_at, timeout) = (Instant::now(), self.response_timeout.get().current());
+        let response =
+            connection.send_request(request, sent_at + timeout, |status| StatusCode::OK == status).await.ok();
+        let elapsed = sent_at.elapsed();
+        match &response {
+            Some(_) => self.update_timeout(|current| current.answered(elapsed)),
+            None if elapsed >= timeout => {
+                self.report_late_response(to, timeout);
+                self.update_timeout(|current| current.expired(timeout));
+            }
+            // The connection ended.
+            None => {}
+        }
+        Some(response?.status)
+    }
+
+    fn update_timeout(&self, update: impl FnOnce(&mut ResponseTimeout)) {
+        let mut response_timeout = self.response_timeout.get();
+        update(&mut response_timeout);
+        self.response_timeout.set(response_timeout);
+    }
+
+    /// Logs, at most once per [`REPORT_INTERVAL`], that a response did not come in time.
+    fn report_late_response(&self, to: SocketAddr, timeout: Duration) {
+        let now = Instant::now();
+        if self.reported.get().is_none_or(|at| now - at >= REPORT_INTERVAL) {
+            self.reported.set(Some(now));
+            log_line!(
+                "outcomes: {to} has not answered a post within {} s; it is posted again",
+                timeout.as_secs()
+            );
+        }
     }
 }
 
