The scheduler takes over an endpoint's new zone, and repeats nothing on the word of the old one

Cause: an endpoint kept the zone of its first entry. The zone of a possible run was read when the attempt ended, not when it was sent.

Change: lists update the zone; an attempt keeps the zone of its send; a message that may have run at an endpoint that is in another zone by now is not repeated by zone.

--- a/crates/decide/src/scheduler.rs
+++ b/crates/decide/src/scheduler.rs
@@ -277,6 +277,7 @@
                 continue;
             }
             e.set_state(entry.state, self.now);
+            e.zone = zone;
             e.requires_lease = entry.requires_lease;
             self.destination_mut(entry.destination).endpoints.insert(entry.endpoint);
             let id = self.limit_group_id(entry.endpoint);
@@ -393,8 +394,7 @@
         let Some(in_flight) = m.in_flight.take() else { return };
         let running = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         if m.may_have_run.is_none() && (running || outcome == Outcome::Error) {
-            let InFlightAttempt { incarnation, sent_at, .. } = in_flight;
-            let zone = self.endpoints[&endpoint].zone;
+            let InFlightAttempt { incarnation, zone, sent_at, .. } = in_flight;
             m.may_have_run = Some(PossibleRun { endpoint, incarnation, zone, sent_at });
         }
         if let Some(key) = m.key.as_ref().filter(|_| running) {
@@ -760,7 +760,7 @@
                 call
             }
         };
-        let incarnation = self.endpoints[&endpoint].incarnation;
+        let Endpoint { incarnation, zone, .. } = self.endpoints[&endpoint];
         let attempt_timeout = from_secs(self.attempt_timeout(&self.endpoints[&endpoint]));
         let latest_attempt_end = self.latest_attempt_end(&self.messages[&id]);
         let m = self.messages.get_mut(&id).expect("held");
@@ -772,7 +772,7 @@
         (m.attempts, m.last_endpoint) = (m.attempts + 1, Some(endpoint));
         let (cancelled, sent_at) = (false, now);
         m.in_flight =
-            Some(InFlightAttempt { endpoint, incarnation, call, cancelled, sent_at, opens_connection });
+            Some(InFlightAttempt { endpoint, incarnation, zone, call, cancelled, sent_at, opens_connection });
         self.destination_mut(dest).chart.remove(due, id);
         out.push(Action::Send { message: id, endpoint, timeout: to_duration(timeout.max(1)) });
         self.space_next_call(endpoint);
@@ -861,12 +861,18 @@
         let Some(run) = m.may_have_run else { return true };
         match self.settings.classes[m.class].effect {
             Effect::Repeatable | Effect::Keyed { scope: KeyScope::All, .. } => true,
-            Effect::Keyed { scope: KeyScope::Zone, .. } => e.zone == run.zone,
+            Effect::Keyed { scope: KeyScope::Zone, .. } => e.zone == run.zone && !self.has_moved(run),
             Effect::Keyed { .. } => id == run.endpoint && e.incarnation == run.incarnation,
             Effect::Once => false,
         }
     }
 
+    /// Whether the endpoint where a message may have run is in another zone by now: the zone of the attempt
+    /// does not tell who knows its key.
+    fn has_moved(&self, run: PossibleRun) -> bool {
+        self.endpoints.get(&run.endpoint).is_some_and(|ran_at| ran_at.zone != run.zone)
+    }
+
     fn may_attempt(&self, m: &Message) -> bool {
         let in_window = match (m.may_have_run, self.settings.classes[m.class].effect) {
             (None, _) | (Some(_), Effect::Repeatable) => true,
--- a/crates/decide/src/state.rs
+++ b/crates/decide/src/state.rs
@@ -13,6 +13,8 @@
     pub(crate) endpoint: EndpointId,
     /// The endpoint's incarnation when it was sent.
     pub(crate) incarnation: u32,
+    /// The endpoint's zone when it was sent.
+    pub(crate) zone: usize,
     /// The call that carries it; other messages may share it.
     pub(crate) call: u64,
     pub(crate) cancelled: bool,
