A key's window counts from the first attempt that may have run, also for retransmissions

Cause: the limit on publishing again in a second attempt counted from that attempt.

Change: it counts from the first attempt that may have run, for new attempts, after a restart and after a reload.

--- a/crates/courier/src/dispatcher/brokers.rs
+++ b/crates/courier/src/dispatcher/brokers.rs
@@ -175,10 +175,18 @@
         class.map_or(Effect::Once, |c| c.effect)
     }
 
+    /// When the first attempt of a message that may have run was sent; the epoch if that is unknown.
+    pub(super) fn first_sent_at(&self, message: u64) -> StableTime {
+        let attempts = self.journal.get(message).map(|live| live.attempts.as_slice()).unwrap_or_default();
+        let first = attempts.iter().find(|attempt| attempt.may_have_run);
+        first.map_or(StableTime::EPOCH, |attempt| attempt.sent_at)
+    }
+
     /// Publishes a message whose attempt is in the journal.
     pub(super) fn publish(&self, call: &Call, target: &BrokerTarget) {
         if let Some(connection) = self.connection(&target.session) {
-            connection.publish(call, target, self.effect_of(call.message));
+            let (effect, first_sent_at) = (self.effect_of(call.message), self.first_sent_at(call.message));
+            connection.publish(call, target, effect, first_sent_at);
         }
     }
 
@@ -256,10 +264,8 @@
     fn limit_retransmissions(&self) {
         for shared in self.brokers.connections.values() {
             for message in shared.connection.messages() {
-                let attempts = self.journal.get(message).map(|live| live.attempts.as_slice());
-                let sent_at = attempts.and_then(|attempts| attempts.last()).map(|attempt| attempt.sent_at);
-                let sent_at = sent_at.unwrap_or(StableTime::EPOCH);
-                shared.connection.limit_retransmission(message, self.effect_of(message), sent_at);
+                let (effect, first_sent_at) = (self.effect_of(message), self.first_sent_at(message));
+                shared.connection.limit_retransmission(message, effect, first_sent_at);
             }
         }
     }
--- a/crates/courier/src/dispatcher/open_attempts.rs
+++ b/crates/courier/src/dispatcher/open_attempts.rs
@@ -11,7 +11,6 @@
 use crate::upstream::broker_session::BrokerSession;
 use crate::upstream::endpoint_client::BrokerTarget;
 use serde::{Deserialize, Serialize};
-use stairshed_clock::StableTime;
 use stairshed_decide::interface::*;
 use stairshed_journal::{LiveMessage, Verdict};
 use stairshed_mqtt::Qos;
@@ -207,11 +206,12 @@
             let effect = self.effect_of(message);
             let Some(live) = self.journal.get(message) else { continue };
             let attempt = live.attempts.len().saturating_sub(1) as u32;
-            let sent_at = live.attempts.last().map_or(StableTime::EPOCH, |a| a.sent_at);
             let accepted = live.accepted.clone();
+            let first_sent_at = self.first_sent_at(message);
             let Some(open) = self.brokers.open_attempts.by_message.get_mut(&message) else { continue };
             open.resumed = true;
-            let earlier = EarlierAttempt { message, attempt, accepted, sent_at, released: open.released };
+            let released = open.released;
+            let earlier = EarlierAttempt { message, attempt, accepted, first_sent_at, released };
             connection.resume(endpoint, &earlier, &open.target, effect);
         }
     }
--- a/crates/courier/src/upstream/broker_connection.rs
+++ b/crates/courier/src/upstream/broker_connection.rs
@@ -58,7 +58,8 @@
     pub message: u64,
     pub attempt: u32,
     pub accepted: Rc<AcceptedMessage>,
-    pub sent_at: StableTime,
+    /// When the first attempt that may have run was sent.
+    pub first_sent_at: StableTime,
     /// Whether its PUBREC had arrived.
     pub released: bool,
 }
@@ -179,12 +180,13 @@
         self.mqtt_client.borrow_mut().reserve()
     }
 
-    /// Publishes a message with a reserved packet id.
-    pub fn publish(&self, call: &Call, target: &BrokerTarget, effect: Effect) {
+    /// Publishes a message with a reserved packet id. `first_sent_at` is the time of the first attempt that may
+    /// have run, this one or an earlier one.
+    pub fn publish(&self, call: &Call, target: &BrokerTarget, effect: Effect, first_sent_at: StableTime) {
         let in_flight = InFlight { attempt: call.attempt, endpoint: call.endpoint };
         self.attempts.borrow_mut().insert(call.message, in_flight);
         let response_timeout = call.deadline.saturating_duration_since(Instant::now());
-        let retransmit_until = self.retransmit_until(target.qos, effect, None);
+        let retransmit_until = self.retransmit_until(target.qos, effect, first_sent_at);
         let publish = self.packet(&call.accepted, target);
         let message = Message {
             number: call.message,
@@ -215,7 +217,7 @@
             publish: self.packet(accepted, target),
             response_timeout,
             until: self.deadline(accepted),
-            retransmit_until: self.retransmit_until(target.qos, effect, Some(earlier.sent_at)),
+            retransmit_until: self.retransmit_until(target.qos, effect, earlier.first_sent_at),
         };
         self.with_client(|mqtt_client, now| mqtt_client.resume(target.id, message, earlier.released, now));
     }
@@ -226,14 +228,14 @@
     }
 
     /// Until when a message may be retransmitted at QoS 1, where the broker may treat a retransmission as a new
-    /// message. `sent_at` is the time of the attempt; None for a new one.
-    fn retransmit_until(&self, qos: Qos, effect: Effect, sent_at: Option<StableTime>) -> Duration {
+    /// message. `first_sent_at` is the time of the first attempt that may have run: receivers remember a key from
+    /// then.
+    fn retransmit_until(&self, qos: Qos, effect: Effect, first_sent_at: StableTime) -> Duration {
         let now = self.origin.elapsed();
         match effect {
             Effect::Keyed { window, .. } => {
                 // A window that is not provably open counts as closed.
-                let elapsed = sent_at
-                    .map_or(Some(Duration::ZERO), |at| self.clock.proven_duration(at, self.clock.now()));
+                let elapsed = self.clock.proven_duration(first_sent_at, self.clock.now());
                 now + elapsed.map_or(Duration::ZERO, |elapsed| window.saturating_sub(elapsed))
             }
             Effect::Once if qos == Qos::AtLeastOnce => now,
@@ -255,10 +257,11 @@
         }
     }
 
-    /// Limits the retransmission of a message to what its class allows now. `sent_at` is the time of its attempt.
-    pub fn limit_retransmission(&self, message: u64, effect: Effect, sent_at: StableTime) {
+    /// Limits the retransmission of a message to what its class allows now. `first_sent_at` is the time of its
+    /// first attempt that may have run.
+    pub fn limit_retransmission(&self, message: u64, effect: Effect, first_sent_at: StableTime) {
         // At QoS 2 a retransmission cannot run again, and the limit is not used.
-        let until = self.retransmit_until(Qos::AtLeastOnce, effect, Some(sent_at));
+        let until = self.retransmit_until(Qos::AtLeastOnce, effect, first_sent_at);
         self.mqtt_client.borrow_mut().limit_retransmission(message, until);
     }
 
--- a/crates/courier/tests/broker_sessions.rs
+++ b/crates/courier/tests/broker_sessions.rs
@@ -350,3 +350,38 @@
     let windows = (format!("{keyed}\"6s\""), format!("{keyed}\"1ms\""));
     assert_eq!(effects_after_reload(&windows.0, &windows.1), (1, dead()));
 }
+
+/// How long receivers remember a key.
+const KEY_WINDOW: Duration = Duration::from_secs(2);
+
+// Guards against a keyed message that runs again: the window of its key was counted from its second attempt (review,
+// program `window`).
+#[test]
+fn a_keyed_message_is_not_published_again_after_the_window_of_its_first_attempt() {
+    let broker = Broker::new(BrokerFaults { acks: Acks::Never, ..BrokerFaults::default() });
+    let folder = TestFolder::new();
+    let pool = BrokerPool { address: broker.address, ..BrokerPool::default() };
+    let text = format!(
+        "{}[classes.notice]\neffect = \"keyed\"\nkey_scope = \"pool\"\nkey_window = \"2s\"\ndeadline = \"6s\"\n\
+         [routes.notice]\npath = \"/notice\"\npool = \"pumps\"\nclass = \"notice\"\n",
+        file(&[pool])
+    );
+    let courier = Courier::serve(&folder, &text);
+    assert_eq!(courier.post("/notice", "n", "Idempotency-Key: k\r\n", "n").status(), 202);
+    wait_until("the first attempt", || effects(&[&broker], "n") == 1);
+    let first = broker.received()[0].at;
+    let wait_for = |after: Duration| thread::sleep((first + after).saturating_duration_since(Instant::now()));
+    // The session is lost in the window, so there is a second attempt.
+    wait_for(KEY_WINDOW / 2);
+    broker.forget();
+    broker.cut();
+    wait_until("the second attempt", || {
+        broker.received().iter().any(|got| !got.publish.dup && got.at > first)
+    });
+    // Its connection breaks behind the window of the first one, and within a window of its own.
+    wait_for(KEY_WINDOW + Duration::from_millis(300));
+    broker.cut();
+    wait_for(2 * KEY_WINDOW);
+    let late = broker.received().into_iter().filter(|got| got.at > first + KEY_WINDOW).count();
+    assert_eq!(late, 0);
+}
