Verdict on answered requests: a read of one submission is not taken for that of another

Change: each line is assigned to one submission of its id. A closed submission counts as read if a line in its span is left once every other submission that may have one has it: those that were answered, given up or ended by a fault.

The test has the sound run, which was called broken before, beside three breaks, which are found: both read, neither answered, an answer that was cut off.

--- a/crates/testkit/src/verdict/answers.rs
+++ b/crates/testkit/src/verdict/answers.rs
@@ -3,6 +3,7 @@
 use super::{Judgement, NOTE_TIME};
 use crate::record::{Record, Submission, is_step};
 use crate::scenario::{FaultKind, Link};
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 /// First word of the log line on a request that a courier has read.
@@ -46,24 +47,66 @@
 /// Whether a request whose connection was closed at this time was owed an answer.
 fn is_owed(record: &Record, message: &Submission, closed_at: Instant) -> bool {
     let until = closed_at + NOTE_TIME;
-    if link_may_end(record, message.sent, until) {
+    if is_excused(record, message, until) {
         return false;
     }
-    let ends = record.kills.iter().filter(|end| end.courier == message.courier);
-    let mut ends = ends.filter(|end| (message.sent..=until).contains(&end.kill.at));
-    if ends.any(|end| end.was_killed) {
-        return false;
-    }
-    let logged = |step: &str| {
-        let of_courier = record.log.iter().filter(|line| line.courier == message.courier);
-        let mut lines = of_courier.filter(|line| (message.sent..=until).contains(&line.at));
-        lines.any(|line| is_step(&line.text, &message.id, step))
-    };
     // An answer that was decided and did not arrive was cut off.
-    let is_read = logged(RECEIVED) || logged(ANSWERED);
+    let is_read = [RECEIVED, ANSWERED]
+        .into_iter()
+        .any(|step| has_own_step(record, message, message.sent..=until, step));
     is_read || !may_close_unread(record, message, until)
 }
 
+/// Whether a fault of the link or a kill may have ended the connection of a submission by this time.
+fn is_excused(record: &Record, message: &Submission, until: Instant) -> bool {
+    let kills = record.kills.iter().filter(|end| end.courier == message.courier && end.was_killed);
+    let mut kills = kills.filter(|end| (message.sent..=until).contains(&end.kill.at));
+    link_may_end(record, message.sent, until) || kills.next().is_some()
+}
+
+/// Whether the log tells this step of a submission within its span. Submissions of one id have the same lines, so each
+/// line is assigned to one of them: the step counts as this submission's if a line in its span is left once each of the
+/// others that may have one has it.
+fn has_own_step(record: &Record, message: &Submission, span: RangeInclusive<Instant>, step: &str) -> bool {
+    let of_courier = record.log.iter().filter(|line| line.courier == message.courier);
+    let lines = of_courier.filter(|line| is_step(&line.text, &message.id, step));
+    let mut times: Vec<Instant> = lines.map(|line| line.at).collect();
+    times.sort_unstable();
+    let mut others = other_spans(record, message);
+    times.into_iter().any(|at| {
+        // The span that ends first, since the others may have later lines.
+        let owners = others.iter().enumerate().filter(|(_, span)| span.contains(&at));
+        let owner = owners.min_by_key(|(_, span)| *span.end()).map(|(index, _)| index);
+        match owner {
+            Some(index) => {
+                others.swap_remove(index);
+                false
+            }
+            None => span.contains(&at),
+        }
+    })
+}
+
+/// The spans of the other submissions of a message that may have been read without a breach: those that were answered
+/// or given up, or that a fault ended.
+fn other_spans(record: &Record, message: &Submission) -> Vec<RangeInclusive<Instant>> {
+    let same = |other: &&Submission| {
+        other.id == message.id && other.courier == message.courier && other.is_mqtt == message.is_mqtt
+    };
+    let others = record.submissions.iter().filter(same).filter(|other| !std::ptr::eq(*other, message));
+    let spans = others.filter_map(|other| {
+        let closed = closed_at(other).map(|at| at + NOTE_TIME);
+        if closed.is_some_and(|until| !is_excused(record, other, until)) {
+            return None;
+        }
+        let answered = other.answer.map(|(at, _)| at + NOTE_TIME);
+        // One that was given up may be read late.
+        let end = closed.or(answered).unwrap_or(other.sent + STOP_TIME);
+        Some(other.sent..=end)
+    });
+    spans.collect()
+}
+
 /// Whether the courier may have closed the connection without having read anything: it was stopping or down, or a crowd
 /// took its place.
 fn may_close_unread(record: &Record, message: &Submission, until: Instant) -> bool {
--- a/crates/testkit/src/verdict_test.rs
+++ b/crates/testkit/src/verdict_test.rs
@@ -354,6 +354,33 @@
     assert!(matches!(judgement(&unfinished, rule), Judgement::Broken(_)));
 }
 
+// Guards against a sound run that is called broken (scenario `resubmitted`, seed 72101): the message is submitted while the
+// courier is down, and again to the next process, which reads and answers it. A true break beside it is found.
+#[test]
+fn what_was_read_of_a_later_submission_of_a_message_is_not_taken_for_the_first() {
+    let resubmitted = |received: &[u64]| {
+        let mut record = closed_during_a_stop("");
+        record.accept("status-1", 3_040);
+        record.submissions[1].answer = Some((record.begun + ms(3_060), 202));
+        record.submissions[1].is_repeat = true;
+        for at_ms in received {
+            record.step("status-1", *at_ms, "received connection=1 stopping=false");
+        }
+        record.step("status-1", 3_059, "answered status=202");
+        record
+    };
+    let rule = Rule::RequestsAnswered;
+    assert_eq!(judgement(&resubmitted(&[3_045]), rule), Judgement::Held, "only the second one was read");
+    assert_eq!(offender(&resubmitted(&[3_005, 3_045]), rule).as_deref(), Some("status-1"), "both were read");
+    let mut closed_twice = resubmitted(&[3_045]);
+    closed_twice.submissions[1].answer = None;
+    closed_twice.submissions[1].closed_after = Some(ms(20));
+    assert!(offender(&closed_twice, rule).is_some(), "one of them was read, and neither is answered");
+    let mut answered_once_more = resubmitted(&[3_045]);
+    answered_once_more.step("status-1", 3_008, "answered status=202");
+    assert!(offender(&answered_once_more, rule).is_some(), "an answer to the first one was cut off");
+}
+
 #[test]
 fn only_what_a_cut_link_overlaps_is_not_owed_an_answer() {
     let cut = "[[faults]]\nat = \"1s\"\nspan = \"1s\"\n\
