An endpoint that comes back to a session that it left is used there again

Cause: an endpoint that leaves a session drains there. Coming back while a message was still in flight in it, it found the drain on, and its messages were taken back for ever.

Change: entering a session ends the drain; finding and starting a connection, and entering a session, are functions of their own. A start with many endpoints looks for sessions to resume only while any wait.

--- a/crates/courier/src/dispatcher/brokers.rs
+++ b/crates/courier/src/dispatcher/brokers.rs
@@ -7,7 +7,7 @@
 use super::broker_config::{BrokerSettings, broker_settings};
 use super::held_message::DeferredAction;
 use super::open_attempts::{OpenAttempts, PacketIdRecord};
-use crate::upstream::broker_connection::BrokerConnection;
+use crate::upstream::broker_connection::{BrokerConnection, ConnectionSettings};
 use crate::upstream::broker_session::BrokerSession;
 use crate::upstream::endpoint_client::{BrokerTarget, Call, MAX_WRITE_AFTER_DRAIN};
 use stairshed_clock::StableTime;
@@ -72,34 +72,45 @@
         }
         let Some(settings) = self.broker_settings_of(endpoint) else { return known };
         self.leave_former_session(endpoint, &settings.session);
-        let session = Rc::new(settings.session);
-        let connection = match self.connection(&session).cloned() {
-            Some(connection) => connection,
-            None => {
-                let events = self.event_tx.clone();
-                BrokerConnection::start(session.clone(), settings.connection.clone(), self.clock, events)
-            }
-        };
-        let shared = self.brokers.connections.entry(session.clone());
-        let is_new = matches!(shared, std::collections::hash_map::Entry::Vacant(_));
-        let shared = shared.or_insert_with(|| SharedConnection {
-            connection: connection.clone(),
-            endpoints: HashSet::new(),
-        });
-        shared.endpoints.insert(endpoint);
-        self.brokers.left.retain(|left| *left != session);
-        let session_use = SessionUse { session: session.clone(), qos: settings.qos };
-        self.brokers.by_endpoint.insert(endpoint, session_use);
-        self.update_session_use(&session);
+        let (session, connection) = self.connect_session(endpoint, settings.session, &settings.connection);
+        self.enter_session(endpoint, session, settings.qos);
         if connection.reconfigure(&settings.connection) {
             self.brokers.stale.remove(&endpoint);
         }
-        if is_new {
-            self.resume_attempts_in(&session, endpoint, &connection);
-        }
         Some(connection)
     }
 
+    /// The connection of a session, started if there is none. What a previous process left in the session is resumed
+    /// through `endpoint`.
+    fn connect_session(
+        &mut self,
+        endpoint: EndpointId,
+        session: BrokerSession,
+        settings: &ConnectionSettings,
+    ) -> (Rc<BrokerSession>, Rc<BrokerConnection>) {
+        if let Some((session, shared)) = self.brokers.connections.get_key_value(&session) {
+            return (session.clone(), shared.connection.clone());
+        }
+        let (session, events) = (Rc::new(session), self.event_tx.clone());
+        let connection = BrokerConnection::start(session.clone(), settings.clone(), self.clock, events);
+        let shared = SharedConnection { connection: connection.clone(), endpoints: HashSet::new() };
+        self.brokers.connections.insert(session.clone(), shared);
+        self.resume_attempts_in(&session, endpoint, &connection);
+        (session, connection)
+    }
+
+    /// Begins the use of a session by an endpoint, or goes on with it.
+    fn enter_session(&mut self, endpoint: EndpointId, session: Rc<BrokerSession>, qos: Qos) {
+        let Some(shared) = self.brokers.connections.get_mut(&session) else { return };
+        if shared.endpoints.insert(endpoint) {
+            // It may have left the session before.
+            shared.connection.cancel_drain(endpoint);
+            self.brokers.left.retain(|left| *left != session);
+        }
+        self.update_session_use(&session);
+        self.brokers.by_endpoint.insert(endpoint, SessionUse { session, qos });
+    }
+
     /// Ends the use of another session than this one by an endpoint.
     fn leave_former_session(&mut self, endpoint: EndpointId, current: &BrokerSession) {
         let former = self.brokers.by_endpoint.get(&endpoint);
--- a/crates/courier/src/dispatcher/open_attempts.rs
+++ b/crates/courier/src/dispatcher/open_attempts.rs
@@ -75,6 +75,17 @@
 }
 
 impl OpenAttempts {
+    fn is_empty(&self) -> bool {
+        self.by_message.is_empty() && self.blocked_ids.is_empty()
+    }
+
+    /// Whether something waits to be resumed or blocked in this session.
+    fn has_waiting_in(&self, session: &BrokerSession) -> bool {
+        let mut waiting = self.by_message.values().filter(|open| !open.resumed);
+        waiting.any(|open| *open.target.session == *session)
+            || self.blocked_ids.iter().any(|(of, _)| **of == *session)
+    }
+
     /// The sessions in which something waits to be resumed or blocked.
     fn sessions(&self) -> HashSet<Rc<BrokerSession>> {
         let waiting = self.by_message.values().filter(|open| !open.resumed);
@@ -179,12 +190,12 @@
 
     /// Connects an endpoint if attempts wait for the session that it uses, which resumes them.
     pub(super) fn resume_attempts_at(&mut self, endpoint: EndpointId) {
-        if !self.brokers.open_attempts.messages_loaded {
+        let open_attempts = &self.brokers.open_attempts;
+        if !open_attempts.messages_loaded || open_attempts.is_empty() {
             return;
         }
-        let sessions = self.brokers.open_attempts.sessions();
-        let settings = self.broker_settings_of(endpoint).filter(|_| !sessions.is_empty());
-        if settings.is_some_and(|settings| sessions.contains(&settings.session)) {
+        let settings = self.broker_settings_of(endpoint);
+        if settings.is_some_and(|settings| self.brokers.open_attempts.has_waiting_in(&settings.session)) {
             self.broker_for(endpoint);
         }
     }
--- a/crates/courier/tests/broker_sessions.rs
+++ b/crates/courier/tests/broker_sessions.rs
@@ -385,3 +385,23 @@
     let late = broker.received().into_iter().filter(|got| got.at > first + KEY_WINDOW).count();
     assert_eq!(late, 0);
 }
+
+// Guards against an endpoint that is never used again: the drain of the session that it left held on when it came back.
+#[test]
+fn an_endpoint_that_goes_and_comes_back_while_a_payment_waits_is_used_in_its_session_again() {
+    let (first, second) = (broker(), broker());
+    let folder = TestFolder::new();
+    let text = |broker: &Broker| file(&[BrokerPool { address: broker.address, ..BrokerPool::default() }]);
+    let courier = Courier::serve(&folder, &text(&first));
+    pay_and_leave_one_unresolved(&courier, &first, "pumps");
+    reload(&courier, &folder, &text(&second));
+    pay(&courier, "pumps", "elsewhere");
+    wait_until("the payment elsewhere", || effects(&[&second], "elsewhere") == 1);
+    // Longer than the grace period of the drain.
+    thread::sleep(GRACE);
+    reload(&courier, &folder, &text(&first));
+    pay(&courier, "pumps", "back");
+    wait_until("the payment at the first broker", || effects(&[&first], "back") == 1);
+    assert_later_payments_run_once(&courier, &[&first, &second], "pumps");
+    assert_eq!((first.takeovers(), outcomes(&folder)), (0, vec![]));
+}
