A payment whose endpoint leaves its session while its record is written is not lost

Cause: with durability = "machine" the record of an attempt waits for a sync. A reload that moved the endpoint meanwhile closed the session, since nothing was in flight in it yet; the publish found no connection, and its message stayed in flight for ever.

Change: a publish that finds its session closed, or begun anew on a later connection, gives the call up as never run, and the scheduler sends it again.

Result: the new test failed before (nothing within 60 s) and passes, with those of slow_syncs, broker_sessions and broker_reloads.

--- a/crates/courier/src/dispatcher/attempts.rs
+++ b/crates/courier/src/dispatcher/attempts.rs
@@ -26,6 +26,8 @@
     NotWanted,
     /// The journal cannot write its attempt.
     NotRecorded,
+    /// Its endpoint has left the session on the broker, which is closed.
+    SessionClosed,
 }
 
 impl fmt::Display for DropCause {
@@ -33,6 +35,7 @@
         f.write_str(match self {
             DropCause::NotWanted => "no longer wanted",
             DropCause::NotRecorded => "its record cannot be written",
+            DropCause::SessionClosed => "its endpoint has left the session",
         })
     }
 }
@@ -232,7 +235,11 @@
             return self.drop_call(&call, DropCause::NotWanted);
         }
         match &call.target {
-            CallTarget::Broker(target) => self.publish(&call, target),
+            CallTarget::Broker(target) => {
+                if !self.publish(&call, target) {
+                    self.drop_call(&call, DropCause::SessionClosed);
+                }
+            }
             CallTarget::Http(address) => {
                 let address = *address;
                 let call = self.attempts.calls.clone().call(call, address, cancelled, self.event_tx.clone());
--- a/crates/courier/src/dispatcher/brokers.rs
+++ b/crates/courier/src/dispatcher/brokers.rs
@@ -193,12 +193,17 @@
         first.map_or(StableTime::EPOCH, |attempt| attempt.sent_at)
     }
 
-    /// Publishes a message whose attempt is in the journal.
-    pub(super) fn publish(&self, call: &Call, target: &BrokerTarget) {
-        if let Some(connection) = self.connection(&target.session) {
-            let (effect, first_sent_at) = (self.effect_of(call.message), self.first_sent_at(call.message));
-            connection.publish(call, target, effect, first_sent_at);
-        }
+    /// Publishes a message whose attempt is in the journal. Returns whether the session was still there: the
+    /// endpoint may have left it while the record was written.
+    pub(super) fn publish(&self, call: &Call, target: &BrokerTarget) -> bool {
+        let known = self.brokers.connections.get_key_value(&target.session);
+        // The id was reserved on that connection, not on a later one of the same session.
+        let Some((_, shared)) = known.filter(|(session, _)| Rc::ptr_eq(session, &target.session)) else {
+            return false;
+        };
+        let (effect, first_sent_at) = (self.effect_of(call.message), self.first_sent_at(call.message));
+        shared.connection.publish(call, target, effect, first_sent_at);
+        true
     }
 
     /// Records a PUBREC; the broker goes on with PUBREL once the record is durable.
--- a/crates/courier/tests/slow_syncs.rs
+++ b/crates/courier/tests/slow_syncs.rs
@@ -136,3 +136,23 @@
     assert_eq!(setup.pay("last"), 202);
     wait_until("the delivery", || payments(&endpoint) == ["last"]);
 }
+
+// Guards against a payment that is never published: while its attempt's record waited for the sync, a reload moved its
+// endpoint to another broker, and the session that it was to be published in was closed.
+#[test]
+fn payment_whose_endpoint_moves_to_another_broker_during_a_sync_runs_there() {
+    let (first, second) = (Broker::new(BrokerFaults::default()), Broker::new(BrokerFaults::default()));
+    let address = |broker: &Broker| format!("mqtt://{}/in", broker.address);
+    let setup = TestSetup::start(&address(&first));
+    let to = setup.courier.address;
+    let client = thread::spawn(move || post(to, "/pay", "p", "", "42 EUR").map(|answer| answer.status()));
+    thread::sleep(RECORD_TIME);
+    setup.courier.replace_config_file(&setup.folder, &file(&address(&second)));
+    assert_eq!(client.join().expect("the client"), Some(202));
+    setup.courier.wait_for_log("the file is read again and in effect");
+    let runs = |broker: &Broker| broker.effects().get("p").copied().unwrap_or_default();
+    wait_until("the payment to run", || runs(&first) + runs(&second) > 0);
+    thread::sleep(SYNC_TIME);
+    assert_eq!((runs(&first), runs(&second)), (0, 1));
+    assert_eq!(outcomes(&setup.folder), []);
+}
