The rest of a refused request's body is not read as the head of the next request

Cause: once an answer is decided, the framing of the connection starts anew. Bytes of the body that were still to come, as after a 503 for memory, were then taken for the next request's head.

Result: the new tests fail before (400 in place of 202) and pass now.

--- a/crates/courier/src/ingress/client_connection.rs
+++ b/crates/courier/src/ingress/client_connection.rs
@@ -91,9 +91,11 @@
         self.since.set(Instant::now());
     }
 
-    /// Notes bytes that were read.
+    /// Notes bytes that were read. The rest of a body whose request is answered changes nothing.
     pub fn bytes_received(&self, bytes: &[u8]) {
-        self.framing.borrow_mut().feed(bytes);
+        if !self.framing.borrow_mut().feed(bytes) {
+            return;
+        }
         match self.state.get() {
             ConnectionState::AwaitingFirstByte | ConnectionState::Idle { .. } => {
                 self.set_state(ConnectionState::ReadingHead);
@@ -107,8 +109,9 @@
 
     /// Notes that the answer to a request with a body of this length is decided.
     pub fn answer_decided(&self, body_length: u64, request_ok: bool) {
-        let framing = self.framing.take();
+        let mut framing = self.framing.borrow_mut();
         let next_has_begun = framing.bytes_after_head as u64 > body_length;
+        *framing = framing.next(body_length);
         self.set_state(ConnectionState::WritingAnswer { last_request_ok: request_ok, next_has_begun });
     }
 
--- a/crates/courier/src/ingress/request_framing_test.rs
+++ b/crates/courier/src/ingress/request_framing_test.rs
@@ -4,7 +4,9 @@
 fn framing_that_could_smuggle_a_request_is_detected() {
     let framing = |text: &str, size| {
         let mut framing = RequestFraming::default();
-        text.as_bytes().chunks(size).for_each(|piece| framing.feed(piece));
+        text.as_bytes().chunks(size).for_each(|piece| {
+            framing.feed(piece);
+        });
         framing
     };
     for size in [1, 7, 1000] {
@@ -15,3 +17,31 @@
         assert!(two.error(Some(3)).is_some());
     }
 }
+
+// Guards against the rest of a refused request's body read as the head of the next request, which was refused then.
+#[test]
+fn the_rest_of_a_body_is_no_part_of_the_next_request() {
+    let body = "a\n\nContent-Length: 1\nContent-Length: 2\n\n";
+    let first = format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len());
+    let next = "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
+    for read in 0..=body.len() {
+        for size in [1, 7, 1000] {
+            let mut framing = RequestFraming::default();
+            framing.feed(format!("{first}{}", &body[..read]).as_bytes());
+            framing = framing.next(body.len() as u64);
+            let rest_of_body = body.as_bytes()[read..].chunks(size).any(|piece| framing.feed(piece));
+            assert!(!rest_of_body, "{read} {size}: taken for a request");
+            assert!(next.as_bytes().chunks(size).all(|piece| framing.feed(piece)), "{read} {size}");
+            assert_eq!((framing.content_lengths, framing.bytes_after_head), (1, 3), "{read} {size}");
+        }
+    }
+}
+
+#[test]
+fn one_read_may_hold_the_end_of_a_body_and_the_next_request() {
+    let mut framing = RequestFraming::default();
+    framing.feed(b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\na");
+    framing = framing.next(4);
+    assert!(framing.feed(b"bcdPOST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"));
+    assert_eq!((framing.content_lengths, framing.bytes_after_head), (1, 1));
+}
--- a/crates/courier/tests/memory.rs
+++ b/crates/courier/tests/memory.rs
@@ -8,7 +8,7 @@
 use stairshed_rig::mqtt_client::{MqttClient, persistent_session};
 use stairshed_rig::*;
 use std::collections::BTreeSet;
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -252,6 +252,43 @@
     sampler.end();
 }
 
+fn is_closed(mut stream: &TcpStream) -> bool {
+    !matches!(stream.read(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+// Guards against the rest of a refused request's body read as the head of the next request, which was answered 400.
+#[test]
+fn a_request_behind_one_that_is_refused_for_memory_is_accepted() {
+    let (partner, folder) = (GatedEndpoint::new(), TestFolder::new());
+    let courier = Courier::serve(&folder, &config_file(&partner.endpoint, "bodies_read = \"512KiB\""));
+    let _slow: Vec<TcpStream> =
+        (0..8).map(|n| start_request(courier.address, &format!("s{n}"), 64 * 1024)).collect();
+    wait_until("the bodies are being read", || {
+        purpose(&courier.page("/-/memory"), "bodies_read")["in_use"] == 8 * 64 * 1024
+    });
+    // The courier closes the connection, unless it reads the whole body at once.
+    let mut answered = 0;
+    for kilobytes in 1..=24 {
+        let mut stream = TcpStream::connect(courier.address).expect("a connection");
+        let refused =
+            request("/status", &format!("refused-{kilobytes}"), "", &"x\n\n\n".repeat(256 * kilobytes));
+        stream.write_all(refused.as_bytes()).expect("sent");
+        assert_refused(&read_answer(&stream), "memory-bodies_read");
+        let next = request("/status", &format!("next-{kilobytes}"), "", "");
+        if stream.write_all(next.as_bytes()).is_err() {
+            continue;
+        }
+        match HttpMessage::read(&mut BufReader::new(&stream)) {
+            Some(answer) => {
+                assert_eq!(answer.status(), 202, "behind a body of {kilobytes} kB: {}", answer.start_line);
+                answered += 1;
+            }
+            None => assert!(is_closed(&stream), "neither answered nor closed: {kilobytes} kB"),
+        }
+    }
+    assert!(answered > 0, "each connection was closed: nothing was tested");
+}
+
 #[test]
 fn one_client_cannot_use_all_memory_of_a_purpose_and_others_are_accepted() {
     let (partner, folder) = (GatedEndpoint::new(), TestFolder::new());
