A first start stores the age that it assumes for its list, so that a restart is told

Cause: a process that was killed before it had read a line from discovery left no list-age file. If nothing was accepted either, the next start took itself for the first, and the list of its configuration for current, also under another discovery: it sent to an endpoint of the former one and asked the new one with the former's index.

Change: the assumed age is stored like one that was read.

Result: the new test fails before (a call to the old endpoint) and passes now.

--- a/crates/courier/src/dispatcher/lease.rs
+++ b/crates/courier/src/dispatcher/lease.rs
@@ -37,7 +37,11 @@
         let Some((file, discovery)) = file.zip(self.setup.discovery) else { return };
         let ago = match file.load(discovery) {
             ListAge::Known(ago) => ago,
-            ListAge::Unrecorded if self.journal.last_number() == 0 => ASSUMED_FIRST_AGE,
+            ListAge::Unrecorded if self.journal.last_number() == 0 => {
+                // The next process may start before discovery has answered this one.
+                self.save_list_age(discovery, ASSUMED_FIRST_AGE);
+                ASSUMED_FIRST_AGE
+            }
             ListAge::Unrecorded | ListAge::Unknown => {
                 log_line!(
                     "discovery: the age of the list is unknown; nothing is sent until discovery answers"
@@ -57,7 +61,12 @@
             return;
         }
         self.list_current_as_of(at);
-        let saved = self.setup.list_age.as_ref().map(|file| file.save(discovery, at.elapsed()));
+        self.save_list_age(discovery, at.elapsed());
+    }
+
+    /// Stores the age of the list for the next start.
+    fn save_list_age(&mut self, discovery: SocketAddr, age: Duration) {
+        let saved = self.setup.list_age.as_ref().map(|file| file.save(discovery, age));
         if let Some(Err(e)) = saved {
             report(Operation::ListAge, &e);
             // The next start will assume an older list than it is.
--- a/crates/courier/tests/stale_membership.rs
+++ b/crates/courier/tests/stale_membership.rs
@@ -39,15 +39,20 @@
 
 impl Fleet {
     fn start(couriers: u64, siblings: u64) -> Self {
+        let mut fleet = Self::new(couriers, siblings);
+        fleet.start_processes(1);
+        wait_until("each has a watch", || fleet.discovery.watches.load(Ordering::SeqCst) as u64 >= couriers);
+        fleet
+    }
+
+    /// A fleet whose couriers are not started yet.
+    fn new(couriers: u64, siblings: u64) -> Self {
         let (old, new) =
             (Endpoint::new(|_| EndpointAction::Respond(OK)), Endpoint::new(|_| EndpointAction::Respond(OK)));
         let discovery = Discovery::new(list(1, true, vec![endpoint_entry("s-old", &old, "ready")]));
         let folders = (0..couriers).map(|_| TestFolder::new()).collect();
         let (old, new) = (Arc::new(old), Arc::new(new));
-        let mut fleet = Fleet { discovery, old, new, folders, couriers: Vec::new(), siblings };
-        fleet.start_processes(1);
-        wait_until("each has a watch", || fleet.discovery.watches.load(Ordering::SeqCst) as u64 >= couriers);
-        fleet
+        Fleet { discovery, old, new, folders, couriers: Vec::new(), siblings }
     }
 
     fn config(&self, discovery: &Discovery, seed: u64) -> Value {
@@ -257,6 +262,28 @@
     );
 }
 
+// Guards against taking a restart for a first start, whose list counts as current, because the process before it was
+// killed before a line from its discovery.
+#[test]
+fn courier_restarted_with_another_discovery_does_not_use_a_list_that_the_former_never_confirmed() {
+    let mut fleet = Fleet::new(2, 1);
+    fleet.discovery.answer_watches(WatchAnswer::RefuseAfter(Duration::ZERO));
+    fleet.start_processes(400);
+    fleet.kill();
+    let new_discovery = Discovery::new(list(1, true, vec![endpoint_entry("s-new", &fleet.new, "ready")]));
+    new_discovery.answer_watches(WatchAnswer::RefuseAfter(Duration::ZERO));
+    fleet.discovery = new_discovery.clone();
+    let restart = Instant::now();
+    fleet.start_processes(400);
+    fleet.submit_until(restart + Duration::from_secs(2));
+    new_discovery.answer_watches(WatchAnswer::Serve);
+    fleet.submit_until(restart + Duration::from_secs(8));
+    fleet.assert_no_call_to_old_after(restart);
+    fleet.assert_new_is_used();
+    let asked = fleet.discovery.asked.lock().expect("asked").clone();
+    assert!(asked.iter().all(|call| !call.contains("index=")), "an index was used: {asked:?}");
+}
+
 // Guards against treating data that queued up while the process was stopped as a fresh list.
 #[test]
 fn courier_that_was_stopped_for_seconds_sends_nothing_to_an_endpoint_that_began_to_drain_meanwhile() {
