Brokers: settings that must wait read no file for each message; twins are one

Behaviour is unchanged, and no test.

- BrokerConnection::reconfigure looks first whether a message is in flight.
Building the options reads the password file, which was done for each message while a changed setting had to wait.
- A change of an endpoint's state looks its settings up only if it uses a session.
- BrokerAttempt takes the place of EarlierAttempt and of the lists of arguments; publish and resume share what begins an attempt.
- Whether an attempt's group has drained stands once in the MQTT client.

--- a/crates/courier/src/dispatcher/brokers.rs
+++ b/crates/courier/src/dispatcher/brokers.rs
@@ -7,7 +7,7 @@
 use super::broker_config::{BrokerSettings, broker_settings};
 use super::held_message::DeferredAction;
 use super::open_attempts::{OpenAttempts, PacketIdRecord};
-use crate::upstream::broker_connection::{BrokerConnection, ConnectionSettings};
+use crate::upstream::broker_connection::{BrokerAttempt, BrokerConnection, ConnectionSettings};
 use crate::upstream::broker_session::BrokerSession;
 use crate::upstream::endpoint_client::{BrokerTarget, Call, MAX_WRITE_AFTER_DRAIN};
 use stairshed_clock::StableTime;
@@ -15,6 +15,7 @@
 use stairshed_mqtt::Qos;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// Key prefix of the state records of sessions that are being resumed: `resuming/ADDRESS/CLIENT`.
 pub(super) const RESUMING_PREFIX: &str = "resuming/";
@@ -201,8 +202,16 @@
         let Some((_, shared)) = known.filter(|(session, _)| Rc::ptr_eq(session, &target.session)) else {
             return false;
         };
-        let (effect, first_sent_at) = (self.effect_of(call.message), self.first_sent_at(call.message));
-        shared.connection.publish(call, target, effect, first_sent_at);
+        let attempt = BrokerAttempt {
+            message: call.message,
+            attempt: call.attempt,
+            endpoint: call.endpoint,
+            accepted: &call.accepted,
+            target,
+            effect: self.effect_of(call.message),
+            first_sent_at: self.first_sent_at(call.message),
+        };
+        shared.connection.publish(&attempt, call.deadline.saturating_duration_since(Instant::now()));
         true
     }
 
@@ -252,21 +261,28 @@
             return self.leave_session(endpoint);
         }
         self.brokers.stale.insert(endpoint);
+        if self.brokers.by_endpoint.contains_key(&endpoint) {
+            self.update_endpoint_in_session(endpoint, ready);
+        }
+        if ready {
+            self.resume_attempts_at(endpoint);
+        }
+    }
+
+    /// Applies a change of an endpoint to the session that it uses: a ready one may have moved to another session.
+    fn update_endpoint_in_session(&mut self, endpoint: EndpointId, ready: bool) {
         if let Some(settings) = self.broker_settings_of(endpoint).filter(|_| ready) {
             self.leave_former_session(endpoint, &settings.session);
         }
-        if let Some(connection) = self.connection_of(endpoint) {
+        let Some(SessionUse { session, .. }) = self.brokers.by_endpoint.get(&endpoint) else { return };
+        let session = session.clone();
+        if let Some(connection) = self.connection(&session) {
             match ready {
                 true => connection.cancel_drain(endpoint),
                 false => connection.drain_after(endpoint, MAX_WRITE_AFTER_DRAIN),
             }
         }
-        if let Some(session) = self.brokers.by_endpoint.get(&endpoint).map(|of| of.session.clone()) {
-            self.update_session_use(&session);
-        }
-        if ready {
-            self.resume_attempts_at(endpoint);
-        }
+        self.update_session_use(&session);
     }
 
     /// Has all sessions and their settings checked after a change of the configuration.
--- a/crates/courier/src/dispatcher/open_attempts.rs
+++ b/crates/courier/src/dispatcher/open_attempts.rs
@@ -7,7 +7,7 @@
 use super::brokers::RESUMING_PREFIX;
 use super::held_message::HeldMessage;
 use crate::events::{AfterAttempt, CallResult};
-use crate::upstream::broker_connection::{BrokerConnection, EarlierAttempt};
+use crate::upstream::broker_connection::{BrokerAttempt, BrokerConnection};
 use crate::upstream::broker_session::BrokerSession;
 use crate::upstream::endpoint_client::BrokerTarget;
 use serde::{Deserialize, Serialize};
@@ -221,9 +221,10 @@
             let first_sent_at = self.first_sent_at(message);
             let Some(open) = self.brokers.open_attempts.by_message.get_mut(&message) else { continue };
             open.resumed = true;
-            let released = open.released;
-            let earlier = EarlierAttempt { message, attempt, accepted, first_sent_at, released };
-            connection.resume(endpoint, &earlier, &open.target, effect);
+            let (accepted, target) = (&*accepted, &open.target);
+            let resumed =
+                BrokerAttempt { message, attempt, endpoint, accepted, target, effect, first_sent_at };
+            connection.resume(&resumed, open.released);
         }
     }
 
--- a/crates/courier/src/upstream/broker_connection.rs
+++ b/crates/courier/src/upstream/broker_connection.rs
@@ -5,7 +5,7 @@
 use crate::socket::is_transient;
 use crate::system_errors::{Operation, RetryPause, report};
 use crate::upstream::broker_session::BrokerSession;
-use crate::upstream::endpoint_client::{BrokerTarget, Call};
+use crate::upstream::endpoint_client::BrokerTarget;
 use bytes::Bytes;
 use stairshed_clock::{StableClock, StableTime};
 use stairshed_config::file::{self, MqttVersion};
@@ -53,15 +53,17 @@
     endpoint: EndpointId,
 }
 
-/// An attempt of a previous process.
-pub struct EarlierAttempt {
+/// An attempt to deliver a message through a broker, by this process or a previous one.
+pub struct BrokerAttempt<'a> {
     pub message: u64,
+    /// Number of the attempt.
     pub attempt: u32,
-    pub accepted: Rc<AcceptedMessage>,
-    /// When the first attempt that may have run was sent.
+    pub endpoint: EndpointId,
+    pub accepted: &'a AcceptedMessage,
+    pub target: &'a BrokerTarget,
+    pub effect: Effect,
+    /// When the first attempt that may have run was sent: receivers remember a key from then.
     pub first_sent_at: StableTime,
-    /// Whether its PUBREC had arrived.
-    pub released: bool,
 }
 
 /// The connection of one session, served by a task of its own.
@@ -139,8 +141,12 @@
         if *self.settings.borrow() == *settings {
             return true;
         }
+        // Looked at first: building the options reads the password file.
+        if self.is_busy() {
+            return false;
+        }
         let options = client_options(&self.session, settings);
-        let changed = !self.is_busy() && self.mqtt_client.borrow_mut().reconfigure(options);
+        let changed = self.mqtt_client.borrow_mut().reconfigure(options);
         if changed {
             *self.settings.borrow_mut() = settings.clone();
             self.wake.notify_one();
@@ -180,46 +186,32 @@
         self.mqtt_client.borrow_mut().reserve()
     }
 
-    /// Publishes a message with a reserved packet id. `first_sent_at` is the time of the first attempt that may
-    /// have run, this one or an earlier one.
-    pub fn publish(&self, call: &Call, target: &BrokerTarget, effect: Effect, first_sent_at: StableTime) {
-        let in_flight = InFlight { attempt: call.attempt, endpoint: call.endpoint };
-        self.attempts.borrow_mut().insert(call.message, in_flight);
-        let response_timeout = call.deadline.saturating_duration_since(Instant::now());
-        let retransmit_until = self.retransmit_until(target.qos, effect, first_sent_at);
-        let publish = self.packet(&call.accepted, target);
-        let message = Message {
-            number: call.message,
-            group: u64::from(call.endpoint.0),
-            publish,
-            response_timeout,
-            until: self.deadline(&call.accepted),
-            retransmit_until,
-        };
-        self.with_client(|mqtt_client, now| mqtt_client.publish(target.id, message, now));
-    }
-
-    /// Restores an attempt of a previous process, whose messages go through `endpoint` now.
-    pub fn resume(
-        &self,
-        endpoint: EndpointId,
-        earlier: &EarlierAttempt,
-        target: &BrokerTarget,
-        effect: Effect,
-    ) {
-        let in_flight = InFlight { attempt: earlier.attempt, endpoint };
-        self.attempts.borrow_mut().insert(earlier.message, in_flight);
-        let accepted = &earlier.accepted;
-        let response_timeout = accepted.deadline.saturating_duration_since(self.clock.now());
-        let message = Message {
-            number: earlier.message,
-            group: u64::from(endpoint.0),
+    /// Publishes a message with a reserved packet id.
+    pub fn publish(&self, attempt: &BrokerAttempt, response_timeout: Duration) {
+        let message = self.begin(attempt, response_timeout);
+        self.with_client(|mqtt_client, now| mqtt_client.publish(attempt.target.id, message, now));
+    }
+
+    /// Restores an attempt of a previous process. `released` if its PUBREC had arrived.
+    pub fn resume(&self, attempt: &BrokerAttempt, released: bool) {
+        let response_timeout = attempt.accepted.deadline.saturating_duration_since(self.clock.now());
+        let message = self.begin(attempt, response_timeout);
+        self.with_client(|mqtt_client, now| mqtt_client.resume(attempt.target.id, message, released, now));
+    }
+
+    /// Notes an attempt as in flight, and returns its message for the state machine.
+    fn begin(&self, attempt: &BrokerAttempt, response_timeout: Duration) -> Message {
+        let BrokerAttempt { accepted, target, effect, first_sent_at, .. } = *attempt;
+        let in_flight = InFlight { attempt: attempt.attempt, endpoint: attempt.endpoint };
+        self.attempts.borrow_mut().insert(attempt.message, in_flight);
+        Message {
+            number: attempt.message,
+            group: u64::from(attempt.endpoint.0),
             publish: self.packet(accepted, target),
             response_timeout,
             until: self.deadline(accepted),
-            retransmit_until: self.retransmit_until(target.qos, effect, earlier.first_sent_at),
-        };
-        self.with_client(|mqtt_client, now| mqtt_client.resume(target.id, message, earlier.released, now));
+            retransmit_until: self.retransmit_until(target.qos, effect, first_sent_at),
+        }
     }
 
     /// The deadline of a message on the clock of this connection.
--- a/crates/mqtt/src/client.rs
+++ b/crates/mqtt/src/client.rs
@@ -359,14 +359,19 @@
 
     /// Withdraws the unsent messages of the groups whose grace period is over.
     fn withdraw_drained(&mut self, now: Time) {
-        let is_drained = |attempt: &Attempt| self.drains.get(&attempt.group).is_some_and(|at| *at <= now);
-        let drained = self.attempts.iter().filter(|(_, attempt)| is_drained(attempt)).map(|(id, _)| *id);
+        let drained =
+            self.attempts.iter().filter(|(_, attempt)| self.is_drained(attempt, now)).map(|(id, _)| *id);
         let unsent: Vec<u16> = drained.filter(|id| self.is_unsent(*id)).collect();
         for id in unsent {
             self.withdraw(id, AttemptResult::Unsent);
         }
     }
 
+    /// Whether the group of an attempt has drained: nothing of it is sent that has not been sent yet.
+    fn is_drained(&self, attempt: &Attempt, now: Time) -> bool {
+        self.drains.get(&attempt.group).is_some_and(|at| *at <= now)
+    }
+
     /// Ends an attempt and frees its packet id.
     fn ended(&mut self, id: u16, end: AttemptResult) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
@@ -697,8 +702,7 @@
         let has_expired = attempt.qos == Qos::AtLeastOnce && now >= attempt.retransmit_until;
         // Another partner may be at the address of a session that nobody uses any more, and the PUBLISH could be the
         // first one that arrives there.
-        let is_drained = self.drains.get(&attempt.group).is_some_and(|at| *at <= now);
-        let is_left = self.close_when_idle && is_drained;
+        let is_left = self.close_when_idle && self.is_drained(attempt, now);
         !has_expired && !is_left
     }
 
