Tests of hostile clients tell what the courier did during the slowest request

Change: the report names the slowest request, and how long the courier was running and waiting in the run queue meanwhile (schedstat). Bounds and checks are as they were.

--- a/crates/courier/tests/hostile/mod.rs
+++ b/crates/courier/tests/hostile/mod.rs
@@ -1,6 +1,6 @@
 //! A courier under the platform's limits, hostile clients in threads of their own, and a regular client beside them.
 
-use stairshed_rig::process_stats::{peak_resident_mb, resident_mb};
+use stairshed_rig::process_stats::{SchedulingTimes, peak_resident_mb, resident_mb};
 use stairshed_rig::*;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -135,7 +135,10 @@
         let mut answers = Vec::new();
         while Instant::now() < end {
             let id = format!("regular-{}", answers.len());
-            answers.push(timed_exchange(self.courier.address, &(self.regular)(&id)));
+            let before = SchedulingTimes::read(self.courier.id());
+            let (status, time) = timed_exchange(self.courier.address, &(self.regular)(&id));
+            let scheduling = SchedulingTimes::read(self.courier.id()).since(&before);
+            answers.push(Answer { status, time, scheduling });
             thread::sleep(REGULAR_PAUSE);
         }
         let during = resident_mb(self.courier.id());
@@ -165,6 +168,16 @@
     (answer.map(|answer| answer.status()), start.elapsed())
 }
 
+/// The answer to a request of the regular client.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// None if the connection was closed without an answer.
+    pub status: Option<u16>,
+    pub time: Duration,
+    /// What the courier spent meanwhile: a slow answer is its own doing only as far as it was running.
+    pub scheduling: SchedulingTimes,
+}
+
 /// What was seen of the courier and of the regular client's requests.
 pub struct Report {
     pub is_running: bool,
@@ -173,19 +186,20 @@
     pub peak_mb: f64,
     /// How often a hostile client has acted.
     pub rounds: usize,
-    /// Status and time of each answer to the regular client; none if the connection was closed without.
-    pub answers: Vec<(Option<u16>, Duration)>,
+    /// The answer to each request of the regular client, in order.
+    pub answers: Vec<Answer>,
 }
 
 impl Report {
     /// The longest time to an answer.
     pub fn slowest(&self) -> Duration {
-        self.answers.iter().map(|(_, time)| *time).max().unwrap_or_default()
+        self.answers.iter().map(|answer| answer.time).max().unwrap_or_default()
     }
 
     /// Number of regular requests that were not accepted within the time that a client waits.
     pub fn failed(&self) -> usize {
-        self.answers.iter().filter(|(status, time)| *status != Some(202) || *time > ANSWER_TIMEOUT).count()
+        let served = |answer: &Answer| answer.status == Some(202) && answer.time <= ANSWER_TIMEOUT;
+        self.answers.iter().filter(|answer| !served(answer)).count()
     }
 
     /// Asserts that the courier kept to its limits and served the regular client.
@@ -200,11 +214,15 @@
 impl std::fmt::Display for Report {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         let refused: Vec<_> =
-            self.answers.iter().filter(|(status, _)| *status != Some(202)).take(5).collect();
+            self.answers.iter().filter(|answer| answer.status != Some(202)).take(5).collect();
+        let slowest = self.answers.iter().enumerate().max_by_key(|(_, answer)| answer.time);
+        let (number, scheduling) =
+            slowest.map(|(number, answer)| (number, answer.scheduling)).unwrap_or_default();
         write!(
             f,
             "running {}, {:.0} MB before, {:.0} at the end, {:.0} at most; {} rounds; {} regular requests, {} failed, \
-             the slowest after {:?}; {refused:?}",
+             the slowest (number {number}) after {:?}, in which the courier was running {:?} and waiting for its core \
+             {:?}; {refused:?}",
             self.is_running,
             self.before_mb,
             self.during_mb,
@@ -212,7 +230,9 @@
             self.rounds,
             self.answers.len(),
             self.failed(),
-            self.slowest()
+            self.slowest(),
+            scheduling.running,
+            scheduling.waiting
         )
     }
 }
