--- a/crates/mqtt/src/server_test.rs
+++ b/crates/mqtt/src/server_test.rs
@@ -477,7 +477,7 @@
 // Of 5.0: MQTT-3.1.2-7, MQTT-3.1.2-8, MQTT-3.1.2-10, MQTT-3.1.3-9, MQTT-3.14.4-3
 // Of 3.1.1: MQTT-3.1.2-8, MQTT-3.1.2-10, MQTT-3.1.2-12, MQTT-3.14.4-3
 #[test]
-fn a_will_is_a_message_unless_its_client_says_farewell() {
+fn a_will_is_published_unless_its_client_disconnects_normally() {
     let will =
         |delay| Will { qos: Qos::AtLeastOnce, delay, ..Will::new("gone/van", Bytes::from_static(b"x")) };
     for version in BOTH {
