--- a/crates/courier/src/dispatcher/acceptance.rs
+++ b/crates/courier/src/dispatcher/acceptance.rs
@@ -65,10 +65,14 @@
             return respond(submission, Reply::Unavailable);
         }
         if let Some(message) = known.filter(|_| bounced.is_none()) {
+            let is_accepted = !self.acceptance.pending.contains_key(&message);
+            message_trace::log_step(
+                &submission.accepted.id,
+                format_args!("submitted again number={message} accepted={is_accepted}"),
+            );
             if let Some(waiting) = self.acceptance.unconfirmed.get_mut(&message) {
                 return waiting.clients.push(submission.reply);
             }
-            let is_accepted = !self.acceptance.pending.contains_key(&message);
             return respond(submission, if is_accepted { Reply::Accepted } else { Reply::Unavailable });
         }
         if let Some(reply) = self.reply_to_duplicate(&submission.accepted) {
@@ -260,6 +264,9 @@
         let recorded = self.flush_journal();
         for (message, reply, bounced) in accepted_messages {
             if !recorded {
+                if let Some(live) = self.journal.get(message) {
+                    message_trace::log_step(&live.accepted.id, format_args!("refused: no record written"));
+                }
                 // The message is not accepted, whether or not its client gets this reply.
                 let _ = reply.send(Reply::JournalRefused(Refusal::DiskUnreliable));
                 self.withdraw_submission(message, bounced);
--- a/crates/courier/src/dispatcher/notices.rs
+++ b/crates/courier/src/dispatcher/notices.rs
@@ -110,7 +110,11 @@
         self.notices.outcomes.holds.forget(message);
         let verdict = self.journal.get(message).and_then(|live| live.verdict);
         if let Some(live) = self.journal.get(message) {
-            message_trace::log_step(&live.accepted.id, format_args!("notice acknowledged number={message}"));
+            let late = self.clock.now().saturating_duration_since(live.accepted.deadline);
+            message_trace::log_step(
+                &live.accepted.id,
+                format_args!("notice acknowledged number={message} after_deadline={late:?}"),
+            );
         }
         self.finish_message(message, verdict);
     }
--- a/crates/courier/src/ingress/connection_counters.rs
+++ b/crates/courier/src/ingress/connection_counters.rs
@@ -101,6 +101,8 @@
 #[derive(Default)]
 pub struct ConnectionCounters {
     closed: RefCell<BTreeMap<(CloseCause, RequestProgress), u64>>,
+    /// Those of them that were closed over input that had arrived and was not read.
+    closed_unread: RefCell<BTreeMap<CloseCause, u64>>,
 }
 
 impl ConnectionCounters {
@@ -109,6 +111,11 @@
         *self.closed.borrow_mut().entry((cause, state.into())).or_default() += 1;
     }
 
+    /// Counts a connection that is closed over unread input.
+    pub fn closed_unread(&self, cause: CloseCause) {
+        *self.closed_unread.borrow_mut().entry(cause).or_default() += 1;
+    }
+
     /// The content of the admin page `/-/clients`.
     pub fn page(&self, open: &OpenConnections) -> Value {
         let mut closed: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
@@ -117,7 +124,10 @@
         }
         let open: BTreeMap<_, _> =
             open.0.iter().map(|(progress, number)| (progress.name(), number)).collect();
-        json!({"open": open, "closed": closed})
+        let closed_unread = self.closed_unread.borrow();
+        let closed_unread: BTreeMap<_, _> =
+            closed_unread.iter().map(|(cause, number)| (cause.name(), number)).collect();
+        json!({"open": open, "closed": closed, "closed_unread": closed_unread})
     }
 }
 
--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -247,6 +247,10 @@
             return;
         };
         let is_request_started = connection.state.get() == ConnectionState::ReadingHead;
+        if !is_request_started && socket::has_unread_input(&stream) {
+            self.server_state.counters.closed_unread(cause);
+            log_line!("clients: connection {id} is closed over unread input: {}", cause.name());
+        }
         match &self.rejecter {
             Some(rejecter) if cause == CloseCause::Evicted => {
                 // Its next request may already be on its way or partly read.
--- a/crates/courier/src/socket.rs
+++ b/crates/courier/src/socket.rs
@@ -116,6 +116,18 @@
     (result == 0).then(|| Duration::from_millis(info.tcpi_last_data_recv.into()))
 }
 
+/// Whether input has arrived on a connection that was not read. Asks the kernel, since the runtime may not have heard
+/// of it yet, and reads nothing.
+pub fn has_unread_input(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    loop {
+        match SockRef::from(stream).peek(&mut byte) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            peeked => return peeked.is_ok_and(|number| number > 0),
+        }
+    }
+}
+
 /// Reads available bytes and returns their number, 0 at the end of the input.
 ///
 /// # Errors
--- a/crates/courier/src/upstream/outcomes.rs
+++ b/crates/courier/src/upstream/outcomes.rs
@@ -2,6 +2,7 @@
 //! file, or both. They are retried until they are acknowledged, without a time limit.
 
 use crate::events::DispatcherEvent;
+use crate::message_trace;
 use crate::system_errors::policy::OUTCOMES_PAUSES;
 use crate::system_errors::{Backoff, Operation, report};
 use crate::upstream::http_connection::HttpConnection;
@@ -14,6 +15,7 @@
 use stairshed_config::installation::Url;
 use stairshed_journal::{LiveMessage, Verdict};
 use std::cell::Cell;
+use std::fmt::Display;
 use std::fs::OpenOptions;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -279,6 +281,16 @@
     }
 }
 
+/// Traces why a post of these notices was not acknowledged.
+fn trace_failed_post(batch: &[Notice], error: &impl Display) {
+    for notice in batch {
+        message_trace::log_step(
+            &notice.id,
+            format_args!("notice not acknowledged number={}: {error}", notice.message),
+        );
+    }
+}
+
 /// The delay before the next try, which doubles with each.
 fn next_delay(backoff: &mut Duration) -> Duration {
     let delay = *backoff;
@@ -331,7 +343,8 @@
     async fn post_once(&self, batch: &[Notice]) -> Option<StatusCode> {
         let to = self.address.get();
         let connected = HttpConnection::connect(to, CONNECT_TIMEOUT, Operation::ConnectOutcomes);
-        let mut connection = connected.await.ok()?;
+        let connected = connected.await.inspect_err(|error| trace_failed_post(batch, error));
+        let mut connection = connected.ok()?;
         let text: String = batch.iter().map(Notice::line).collect();
         let request = Request::post(&*self.path)
             .header(header::HOST, to.to_string())
@@ -340,7 +353,8 @@
             .ok()?;
         let (sent_at, timeout) = (Instant::now(), self.response_timeout.get().current());
         let response =
-            connection.send_request(request, sent_at + timeout, |status| StatusCode::OK == status).await.ok();
+            connection.send_request(request, sent_at + timeout, |status| StatusCode::OK == status).await;
+        let response = response.inspect_err(|error| trace_failed_post(batch, error)).ok();
         let elapsed = sent_at.elapsed();
         match &response {
             Some(_) => self.update_timeout(|current| current.answered(elapsed)),
