--- a/crates/courier/tests/answered_requests.rs
+++ b/crates/courier/tests/answered_requests.rs
@@ -381,3 +381,85 @@
     }
     assert!(setup.discovery.notices.lock().expect("notices").is_empty());
 }
+
+/// Stops a courier's process, writes a request on each connection, lets the process go on at `until`, and returns how
+/// many requests were not answered. The process was held up between two looks at its sockets, as by a busy machine.
+fn unanswered_after_pause(courier: &Courier, clients: &mut [BufReader<TcpStream>], until: Instant) -> usize {
+    courier.signal("-STOP");
+    for (number, client) in clients.iter_mut().enumerate() {
+        send(client, &message(&format!("paused-{number}"), "status", 7, DEADLINE_MS));
+    }
+    sleep_until(until);
+    courier.signal("-CONT");
+    clients.iter_mut().map(answer).filter(Option::is_none).count()
+}
+
+// Guards against a connection that is closed for lack of a first byte over a request that has arrived.
+#[test]
+fn request_that_arrived_before_the_first_byte_timeout_is_answered() {
+    const CLIENTS: usize = 40;
+    const MARGIN: Duration = Duration::from_millis(100);
+    let setup = TestSetup::start(|_| EndpointAction::Respond(OK));
+    let first = Instant::now();
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| connect(setup.courier.address)).collect();
+    let last = Instant::now();
+    sleep_until(first + MAX_SILENCE - MARGIN);
+    let unanswered = unanswered_after_pause(&setup.courier, &mut clients, last + MAX_SILENCE + MARGIN);
+    assert_eq!(unanswered, 0, "of {CLIENTS} requests that had arrived");
+}
+
+// Guards against a connection that the end of a stop closes over a request that has arrived.
+#[test]
+fn request_that_arrived_before_the_end_of_a_stop_is_answered() {
+    const CLIENTS: usize = 40;
+    /// A silent connection is closed before the end of a stop unless it is new by then.
+    const CONNECT_AT: Duration = Duration::from_millis(600);
+    const MARGIN: Duration = Duration::from_millis(50);
+    let setup = TestSetup::start(|_| EndpointAction::Respond(OK));
+    let start = Instant::now();
+    setup.courier.signal("-TERM");
+    sleep_until(start + CONNECT_AT);
+    let connected = (0..CLIENTS).map(|_| connect_in_time(setup.courier.address, start));
+    let mut clients: Vec<_> = connected.flatten().collect();
+    sleep_until(start + END_OF_REQUESTS - MARGIN);
+    let until = start + END_OF_REQUESTS + MARGIN;
+    let unanswered = unanswered_after_pause(&setup.courier, &mut clients, until);
+    assert!(!clients.is_empty(), "this machine held up all {CLIENTS} clients");
+    assert_eq!(unanswered, 0, "of {} requests that had arrived", clients.len());
+}
+
+// Guards against a connection that is closed for a new one over a request that has arrived.
+#[test]
+fn request_that_arrived_is_answered_though_a_new_connection_needs_a_place() {
+    let setup = TestSetup::with_sockets(SOCKETS, |_| EndpointAction::Respond(OK));
+    let courier = &setup.courier;
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| connect(courier.address)).collect();
+    thread::sleep(READ_TIME);
+    courier.signal("-STOP");
+    let newcomer = connect(courier.address);
+    let unanswered = unanswered_after_pause(courier, &mut clients, Instant::now() + READ_TIME);
+    drop(newcomer);
+    assert_eq!(unanswered, 0, "of {CLIENTS} requests that had arrived");
+}
+
+// Guards against a kept connection that counts as idle with part of a request read, since bytes of it are taken for the
+// rest of the body before: the request before came together with the one that it followed.
+#[test]
+fn request_that_has_begun_behind_requests_sent_at_once_is_answered_after_sigterm() {
+    let setup = TestSetup::start(|_| EndpointAction::Respond(OK));
+    let mut connection = connect(setup.courier.address);
+    let body = "x".repeat(8 * 1024);
+    let first = message_with("first", "status", 7, DEADLINE_MS, &body);
+    send(&mut connection, &format!("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n{first}"));
+    assert_eq!(answer(&mut connection), Some(200));
+    assert_eq!(answer(&mut connection), Some(ACCEPTED));
+    let second = message("second", "status", 7, DEADLINE_MS);
+    let (begun, rest) = second.split_at(second.len() / 2);
+    send(&mut connection, begun);
+    thread::sleep(READ_TIME);
+    setup.courier.signal("-TERM");
+    thread::sleep(READ_TIME);
+    send(&mut connection, rest);
+    let status = answer(&mut connection);
+    assert!(matches!(status, Some(202 | 429 | 503)), "{status:?}");
+}
