A repeat of a message that is not decided yet has the answer of the first submission

What callers saw: one id on two connections within a tick (5 ms): one submission was refused with 503 (MQTT: 0x97), which says that handing the message in again is harmless, and the message was taken on for the other and sent. A payment that is handed in again after such a refusal runs twice. The same for a repeat that found no memory for its body while the first submission waited for its sync.

Cause: `submit` answered a repeat of a pending message with `Unavailable` at once, and `is_accepted` counted a message that is not decided or not confirmed as not accepted. Class of bug: a final word on a message whose fate is still open.

Change: repeats of a pending message wait with it and get its reply; a submission is abandoned when all its clients have left. A query whether an id is accepted is answered once that is decided; MQTT asks it beside its other offers.

--- a/crates/courier/src/dispatcher.rs
+++ b/crates/courier/src/dispatcher.rs
@@ -297,10 +297,7 @@
             DispatcherEvent::ConfigurationChanged(update) => self.apply_configuration(*update),
             DispatcherEvent::NamesResolved(list) => self.apply_endpoint_list(list),
             DispatcherEvent::StartWatch => self.start_watch(),
-            DispatcherEvent::QueryAccepted { id, reply } => {
-                // The receiver may have been dropped.
-                let _ = reply.send(self.is_accepted(&id));
-            }
+            DispatcherEvent::QueryAccepted { id, reply } => self.query_accepted(&id, reply),
             DispatcherEvent::JournalSynced(done) => self.sync_finished(done),
             DispatcherEvent::StoreState(update) => self.store_state(update),
             DispatcherEvent::OutcomeNotified { message } => self.owner_notified(message),
--- a/crates/courier/src/dispatcher/acceptance.rs
+++ b/crates/courier/src/dispatcher/acceptance.rs
@@ -11,22 +11,51 @@
 use stairshed_decide::interface::*;
 use stairshed_journal::{AcceptedMessage, Refusal};
 use std::collections::{BTreeMap, HashMap};
+use std::iter;
+use tokio::sync::oneshot;
+
+/// Where to tell whether a message is accepted. It is dropped where that remains open.
+type AcceptedQuery = oneshot::Sender<bool>;
+
+/// Tells all who asked. A receiver may have been dropped.
+fn answer_queries(queries: Vec<AcceptedQuery>, is_accepted: bool) {
+    for query in queries {
+        let _ = query.send(is_accepted);
+    }
+}
 
 /// A submission that waits for the scheduler's decision.
 pub(super) struct PendingSubmission {
     pub(super) class: usize,
     submission: Submission,
+    /// Further submissions of its id, which are answered as it is.
+    repeats: Vec<Submission>,
+    /// Those who ask whether it is accepted.
+    queries: Vec<AcceptedQuery>,
     /// The message of the same id that has bounced, and whose notice is held back.
     bounced: Option<u64>,
     /// The memory reserved for it if it is accepted.
     memory: MessageMemory,
 }
 
+impl PendingSubmission {
+    /// Whether nobody waits for its reply any more.
+    fn is_abandoned(&self) -> bool {
+        self.submissions().all(|submission| submission.reply.is_closed())
+    }
+
+    fn submissions(&self) -> impl Iterator<Item = &Submission> {
+        iter::once(&self.submission).chain(&self.repeats)
+    }
+}
+
 /// An accepted message whose clients are not told so yet.
 struct Unconfirmed {
     /// The client that submitted the message, and those that submitted it again meanwhile.
     clients: Vec<ReplyTo>,
     /// As in [`PendingSubmission`].
+    queries: Vec<AcceptedQuery>,
+    /// As in [`PendingSubmission`].
     bounced: Option<u64>,
 }
 
@@ -65,15 +94,7 @@
             return respond(submission, Reply::Unavailable);
         }
         if let Some(message) = known.filter(|_| bounced.is_none()) {
-            let is_accepted = !self.acceptance.pending.contains_key(&message);
-            message_trace::log_step(
-                &submission.accepted.id,
-                format_args!("submitted again number={message} accepted={is_accepted}"),
-            );
-            if let Some(waiting) = self.acceptance.unconfirmed.get_mut(&message) {
-                return waiting.clients.push(submission.reply);
-            }
-            return respond(submission, if is_accepted { Reply::Accepted } else { Reply::Unavailable });
+            return self.submit_repeat(submission, message);
         }
         if let Some(reply) = self.reply_to_duplicate(&submission.accepted) {
             return respond(submission, reply);
@@ -106,7 +127,26 @@
             estimated_work: None,
             history: Past::default(),
         }));
-        self.acceptance.pending.insert(message, PendingSubmission { class, submission, bounced, memory });
+        let (repeats, queries) = (Vec::new(), Vec::new());
+        let pending = PendingSubmission { class, submission, repeats, queries, bounced, memory };
+        self.acceptance.pending.insert(message, pending);
+    }
+
+    /// Takes in a further submission of a message that is held. Its client is told what the first one is told.
+    fn submit_repeat(&mut self, repeat: Submission, message: u64) {
+        let is_accepted = !self.acceptance.pending.contains_key(&message);
+        message_trace::log_step(
+            &repeat.accepted.id,
+            format_args!("submitted again number={message} accepted={is_accepted}"),
+        );
+        if let Some(undecided) = self.acceptance.pending.get_mut(&message) {
+            return undecided.repeats.push(repeat);
+        }
+        if let Some(waiting) = self.acceptance.unconfirmed.get_mut(&message) {
+            return waiting.clients.push(repeat.reply);
+        }
+        // A client that has disconnected needs no reply.
+        let _ = repeat.reply.send(Reply::Accepted);
     }
 
     /// Whether a message has ended as bounced, and only its notice is not acknowledged yet: its client may submit
@@ -123,15 +163,19 @@
         }
     }
 
-    /// Whether a message with this id is accepted, and its record durable.
-    pub(super) fn is_accepted(&self, id: &str) -> bool {
-        let Acceptance { ids, pending, unconfirmed, .. } = &self.acceptance;
-        let is_confirmed = |message: &u64| {
-            !pending.contains_key(message)
-                && !unconfirmed.contains_key(message)
-                && !self.has_bounced(*message)
-        };
-        ids.get(id).is_some_and(is_confirmed) || self.ended_messages.contains(id)
+    /// Tells whether a message with this id is accepted, and its record durable, once that is decided.
+    pub(super) fn query_accepted(&mut self, id: &str, query: AcceptedQuery) {
+        let message = self.acceptance.ids.get(id).copied();
+        if let Some(message) = message {
+            if let Some(undecided) = self.acceptance.pending.get_mut(&message) {
+                return undecided.queries.push(query);
+            }
+            if let Some(waiting) = self.acceptance.unconfirmed.get_mut(&message) {
+                return waiting.queries.push(query);
+            }
+        }
+        let is_held = message.is_some_and(|message| !self.has_bounced(message));
+        answer_queries(vec![query], is_held || self.ended_messages.contains(id));
     }
 
     /// The refusal of a message that cannot be accepted whatever the scheduler decides.
@@ -161,18 +205,18 @@
         self.journal.can_accept(accepted).err().map(Reply::JournalRefused)
     }
 
-    /// Drops submissions whose client gave up before it had a reply: such a client counts its message as not
+    /// Drops submissions whose clients all gave up before they had a reply: such a client counts its message as not
     /// accepted and may submit it elsewhere, so it must not be sent from here.
     pub(super) fn drop_abandoned_submissions(&mut self) {
         let abandoned: Vec<u64> = self
             .acceptance
             .pending
             .iter()
-            .filter(|(_, o)| o.submission.reply.is_closed())
-            .map(|(n, _)| *n)
+            .filter(|(_, pending)| pending.is_abandoned())
+            .map(|(message, _)| *message)
             .collect();
-        for message in abandoned {
-            self.remove_pending(message);
+        for pending in abandoned.into_iter().filter_map(|message| self.remove_pending(message)) {
+            answer_queries(pending.queries, false);
         }
     }
 
@@ -187,12 +231,21 @@
     }
 
     /// Takes back a submission that the scheduler has not seen yet.
-    fn remove_pending(&mut self, message: u64) -> Option<Submission> {
-        let PendingSubmission { submission, bounced, .. } = self.acceptance.pending.remove(&message)?;
-        self.free_submitted_id(&submission.accepted.id, bounced);
+    fn remove_pending(&mut self, message: u64) -> Option<PendingSubmission> {
+        let pending = self.acceptance.pending.remove(&message)?;
+        self.free_submitted_id(&pending.submission.accepted.id, pending.bounced);
         let of = |e: &Event| matches!(e, Event::Accepted(t) if t.message.0 == message);
         self.events.retain(|e| !of(e));
-        Some(submission)
+        Some(pending)
+    }
+
+    /// Replies the same to a submission that is not accepted and to its repeats.
+    fn reject_all(&mut self, pending: PendingSubmission, reply: Reply) {
+        self.free_submitted_id(&pending.submission.accepted.id, pending.bounced);
+        for submission in iter::once(pending.submission).chain(pending.repeats) {
+            self.reject(submission, reply);
+        }
+        answer_queries(pending.queries, false);
     }
 
     /// Answers all submissions that wait, since the process ends before they could be accepted. A message that is on
@@ -200,8 +253,11 @@
     /// failed, which does not invite it to submit the message again.
     pub(super) fn end_waiting_submissions(&mut self) {
         let pending: Vec<u64> = self.acceptance.pending.keys().copied().collect();
-        for submission in pending.into_iter().filter_map(|message| self.remove_pending(message)) {
-            let _ = submission.reply.send(Reply::Unavailable);
+        for pending in pending.into_iter().filter_map(|message| self.remove_pending(message)) {
+            for submission in iter::once(pending.submission).chain(pending.repeats) {
+                let _ = submission.reply.send(Reply::Unavailable);
+            }
+            answer_queries(pending.queries, false);
         }
         let mut clients = Vec::new();
         for (message, unconfirmed) in std::mem::take(&mut self.acceptance.unconfirmed) {
@@ -221,30 +277,26 @@
             self.ensure_clock_record();
         }
         let mut accepted_messages = Vec::new();
-        for (message, PendingSubmission { class, submission, bounced, memory }) in
-            std::mem::take(&mut self.acceptance.pending)
-        {
+        for (message, pending) in std::mem::take(&mut self.acceptance.pending) {
+            let accepted = pending.submission.accepted.clone();
             if let Some(verdict) = refused.remove(&message) {
-                self.free_submitted_id(&submission.accepted.id, bounced);
                 message_trace::log_step(
-                    &submission.accepted.id,
-                    format_args!("refused at once class={} verdict={verdict:?}", submission.accepted.class),
+                    &accepted.id,
+                    format_args!("refused at once class={} verdict={verdict:?}", accepted.class),
                 );
                 let reply = match verdict {
                     Verdict::Bounced { wait } => Reply::Refused { wait },
                     Verdict::Dead | Verdict::Rejected { .. } => Reply::Failed,
                 };
-                self.reject(submission, reply);
+                self.reject_all(pending, reply);
                 continue;
             }
             // Other messages of this batch may have used up the journal's space since this one was submitted.
-            if let Err(why) = self.journal.can_accept(&submission.accepted) {
-                self.free_submitted_id(&submission.accepted.id, bounced);
+            if let Err(why) = self.journal.can_accept(&accepted) {
                 self.events.push(Event::Withdrawn { message: MessageId(message) });
-                self.reject(submission, Reply::JournalRefused(why));
+                self.reject_all(pending, Reply::JournalRefused(why));
                 continue;
             }
-            let Submission { accepted, reply, .. } = submission;
             message_trace::log_step(
                 &accepted.id,
                 format_args!(
@@ -253,25 +305,30 @@
                 ),
             );
             self.journal.accept(message, accepted.clone());
+            let PendingSubmission { class, submission, repeats, queries, bounced, memory } = pending;
             self.memory.add_message(message, memory);
             self.attempts.held.insert(message, HeldMessage { accepted, class, attempts: 0, in_flight: None });
-            accepted_messages.push((message, reply, bounced));
+            let clients = iter::once(submission).chain(repeats).map(|submission| submission.reply).collect();
+            accepted_messages.push((message, Unconfirmed { clients, queries, bounced }));
         }
         if accepted_messages.is_empty() {
             return;
         }
         let seq = self.journal.last_seq();
         let recorded = self.flush_journal();
-        for (message, reply, bounced) in accepted_messages {
+        for (message, unconfirmed) in accepted_messages {
             if !recorded {
                 if let Some(live) = self.journal.get(message) {
                     message_trace::log_step(&live.accepted.id, format_args!("refused: no record written"));
                 }
-                // The message is not accepted, whether or not its client gets this reply.
-                let _ = reply.send(Reply::JournalRefused(Refusal::DiskUnreliable));
-                self.withdraw_submission(message, bounced);
+                // The message is not accepted, whether or not its clients get this reply.
+                for reply in unconfirmed.clients {
+                    let _ = reply.send(Reply::JournalRefused(Refusal::DiskUnreliable));
+                }
+                answer_queries(unconfirmed.queries, false);
+                self.withdraw_submission(message, unconfirmed.bounced);
             } else {
-                self.acceptance.unconfirmed.insert(message, Unconfirmed { clients: vec![reply], bounced });
+                self.acceptance.unconfirmed.insert(message, unconfirmed);
                 self.run_when_durable(seq, DeferredAction::ConfirmAcceptance { message });
             }
         }
@@ -281,10 +338,12 @@
     /// it as not accepted, so the message is withdrawn if all have.
     pub(super) fn confirm_acceptance(&mut self, message: u64) {
         // At the end of a stop it was answered before.
-        let Some(Unconfirmed { clients, bounced }) = self.acceptance.unconfirmed.remove(&message) else {
+        let Some(Unconfirmed { clients, queries, bounced }) = self.acceptance.unconfirmed.remove(&message)
+        else {
             return;
         };
         let told = clients.into_iter().filter_map(|reply| reply.send(Reply::Accepted).ok()).count();
+        answer_queries(queries, told > 0);
         if told == 0 {
             if let Some(m) = self.attempts.held.get(&message) {
                 message_trace::log_step(
--- a/crates/courier/src/events.rs
+++ b/crates/courier/src/events.rs
@@ -70,7 +70,8 @@
     NamesResolved(EndpointList),
     /// Start watching discovery.
     StartWatch,
-    /// Asks whether a message with this id has been accepted.
+    /// Asks whether a message with this id is accepted. The reply comes once that is decided, and is dropped if the
+    /// courier stops before.
     QueryAccepted {
         id: String,
         reply: oneshot::Sender<bool>,
--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -311,14 +311,17 @@
             client_account.as_ref(),
         ) {
             Ok(charge) => charge,
-            Err(_) if self.is_duplicate(&parts.headers).await => {
-                // The body of a repeated message is discarded, so it is answered even without memory.
-                return match timeout(BODY_TIMEOUT, read_body(body, 0)).await {
-                    Ok(Err(BodyError::TooLarge) | Ok(_)) => reply_response(Reply::Accepted),
-                    _ => closing_response(StatusCode::BAD_REQUEST, "the body broke off\n"),
+            Err(refused) => {
+                let refusal = self.memory_budget.refusal(refused);
+                return match self.reply_without_memory(&parts.headers, refusal).await {
+                    // The body of a repeated message is discarded, so it is answered even without memory.
+                    Reply::Accepted => match timeout(BODY_TIMEOUT, read_body(body, 0)).await {
+                        Ok(Err(BodyError::TooLarge) | Ok(_)) => reply_response(Reply::Accepted),
+                        _ => closing_response(StatusCode::BAD_REQUEST, "the body broke off\n"),
+                    },
+                    reply => reply_response(reply),
                 };
             }
-            Err(refused) => return reply_response(Reply::OutOfMemory(self.memory_budget.refusal(refused))),
         };
         // The body is read before the header fields are checked, so that the connection stays usable after an
         // error.
@@ -423,12 +426,23 @@
         Some(self.memory_budget.ledger.client_account(client))
     }
 
-    /// Whether a request repeats an accepted message.
-    async fn is_duplicate(&self, headers: &HeaderMap) -> bool {
-        let Some(id) = MessageHeaders::read(headers).ok().and_then(|h| h.id) else { return false };
+    /// The reply to a request for whose body there is no memory: a repeat of an accepted message is accepted all the
+    /// same.
+    async fn reply_without_memory(&self, headers: &HeaderMap, refusal: MemoryRefusal) -> Reply {
+        let Some(id) = MessageHeaders::read(headers).ok().and_then(|h| h.id) else {
+            return Reply::OutOfMemory(refusal);
+        };
         let (reply, known) = oneshot::channel();
         let asked = self.events.send(DispatcherEvent::QueryAccepted { id: id.to_owned(), reply });
-        matches!(timeout(ENQUEUE_TIMEOUT, asked).await, Ok(Ok(()))) && known.await.unwrap_or(false)
+        if !matches!(timeout(ENQUEUE_TIMEOUT, asked).await, Ok(Ok(()))) {
+            // It is not known whether a message with this id is accepted.
+            return Reply::Failed;
+        }
+        match known.await {
+            Ok(true) => Reply::Accepted,
+            Ok(false) => Reply::OutOfMemory(refusal),
+            Err(_) => Reply::Failed,
+        }
     }
 }
 
--- a/crates/courier/src/ingress/mqtt.rs
+++ b/crates/courier/src/ingress/mqtt.rs
@@ -458,12 +458,14 @@
         let body_charge =
             match self.memory_budget.ledger.try_charge(Purpose::BodiesRead, size, client_account.as_ref()) {
                 Ok(charge) => charge,
-                // A duplicate of an accepted message is acknowledged even without memory.
-                Err(_) if self.is_duplicate(&message.id).await => {
-                    return self.on_reply(token, Reply::Accepted);
-                }
                 Err(refused) => {
-                    return self.on_reply(token, Reply::OutOfMemory(self.memory_budget.refusal(refused)));
+                    let refusal = self.memory_budget.refusal(refused);
+                    // Other offers do not wait until it is decided on.
+                    tokio::task::spawn_local(async move {
+                        let reply = self.reply_without_memory(&message.id, refusal).await;
+                        self.on_reply(token, reply);
+                    });
+                    return;
                 }
             };
         let abandoned = Rc::new(Cell::new(false));
@@ -481,11 +483,17 @@
         let _ = self.events.send(DispatcherEvent::Submitted(submission)).await;
     }
 
-    /// Whether a message with this id is already accepted.
-    async fn is_duplicate(&self, id: &str) -> bool {
+    /// The reply to an offer for which there is no memory: a duplicate of an accepted message is acknowledged all the
+    /// same.
+    async fn reply_without_memory(&self, id: &str, refusal: MemoryRefusal) -> Reply {
         let (reply, known) = oneshot::channel();
-        let asked = self.events.send(DispatcherEvent::QueryAccepted { id: id.to_owned(), reply }).await;
-        asked.is_ok() && known.await.unwrap_or(false)
+        // The dispatcher is gone once the courier has stopped.
+        let _ = self.events.send(DispatcherEvent::QueryAccepted { id: id.to_owned(), reply }).await;
+        match known.await {
+            Ok(true) => Reply::Accepted,
+            Ok(false) => Reply::OutOfMemory(refusal),
+            Err(_) => Reply::Failed,
+        }
     }
 
     /// Accepts connections until the task is dropped.
--- a/crates/courier/tests/concurrent_repeats.rs
+++ b/crates/courier/tests/concurrent_repeats.rs
@@ -2,6 +2,7 @@
 //! one is. Courier processes on loopback, over HTTP and MQTT.
 
 use stairshed_mqtt::packet::{Packet, Qos, Version};
+use stairshed_rig::machine_faults::MachineFaults;
 use stairshed_rig::mqtt_client::{MqttClient, persistent_session};
 use stairshed_rig::*;
 use std::collections::BTreeSet;
@@ -118,3 +119,35 @@
     let answers: Vec<_> = (0..MESSAGES).map(&mut publish).collect();
     assert_refused_are_not_sent(&endpoint, &answers);
 }
+
+// Guards against a repeat that finds no memory for its body, and is refused while the first submission waits for the sync
+// of its record.
+#[test]
+fn message_that_is_repeated_without_memory_before_it_is_durable_has_one_answer() {
+    const HELD_BODY_BYTES: usize = 60_000;
+    /// Time within which a courier has read what was written to it; a sync takes 200 ms.
+    const READ_TIME: Duration = Duration::from_millis(50);
+    let endpoint = Endpoint::new(|_| EndpointAction::Respond(OK));
+    let folder = TestFolder::new();
+    let file = operator_file(endpoint.address)
+        + "[journal]\ndurability = \"machine\"\n[memory]\nbodies_read = \"70KB\"\nclient_share = 1.0\n";
+    let mut command = serve_command(&folder, &file);
+    let faults = MachineFaults::load(&mut command, &folder, "");
+    let courier = Courier::spawn(&mut command);
+    faults.set("sync slow 1");
+    let open = || {
+        let stream = TcpStream::connect(courier.address).expect("a connection");
+        stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("set");
+        stream
+    };
+    let (mut first, mut holder, mut repeat) = (open(), open(), open());
+    let text = request("/pay", "once", "", &"x".repeat(20_000));
+    first.write_all(text.as_bytes()).expect("sent");
+    thread::sleep(READ_TIME);
+    let held = request("/pay", "held", "", &"x".repeat(HELD_BODY_BYTES));
+    holder.write_all(&held.as_bytes()[..held.len() / 2]).expect("sent");
+    thread::sleep(READ_TIME);
+    repeat.write_all(text.as_bytes()).expect("sent");
+    let statuses = [first, repeat].map(|s| HttpMessage::read(&mut BufReader::new(s)).expect("one").status());
+    assert_eq!(statuses, [ACCEPTED; 2], "the first submission and the repeat");
+}
