A message whose record is written is not refused when a later write of its batch fails

All messages of that batch were refused with 503, though the records of some were in the segment before. If the process ended before the withdrawal was written, the next one resumed them: refused payments were sent.

Cause: `accept_submissions` knew only whether the whole flush had worked.

Such a message is accepted; the others are refused, as before.

New unit test (a crash keeps exactly what `is_written` says).

Not covered: a kill in the middle of the retried write that holds a refused message's record and its withdrawal (suspected; docs/incidents).

--- a/crates/courier/src/dispatcher/acceptance.rs
+++ b/crates/courier/src/dispatcher/acceptance.rs
@@ -309,31 +309,37 @@
             self.memory.add_message(message, memory);
             self.attempts.held.insert(message, HeldMessage { accepted, class, attempts: 0, in_flight: None });
             let clients = iter::once(submission).chain(repeats).map(|submission| submission.reply).collect();
-            accepted_messages.push((message, Unconfirmed { clients, queries, bounced }));
+            let seq = self.journal.last_seq();
+            accepted_messages.push((message, seq, Unconfirmed { clients, queries, bounced }));
         }
         if accepted_messages.is_empty() {
             return;
         }
-        let seq = self.journal.last_seq();
-        let recorded = self.flush_journal();
-        for (message, unconfirmed) in accepted_messages {
-            if !recorded {
-                if let Some(live) = self.journal.get(message) {
-                    message_trace::log_step(&live.accepted.id, format_args!("refused: no record written"));
-                }
-                // The message is not accepted, whether or not its clients get this reply.
-                for reply in unconfirmed.clients {
-                    let _ = reply.send(Reply::JournalRefused(Refusal::DiskUnreliable));
-                }
-                answer_queries(unconfirmed.queries, false);
-                self.withdraw_submission(message, unconfirmed.bounced);
-            } else {
+        self.flush_journal();
+        for (message, seq, unconfirmed) in accepted_messages {
+            // Also if a later write of this batch failed: the next process would resume it.
+            if self.journal.is_written(seq) {
                 self.acceptance.unconfirmed.insert(message, unconfirmed);
                 self.run_when_durable(seq, DeferredAction::ConfirmAcceptance { message });
+            } else {
+                self.refuse_unrecorded(message, unconfirmed);
             }
         }
     }
 
+    /// Refuses a message whose record could not be written.
+    fn refuse_unrecorded(&mut self, message: u64, unconfirmed: Unconfirmed) {
+        if let Some(live) = self.journal.get(message) {
+            message_trace::log_step(&live.accepted.id, format_args!("refused: no record written"));
+        }
+        // The message is not accepted, whether or not its clients get this reply.
+        for client in unconfirmed.clients {
+            let _ = client.send(Reply::JournalRefused(Refusal::DiskUnreliable));
+        }
+        answer_queries(unconfirmed.queries, false);
+        self.withdraw_submission(message, unconfirmed.bounced);
+    }
+
     /// Tells the clients that wait for it that their message is accepted. A client that has disconnected counts
     /// it as not accepted, so the message is withdrawn if all have.
     pub(super) fn confirm_acceptance(&mut self, message: u64) {
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -181,6 +181,20 @@
     Some(Frame { at, end: at + frame.len(), seq, content })
 }
 
+/// Sequence number of the last record that is whole in these bytes of a segment, which begin with its header or with a
+/// frame; 0 if there is none.
+pub(crate) fn last_whole_record(bytes: &[u8]) -> u64 {
+    let mut at = if bytes.starts_with(MAGIC) { HEADER_BYTES } else { 0 };
+    let mut last_seq = 0;
+    while let Some(frame) = frame_at(bytes, at) {
+        if matches!(frame.content, Content::Record(_)) {
+            last_seq = frame.seq;
+        }
+        at = frame.end;
+    }
+    last_seq
+}
+
 /// Planted fault: reads a frame that ends with the file too early, with zeros in place of what is missing.
 fn torn_frame(bytes: &[u8], at: usize, length: usize) -> Option<Frame> {
     if length > MAX_RECORD_BYTES {
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -657,6 +657,9 @@
                 }
                 return Err(e);
             }
+            if let Op::Write { last_seq, .. } = op {
+                self.written_seq = self.written_seq.max(last_seq);
+            }
             self.log.finish_op(op);
         }
         self.flush_failed = false;
@@ -698,7 +701,7 @@
     fn execute(&mut self, op: &Op) -> Result<(), Error> {
         match op {
             Op::Create { number } => self.create_segment(*number)?,
-            Op::Write { number, at, bytes } => {
+            Op::Write { number, at, bytes, .. } => {
                 // A segment that has been removed needs no seal.
                 let Some(file) = self.files.get(number) else { return Ok(()) };
                 let mut done = 0;
@@ -709,9 +712,15 @@
                         Err(e) if e.kind() == ErrorKind::Interrupted => {}
                         Err(e) => {
                             // After a crash a partial write could restore a message whose client was refused,
-                            // so it is truncated. If that fails too, the next attempt still overwrites it.
+                            // so it is truncated. If that fails too, the next attempt overwrites it with the same
+                            // bytes.
                             let name = frame::segment_name(*number);
                             if let Err(e) = file.set_size(*at) {
+                                // A failed call may have written some bytes, too.
+                                let end = file.size().unwrap_or(at + done as u64);
+                                let kept = bytes.len().min(end.saturating_sub(*at) as usize);
+                                let last_seq = frame::last_whole_record(&bytes[..kept]);
+                                self.written_seq = self.written_seq.max(last_seq);
                                 self.tolerate(Error::io(&name, FileCall::Truncate, e));
                             }
                             return Err(Error::io(&name, FileCall::Write, e));
@@ -791,6 +800,11 @@
         self.log.last_seq()
     }
 
+    /// Whether a record would outlast a crash of the process, also after a failed [`Journal::flush`].
+    pub fn is_written(&self, seq: u64) -> bool {
+        seq <= self.written_seq
+    }
+
     /// Records up to this sequence number are durable as defined by [`Durability`]. Whatever depends on a
     /// later record must wait.
     pub fn durable(&self) -> u64 {
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -15,6 +15,8 @@
         number: u64,
         at: u64,
         bytes: Vec<u8>,
+        /// Sequence number of the last record among the bytes; 0 if there is none.
+        last_seq: u64,
     },
     /// Syncs everything queued so far before the next operation.
     Sync,
@@ -208,10 +210,10 @@
     /// The buffer of the queued write for this place; contiguous writes are merged.
     fn pending_write(&mut self, number: u64, at: u64) -> &mut Vec<u8> {
         let follows = matches!(self.queue.back(),
-            Some(Op::Write { number: n, at: a, bytes }) if *n == number && *a + bytes.len() as u64 == at);
+            Some(Op::Write { number: n, at: a, bytes, .. }) if *n == number && *a + bytes.len() as u64 == at);
         if !follows {
             let bytes = std::mem::take(&mut self.buffer);
-            self.queue.push_back(Op::Write { number, at, bytes });
+            self.queue.push_back(Op::Write { number, at, bytes, last_seq: 0 });
         }
         match self.queue.back_mut() {
             Some(Op::Write { bytes, .. }) => bytes,
@@ -246,6 +248,9 @@
         let (at, seq) = (self.extend_segment(active, size), self.next_seq);
         let to = self.pending_write(active, at);
         frame::put_frame(to, seq, |to| record.encode(to));
+        if let Some(Op::Write { last_seq, .. }) = self.queue.back_mut() {
+            *last_seq = seq;
+        }
         self.next_seq += 1;
         (seq, size)
     }
--- a/crates/journal/tests/faults.rs
+++ b/crates/journal/tests/faults.rs
@@ -505,6 +505,42 @@
     assert!(report.damages.is_empty() && state(&again) == modelled.map);
 }
 
+// Guards against a message that is refused although its record is written: the next segment could not be created, or what
+// a failed write had written could not be removed.
+#[test]
+fn after_a_failed_flush_each_record_is_as_a_crash_would_leave_it() {
+    const MESSAGES: u64 = 40;
+    let no_segment = |_, step: &Step| {
+        matches!(step, Step::Create { .. }).then_some(Fault::Fails(ErrorKind::PermissionDenied))
+    };
+    // Some records are whole in what is written.
+    let torn = |_, step: &Step| match step {
+        Step::Write { bytes, .. } => Some(Fault::Torn(bytes.len() / 2, ErrorKind::Other)),
+        Step::SetSize { .. } => Some(Fault::Fails(ErrorKind::Other)),
+        _ => None,
+    };
+    type Script = Box<dyn FnMut(usize, &Step) -> Option<Fault> + Send>;
+    let scripts: [Script; 2] = [Box::new(no_segment), Box::new(torn)];
+    for script in scripts {
+        let folder = FaultyStorage::default();
+        let (mut journal, _) = open(&folder, small_options(Durability::Process));
+        journal.flush().expect("written");
+        folder.set_fault_script(script);
+        let accept = |n| {
+            journal.accept(n, sample_message(n, 100));
+            (n, journal.last_seq())
+        };
+        let records: Vec<_> = (1..=MESSAGES).map(accept).collect();
+        assert!(journal.flush().is_err());
+        let image = FaultyStorage::from_image(folder.image());
+        let kept = state(&open(&image, small_options(Durability::Process)).0);
+        for (number, seq) in &records {
+            assert_eq!(journal.is_written(*seq), kept.contains_key(number), "{number}");
+        }
+        assert!(!kept.is_empty() && kept.len() < records.len(), "{} kept", kept.len());
+    }
+}
+
 #[test]
 fn a_crash_while_the_disk_fails_leaves_the_state_before_the_failure() {
     let folder = FaultyStorage::default();
