Half a request behind pipelined ones is not taken for the rest of a body

What callers saw: a client sent GET and POST at once and then half of a third request; SIGTERM closed the connection as idle, and the third request, of which a part was read, had no answer.

Cause: reckons the rest of a body from the bytes that came behind the head. A head that came together with the request before it is not followed, so the whole length of its body, which had been read, counted as still to come, and the third request was taken for it.

Change: without a followed head nothing is reckoned as to come, as before.

--- a/crates/courier/src/ingress/request_framing.rs
+++ b/crates/courier/src/ingress/request_framing.rs
@@ -25,7 +25,11 @@
 impl RequestFraming {
     /// Framing of the request behind this one, whose body has this length.
     pub fn next(&self, body_length: u64) -> Self {
-        let previous_body_left = body_length.saturating_sub(self.bytes_after_head as u64);
+        let previous_body_left = match self.head_complete {
+            true => body_length.saturating_sub(self.bytes_after_head as u64),
+            // Its head, and perhaps its body, came together with the request before it, and was not counted here.
+            false => 0,
+        };
         RequestFraming { previous_body_left, ..Self::default() }
     }
 
--- a/crates/courier/src/ingress/request_framing_test.rs
+++ b/crates/courier/src/ingress/request_framing_test.rs
@@ -45,3 +45,14 @@
     assert!(framing.feed(b"bcdPOST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"));
     assert_eq!((framing.content_lengths, framing.bytes_after_head), (1, 1));
 }
+
+// Guards against bytes of a request that are taken for the rest of a body which came before its head was followed.
+#[test]
+fn a_request_behind_two_that_came_at_once_is_not_taken_for_a_body() {
+    let second = "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\n".to_owned() + &"x".repeat(50);
+    let mut framing = RequestFraming::default();
+    framing.feed(format!("GET / HTTP/1.1\r\n\r\n{second}").as_bytes());
+    framing = framing.next(0);
+    framing = framing.next(50);
+    assert!(framing.feed(b"POST / HTTP/1.1\r\nHost:"), "the beginning of the third request");
+}
