Notices of the platform do not wait for time-outs of posts that an outage swallowed

What callers saw: the link to the platform falls silent for a second or more and is back. Messages whose time is up after that had their notice up to 0.88 s late, where 0.3 s are allowed: they are lost by the rule, though the receiver could be reached all the time that they had left. Nothing in the log said so.

Cause: a batch that was posted into the outage waits for its whole time-out (0.5 s for the connection, 1 s for the response) and then pauses for up to 0.5 s; four such batches take all places, and later notices queue behind them.

Change: to the platform, a batch without a response is posted once more every 150 ms beside the posts in flight, four at most (a second copy of a notice does no harm there), and pauses are 100 ms at most. An operator's receiver is posted to as before: it takes each copy for one more.

--- a/crates/courier/src/upstream/outcomes.rs
+++ b/crates/courier/src/upstream/outcomes.rs
@@ -9,6 +9,7 @@
 use crate::upstream::notice_holds::NoticeHolds;
 use crate::upstream::response_timeout::ResponseTimeout;
 use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
 use serde::Serialize;
@@ -24,20 +25,49 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
-use tokio::time::{Instant, sleep};
+use tokio::time::error::Elapsed;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time-out for connecting to the receiver of notices.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time-out for the response to a batch of notices: the platform's receiver answers at once.
+/// Time-out for the response to a batch of notices, until the receiver has shown that it takes longer.
 const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1000);
-/// The longest that an operator's receiver may take for its response.
-const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Minimum interval between log lines on a receiver that does not answer in time.
 const REPORT_INTERVAL: Duration = Duration::from_secs(60);
 /// Delay before the first retry; it doubles with each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(20);
 /// Maximum delay between retries.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
+/// Posts of one batch in flight at once, where further ones begin before the first is answered.
+const MAX_CONCURRENT_POSTS: u32 = 4;
+
+/// How a receiver is posted to.
+#[derive(Clone, Copy, Debug)]
+struct PostPolicy {
+    /// The longest that the receiver may take for its response.
+    max_response_timeout: Duration,
+    /// Maximum delay between retries.
+    max_backoff: Duration,
+    /// Time without a response after which the batch is posted once more, beside the posts in flight; None to wait for
+    /// each response. The receiver must be one to which a second copy does no harm.
+    repost_interval: Option<Duration>,
+}
+
+impl PostPolicy {
+    /// The platform's receiver answers at once, and expects a notice within 300 ms: one that was posted into an outage
+    /// must not wait for its time-out when that is over.
+    const PLATFORM: PostPolicy = PostPolicy {
+        max_response_timeout: MIN_RESPONSE_TIMEOUT,
+        max_backoff: Duration::from_millis(100),
+        repost_interval: Some(Duration::from_millis(150)),
+    };
+    /// An operator's receiver may be slow, and takes each copy for one more.
+    const OPERATOR: PostPolicy = PostPolicy {
+        max_response_timeout: Duration::from_secs(30),
+        max_backoff: MAX_BACKOFF,
+        repost_interval: None,
+    };
+}
 
 /// Reports one message that ended undelivered.
 #[derive(Clone, Debug)]
@@ -148,17 +178,19 @@
     /// Shared with batches in flight, since a reload may change it.
     address: Rc<Cell<SocketAddr>>,
     path: Rc<str>,
+    policy: PostPolicy,
     response_timeout: Rc<Cell<ResponseTimeout>>,
     /// When it was last logged that the receiver does not answer in time.
     reported: Rc<Cell<Option<Instant>>>,
 }
 
 impl HttpTarget {
-    fn new(address: SocketAddr, path: &str, max_response_timeout: Duration) -> Self {
-        let response_timeout = ResponseTimeout::new(MIN_RESPONSE_TIMEOUT, max_response_timeout);
+    fn new(address: SocketAddr, path: &str, policy: PostPolicy) -> Self {
+        let response_timeout = ResponseTimeout::new(MIN_RESPONSE_TIMEOUT, policy.max_response_timeout);
         HttpTarget {
             address: Rc::new(Cell::new(address)),
             path: path.into(),
+            policy,
             response_timeout: Rc::new(Cell::new(response_timeout)),
             reported: Rc::default(),
         }
@@ -220,7 +252,7 @@
 impl OutcomeNotifier {
     /// Notices that are posted to the platform.
     pub fn platform(address: SocketAddr) -> Self {
-        let http = HttpTarget::new(address, "/v1/outcomes", MIN_RESPONSE_TIMEOUT);
+        let http = HttpTarget::new(address, "/v1/outcomes", PostPolicy::PLATFORM);
         OutcomeNotifier { http: Some(http), file: None, rejected: None, holds: Rc::default() }
     }
 
@@ -228,7 +260,7 @@
     /// rejects as unreadable are appended to `rejected`. With `sync`, lines are synced to the device before
     /// their messages count as ended.
     pub fn operator(url: Option<&Url>, file: Option<PathBuf>, rejected: PathBuf, sync: bool) -> Self {
-        let http = url.map(|u| HttpTarget::new(u.address, &u.path, MAX_RESPONSE_TIMEOUT));
+        let http = url.map(|u| HttpTarget::new(u.address, &u.path, PostPolicy::OPERATOR));
         let notice_file = |path| Arc::new(Mutex::new(NoticeFile { path, sync }));
         OutcomeNotifier {
             http,
@@ -269,7 +301,7 @@
                 return appended;
             }
             if count == 0 {
-                sleep(next_delay(&mut backoff)).await;
+                sleep(next_delay(&mut backoff, MAX_BACKOFF)).await;
                 continue;
             }
             let now: Vec<Notice> = batch.drain(..count).collect();
@@ -281,6 +313,18 @@
     }
 }
 
+/// Waits for the first response to one of these posts; None once all have failed.
+async fn first_response(
+    posts: &mut FuturesUnordered<impl Future<Output = Result<Option<StatusCode>, Elapsed>>>,
+) -> Option<StatusCode> {
+    while let Some(ended) = posts.next().await {
+        if let Ok(Some(status)) = ended {
+            return Some(status);
+        }
+    }
+    None
+}
+
 /// Traces why a post of these notices was not acknowledged.
 fn trace_failed_post(batch: &[Notice], error: &impl Display) {
     for notice in batch {
@@ -291,10 +335,10 @@
     }
 }
 
-/// The delay before the next try, which doubles with each.
-fn next_delay(backoff: &mut Duration) -> Duration {
+/// The delay before the next try, which doubles with each up to `max`.
+fn next_delay(backoff: &mut Duration, max: Duration) -> Duration {
     let delay = *backoff;
-    *backoff = (delay * 2).min(MAX_BACKOFF);
+    *backoff = (delay * 2).min(max);
     delay
 }
 
@@ -314,11 +358,11 @@
                 return delivered;
             }
             if count == 0 {
-                sleep(next_delay(&mut backoff)).await;
+                sleep(next_delay(&mut backoff, self.policy.max_backoff)).await;
                 continue;
             }
             holds.begin(&batch[..count]);
-            let status = self.post_once(&batch[..count]).await;
+            let status = self.post(&batch[..count]).await;
             holds.end(&batch[..count]);
             match status {
                 Some(status) if status.is_success() => {
@@ -333,7 +377,22 @@
                     }
                     delivered.extend(batch.drain(..count).map(|n| n.message));
                 }
-                _ => sleep(next_delay(&mut backoff)).await,
+                _ => sleep(next_delay(&mut backoff, self.policy.max_backoff)).await,
+            }
+        }
+    }
+
+    /// Posts a batch, and posts it again while there is no response, where the policy says so. Returns the first
+    /// response; None once all posts have failed.
+    async fn post(&self, batch: &[Notice]) -> Option<StatusCode> {
+        let Some(interval) = self.policy.repost_interval else { return self.post_once(batch).await };
+        let mut posts = FuturesUnordered::new();
+        loop {
+            posts.push(timeout(interval * MAX_CONCURRENT_POSTS, self.post_once(batch)));
+            tokio::select! {
+                biased;
+                status = first_response(&mut posts) => return status,
+                () = sleep(interval) => {}
             }
         }
     }
