--- a/crates/courier/tests/mqtt.rs
+++ b/crates/courier/tests/mqtt.rs
@@ -439,3 +439,49 @@
         }
     }
 }
+
+// Guards against a client that is taken for silent, and whose will is sent, though its packet has arrived: the process was
+// held up between two looks at its sockets.
+#[test]
+fn client_whose_packet_has_arrived_is_not_taken_for_silent() {
+    /// One and a half times the keep alive of a second.
+    const KEEP_ALIVE_LIMIT: Duration = Duration::from_millis(1_500);
+    const MARGIN: Duration = Duration::from_millis(150);
+    let endpoint = Endpoint::new(|_| EndpointAction::Respond(OK));
+    let folder = TestFolder::new();
+    let courier = Courier::serve(&folder, &config_text(&endpoint, "[mqtt]\nwills = \"deliver\"\n"));
+    for (number, version) in BOTH_VERSIONS.into_iter().enumerate() {
+        let id = format!("alive-{number}");
+        let will = Will { qos: Qos::AtLeastOnce, ..Will::new("fuel/7/pay", payment_body(&id).into()) };
+        let connect = Connect { keep_alive: 1, will: Some(will), ..Connect::new(version, &id) };
+        let (mut client, connack) = MqttClient::connect(courier.mqtt(), connect);
+        assert_eq!(connack.code, 0);
+        std::thread::sleep(KEEP_ALIVE_LIMIT - MARGIN);
+        courier.signal("-STOP");
+        client.send(Packet::Pingreq);
+        std::thread::sleep(2 * MARGIN);
+        courier.signal("-CONT");
+        let answer = client.receive();
+        assert!(matches!(answer, Some(Packet::Pingresp)), "{version:?}: {answer:?}");
+        assert_eq!(call_count(&endpoint, &id), 0, "the will of a client that is connected");
+        client.send(Packet::Disconnect(Disconnect::new(0)));
+    }
+}
+
+// Guards against the same for a CONNECT that arrives before its time is up.
+#[test]
+fn connect_that_has_arrived_is_answered() {
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(2_500);
+    const MARGIN: Duration = Duration::from_millis(100);
+    let endpoint = Endpoint::new(|_| EndpointAction::Respond(OK));
+    let folder = TestFolder::new();
+    let courier = Courier::serve(&folder, &config_text(&endpoint, ""));
+    let mut client = MqttClient::open(courier.mqtt(), Version::V5);
+    std::thread::sleep(CONNECT_TIMEOUT - MARGIN);
+    courier.signal("-STOP");
+    client.send(Packet::Connect(Box::new(Connect::new(Version::V5, "late"))));
+    std::thread::sleep(2 * MARGIN);
+    courier.signal("-CONT");
+    let answer = client.receive();
+    assert!(matches!(answer, Some(Packet::Connack(_))), "{answer:?}");
+}
