MQTT: a client whose packet has arrived is not taken for silent

What callers saw: a process that is held up across the end of a client's keep alive ended the client as silent (0x8D) though its PINGREQ lay in the socket, and sent its will, which may be a payment that nobody meant; a CONNECT that had arrived got no CONNACK.

Cause: the timers of connections rest on what the process has read, as over HTTP: a final word on a client whose input has not been looked at.

Change: before a connection's timeout is handled, its socket is asked. If input has arrived, the timeout is put off by 0.2 s, once until something is received, so that a client that stops half way ends as before. The same look is taken before a packet that came to a halt ends its connection (by reading; no test shows that one).

--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -183,7 +183,7 @@
         let socket = Socket::new(stream);
         let id = self.server_state.next_id.get();
         self.server_state.next_id.set(id + 1);
-        let connection = Rc::new(ClientConnection::new(id, PeerWatch::new(&socket), memory));
+        let connection = Rc::new(ClientConnection::new(id, PeerWatch::new(&socket.stream), memory));
         self.server_state.connections.borrow_mut().insert(id, connection.clone());
         let (this, shared) = (self.clone(), connection.clone());
         let service = service_fn(move |request: Request<Incoming>| {
--- a/crates/courier/src/ingress/mqtt.rs
+++ b/crates/courier/src/ingress/mqtt.rs
@@ -13,7 +13,7 @@
 use crate::ingress::session_shares::SessionShares;
 use crate::ingress::users::Users;
 use crate::memory_budget::{MemoryBudget, MemoryRefusal};
-use crate::socket::is_transient;
+use crate::socket::{PeerWatch, is_transient};
 use crate::system_errors::{Operation, RetryPause};
 use crate::upstream::outcomes;
 use bytes::BytesMut;
@@ -93,6 +93,7 @@
 struct ConnectionOutput {
     /// The client's address.
     from: IpAddr,
+    client: PeerWatch,
     write_queue: RefCell<VecDeque<BytesMut>>,
     queued_bytes: Cell<usize>,
     /// Close once all output is written.
@@ -105,9 +106,10 @@
 }
 
 impl ConnectionOutput {
-    fn new(from: IpAddr, memory: Charge) -> Self {
+    fn new(from: IpAddr, client: PeerWatch, memory: Charge) -> Self {
         ConnectionOutput {
             from,
+            client,
             write_queue: RefCell::default(),
             queued_bytes: Cell::new(0),
             closing: Cell::new(false),
@@ -304,11 +306,25 @@
             };
             tokio::select! {
                 () = self.wake.notified() => {}
-                () = timer => self.with_machine(|machine, now| machine.handle_timeout(now)),
+                () = timer => self.handle_timeouts(),
             }
         }
     }
 
+    /// Ends connections and sessions whose time is up. A client whose input has arrived is not silent, though a process
+    /// that was held up has not read it.
+    fn handle_timeouts(&self) {
+        let outputs = self.outputs.borrow();
+        self.with_machine(|machine, now| {
+            for connection in machine.due_connections(now) {
+                if outputs.get(&connection).is_some_and(|output| output.client.has_unread_input()) {
+                    machine.input_arrived(connection, now);
+                }
+            }
+            machine.handle_timeout(now);
+        });
+    }
+
     async fn apply_effect(self: Rc<Self>, effect: Effect) {
         match effect {
             Effect::Write { connection, bytes } => {
@@ -561,7 +577,8 @@
 
     async fn serve(self: Rc<Self>, connection: u64, socket: TcpStream, from: IpAddr, memory: Charge) {
         let _ = socket.set_nodelay(true);
-        let output = Rc::new(ConnectionOutput::new(from, memory));
+        let socket = Rc::new(socket);
+        let output = Rc::new(ConnectionOutput::new(from, PeerWatch::new(&socket), memory));
         self.outputs.borrow_mut().insert(connection, output.clone());
         self.with_machine(|machine, now| machine.connection_accepted(connection, now));
         let _ = self.run_io(connection, &socket, &output).await;
@@ -569,6 +586,7 @@
         output.memory.take();
         if let Some(received) = output.evicted.take() {
             // Its CONNECT may already be on its way or partly read.
+            let Some(socket) = Rc::into_inner(socket) else { return };
             return self.rejecter.reject(socket, Protocol::Mqtt, Rejection::connections(), received);
         }
         // Writes the remaining output, if the client reads it in time.
@@ -624,7 +642,9 @@
             tokio::select! {
                 () = output.wake.notified() => {}
                 () = sleep_until(last_read + PACKET_STALL_TIMEOUT), if is_partial => {
-                    self.with_machine(|machine, now| machine.input_stalled(connection, now));
+                    if !output.client.has_unread_input() {
+                        self.with_machine(|machine, now| machine.input_stalled(connection, now));
+                    }
                     last_read = Instant::now();
                 }
                 ready = ready => {
--- a/crates/courier/src/ingress/mqtt_test.rs
+++ b/crates/courier/src/ingress/mqtt_test.rs
@@ -85,7 +85,8 @@
     /// Sends a CONNECT on a new connection and returns its output.
     async fn connect(&self, connection: u64, connect: Connect) -> Rc<ConnectionOutput> {
         let memory = self.server.memory_budget.ledger.force_charge(Purpose::Clients, 0);
-        let output = Rc::new(ConnectionOutput::new(IpAddr::from([127, 0, 0, 1]), memory));
+        let output =
+            Rc::new(ConnectionOutput::new(IpAddr::from([127, 0, 0, 1]), PeerWatch::default(), memory));
         self.server.outputs.borrow_mut().insert(connection, output.clone());
         self.server.with_machine(|machine, now| machine.connection_accepted(connection, now));
         self.send(connection, Packet::Connect(Box::new(connect))).await;
--- a/crates/courier/src/socket.rs
+++ b/crates/courier/src/socket.rs
@@ -185,13 +185,13 @@
 
 /// Tells whether the other side of a connection has closed it. Reading would tell only after all input that came
 /// before, which may be much.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct PeerWatch(Weak<TcpStream>);
 
 impl PeerWatch {
     /// Watches a connection, without keeping it open.
-    pub fn new(socket: &Socket) -> Self {
-        PeerWatch(Rc::downgrade(&socket.stream))
+    pub fn new(stream: &Rc<TcpStream>) -> Self {
+        PeerWatch(Rc::downgrade(stream))
     }
 
     /// See [`has_unread_input`]; false once this side has dropped the connection.
--- a/crates/mqtt/src/server.rs
+++ b/crates/mqtt/src/server.rs
@@ -178,6 +178,8 @@
     pending_qos0: usize,
     /// Its entry in `Server::deadlines`.
     due: Option<Time>,
+    /// Its timeout was put off for input that has arrived and was not read.
+    awaits_read: bool,
     /// Reading is paused.
     paused: bool,
 }
@@ -437,6 +439,7 @@
                 Ok(None) => return,
                 Ok(Some(packet)) => {
                     c.last_received = now;
+                    c.awaits_read = false;
                     if let Err(error) = self.handle_packet(connection, packet, now) {
                         return self.fail(connection, error, now);
                     }
@@ -501,6 +504,17 @@
         self.end(connection, error.code, error.reason, Properties::new(), now);
     }
 
+    /// Connections whose timeout is due. Before [`Server::handle_timeout`], [`Server::input_arrived`] is to be called for
+    /// each of them that has unread input.
+    pub fn due_connections(&self, now: Time) -> Vec<u64> {
+        let due = self.deadlines.iter().take_while(|(at, _)| *at <= now);
+        due.filter_map(|(_, due)| match due {
+            Due::Connection(connection) => Some(*connection),
+            Due::Session(_) => None,
+        })
+        .collect()
+    }
+
     /// Handles all timeouts that are due.
     pub fn handle_timeout(&mut self, now: Time) {
         while let Some((at, due)) = self.deadlines.first().copied().filter(|(at, _)| *at <= now) {
--- a/crates/mqtt/src/server/connection.rs
+++ b/crates/mqtt/src/server/connection.rs
@@ -14,6 +14,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// Time in which input that has arrived is read.
+const READ_GRACE_PERIOD: Time = Duration::from_millis(200);
+
 impl Server {
     /// The oldest connection that has sent no CONNECT, and when it was accepted.
     pub fn oldest_without_connect(&self) -> Option<(u64, Time)> {
@@ -37,6 +40,7 @@
             request_problem_info: true,
             pending_qos0: 0,
             due: None,
+            awaits_read: false,
             paused: false,
         };
         self.connections.insert(connection, of);
@@ -317,6 +321,15 @@
         self.offer(owner, 0, will_message(&will), None, true);
     }
 
+    /// Puts off the timeout of a connection whose input has arrived and was not read, once until something is received:
+    /// a process that was held up reads it next.
+    pub fn input_arrived(&mut self, connection: u64, now: Time) {
+        let Some(c) = self.connections.get_mut(&connection) else { return };
+        if !std::mem::replace(&mut c.awaits_read, true) {
+            self.set_timeout(connection, now + READ_GRACE_PERIOD);
+        }
+    }
+
     pub(super) fn check_keep_alive(&mut self, connection: u64, now: Time) {
         let Some(c) = self.connections.get_mut(&connection) else { return };
         c.due = None;
--- a/crates/mqtt/src/server_test.rs
+++ b/crates/mqtt/src/server_test.rs
@@ -750,3 +750,20 @@
         assert!(harness.server.estimated_input_bytes() > 0);
     }
 }
+
+// Guards against a client that is ended as silent though its packet has arrived, and against one that is never ended.
+#[test]
+fn timeout_is_put_off_once_for_input_that_has_arrived() {
+    let mut server = Server::new(limits(), StableTime::EPOCH, 7);
+    server.connection_accepted(1, Time::ZERO);
+    let due = limits().connect_timeout;
+    assert_eq!(server.due_connections(due), [1]);
+    server.input_arrived(1, due);
+    server.handle_timeout(due);
+    assert!(server.poll().is_none(), "it waits for the read");
+    let later = server.timeout().expect("another timeout");
+    assert!(later > due && later <= due + Duration::from_millis(500), "{later:?}");
+    server.input_arrived(1, later);
+    server.handle_timeout(later);
+    assert!(matches!(server.poll(), Some(Effect::Close { connection: 1 })), "nothing was read");
+}
