--- a/crates/courier/tests/answered_requests.rs
+++ b/crates/courier/tests/answered_requests.rs
@@ -468,3 +468,31 @@
     let status = answer(&mut connection);
     assert!(matches!(status, Some(202 | 429 | 503)), "{status:?}");
 }
+
+// Guards against a repeat whose body is read only to be discarded, since there is no memory for it, and that the end of a
+// stop cuts off.
+#[test]
+fn repeat_without_memory_whose_body_comes_slowly_is_answered_at_the_end_of_a_stop() {
+    const CONNECT_AT: Duration = Duration::from_millis(350);
+    /// A body may take 700 ms, and is incomplete when the courier ends all requests.
+    const BEGIN_AT: Duration = Duration::from_millis(2_600);
+    let (folder, endpoint) = (TestFolder::new(), Endpoint::new(|_| EndpointAction::Respond(OK)));
+    let memory = "[memory]\nbodies_read = \"70KB\"\nclient_share = 1.0\n";
+    let courier = Courier::serve(&folder, &(operator_file(endpoint.address) + memory));
+    let repeated = request("/pay", "known", "", &"x".repeat(20_000));
+    let mut first = connect(courier.address);
+    send(&mut first, &repeated);
+    assert_eq!(answer(&mut first), Some(ACCEPTED));
+    let start = Instant::now();
+    courier.signal("-TERM");
+    sleep_until(start + CONNECT_AT);
+    let clients = (connect_in_time(courier.address, start), connect_in_time(courier.address, start));
+    let (Some(mut holder), Some(mut repeat)) = clients else { panic!("this machine held up both clients") };
+    sleep_until(start + BEGIN_AT);
+    let held = request("/pay", "held", "", &"x".repeat(60_000));
+    send(&mut holder, &held[..held.len() / 2]);
+    thread::sleep(READ_TIME);
+    send(&mut repeat, &repeated[..repeated.len() / 2]);
+    assert_eq!(answer(&mut repeat), Some(ACCEPTED), "the repeat");
+    assert!(answer(&mut holder).is_some(), "the request that has the memory");
+}
