A repeat whose body is discarded is answered at the end of a stop

What callers saw: a request that was read in part when the process ended had no answer.

Cause: the body of a repeat for which there is no memory was read without regard to `end_of_body`, by which the end of a stop ends the reading of all others.

Change: it ends that one, too; the repeat is answered 202, since its message is on record.

--- a/crates/courier/src/ingress/http.rs
+++ b/crates/courier/src/ingress/http.rs
@@ -320,9 +320,13 @@
                 let refusal = self.memory_budget.refusal(refused);
                 return match self.reply_without_memory(&parts.headers, refusal).await {
                     // The body of a repeated message is discarded, so it is answered even without memory.
-                    Reply::Accepted => match timeout(BODY_TIMEOUT, read_body(body, 0)).await {
-                        Ok(Err(BodyError::TooLarge) | Ok(_)) => reply_response(Reply::Accepted),
-                        _ => closing_response(StatusCode::BAD_REQUEST, "the body broke off\n"),
+                    Reply::Accepted => tokio::select! {
+                        biased;
+                        read = timeout(BODY_TIMEOUT, read_body(body, 0)) => match read {
+                            Ok(Err(BodyError::TooLarge) | Ok(_)) => reply_response(Reply::Accepted),
+                            _ => closing_response(StatusCode::BAD_REQUEST, "the body broke off\n"),
+                        },
+                        () = connection.end_of_body.notified() => reply_response(Reply::Accepted),
                     },
                     reply => reply_response(reply),
                 };
