--- a/crates/courier/tests/answered_requests.rs
+++ b/crates/courier/tests/answered_requests.rs
@@ -99,6 +99,19 @@
     thread::sleep(at.saturating_duration_since(Instant::now()));
 }
 
+/// Sends half of a request, tells the courier to stop, and sends the rest. Asserts that it is answered.
+fn assert_answered_across_sigterm(courier: &Courier, connection: &mut BufReader<TcpStream>) {
+    let text = message("across", "status", 7, DEADLINE_MS);
+    let (begun, rest) = text.split_at(text.len() / 2);
+    send(connection, begun);
+    thread::sleep(READ_TIME);
+    courier.signal("-TERM");
+    thread::sleep(READ_TIME);
+    send(connection, rest);
+    let status = answer(connection);
+    assert!(matches!(status, Some(202 | 429 | 503)), "{status:?}");
+}
+
 /// Ids of the requests that a courier's log calls received.
 fn received(log: &[String]) -> BTreeSet<&str> {
     let steps = log.iter().filter(|line| line.starts_with("follow ") && line.contains(" received "));
@@ -227,15 +240,7 @@
     let mut connection = connect(setup.courier.address);
     send(&mut connection, &message("first", "status", 7, DEADLINE_MS));
     assert_eq!(answer(&mut connection), Some(ACCEPTED));
-    let second = message("second", "status", 7, DEADLINE_MS);
-    let (begun, rest) = second.split_at(second.len() / 2);
-    send(&mut connection, begun);
-    thread::sleep(READ_TIME);
-    setup.courier.signal("-TERM");
-    thread::sleep(READ_TIME);
-    send(&mut connection, rest);
-    let status = answer(&mut connection);
-    assert!(matches!(status, Some(202 | 429 | 503)), "{status:?}");
+    assert_answered_across_sigterm(&setup.courier, &mut connection);
 }
 
 // Guards against an answer that is lost because its connection closes over part of the next request: SIGTERM comes while
@@ -458,15 +463,7 @@
     send(&mut connection, &format!("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n{first}"));
     assert_eq!(answer(&mut connection), Some(200));
     assert_eq!(answer(&mut connection), Some(ACCEPTED));
-    let second = message("second", "status", 7, DEADLINE_MS);
-    let (begun, rest) = second.split_at(second.len() / 2);
-    send(&mut connection, begun);
-    thread::sleep(READ_TIME);
-    setup.courier.signal("-TERM");
-    thread::sleep(READ_TIME);
-    send(&mut connection, rest);
-    let status = answer(&mut connection);
-    assert!(matches!(status, Some(202 | 429 | 503)), "{status:?}");
+    assert_answered_across_sigterm(&setup.courier, &mut connection);
 }
 
 // Guards against a repeat whose body is read only to be discarded, since there is no memory for it, and that the end of a
--- a/crates/courier/tests/concurrent_repeats.rs
+++ b/crates/courier/tests/concurrent_repeats.rs
@@ -67,23 +67,12 @@
     assert_refused_are_not_sent(&endpoint, &answers);
 }
 
-fn operator_file(endpoint: SocketAddr) -> String {
-    format!(
-        "name = \"depot\"\n[listen]\nhttp = \"127.0.0.1:0\"\nmqtt = \"127.0.0.1:0\"\n\
-         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\nremember = \"1h\"\n\
-         [pools.p]\nendpoints = [{{ address = \"{endpoint}\" }}]\n\
-         [routes.pay]\nprefix = \"/pay\"\npool = \"p\"\nclass = \"payment\"\n\
-         [topics.pay]\nfilter = \"pay\"\npool = \"p\"\nclass = \"payment\"\n\
-         identity = {{ pointer = \"/id\" }}\nidentity_scope = \"all\"\n"
-    )
-}
-
 // Guards against the same with an operator's file.
 #[test]
 fn message_that_is_submitted_twice_at_once_has_one_answer() {
     let endpoint = Endpoint::new(|_| EndpointAction::Respond(OK));
     let folder = TestFolder::new();
-    let courier = Courier::serve(&folder, &operator_file(endpoint.address));
+    let courier = Courier::serve(&folder, &payments_file(endpoint.address, ""));
     let submit = |number: usize| {
         let id = format!("twice-{number}");
         let text = request("/pay", &id, "", "42 EUR");
@@ -99,7 +88,7 @@
 fn message_that_is_published_twice_at_once_has_one_answer() {
     let endpoint = Endpoint::new(|_| EndpointAction::Respond(OK));
     let folder = TestFolder::new();
-    let courier = Courier::serve(&folder, &operator_file(endpoint.address));
+    let courier = Courier::serve(&folder, &payments_file(endpoint.address, ""));
     let connect = |name| MqttClient::connect(courier.mqtt(), persistent_session(Version::V5, name)).0;
     let mut clients = [connect("first"), connect("second")];
     let mut publish = |number: usize| {
@@ -129,8 +118,8 @@
     const READ_TIME: Duration = Duration::from_millis(50);
     let endpoint = Endpoint::new(|_| EndpointAction::Respond(OK));
     let folder = TestFolder::new();
-    let file = operator_file(endpoint.address)
-        + "[journal]\ndurability = \"machine\"\n[memory]\nbodies_read = \"70KB\"\nclient_share = 1.0\n";
+    let lines = "[journal]\ndurability = \"machine\"\n[memory]\nbodies_read = \"70KB\"\nclient_share = 1.0\n";
+    let file = payments_file(endpoint.address, lines);
     let mut command = serve_command(&folder, &file);
     let faults = MachineFaults::load(&mut command, &folder, "");
     let courier = Courier::spawn(&mut command);
--- a/crates/courier/tests/failing_journal.rs
+++ b/crates/courier/tests/failing_journal.rs
@@ -22,6 +22,7 @@
 const FIRST_ERROR: u8 = 0x80;
 /// Time in which a message that was resumed is sent.
 const DELIVERY_TIME: Duration = Duration::from_secs(1);
+const SMALL_JOURNAL: &str = "[journal]\nroom = \"3MB\"\n";
 const NO_FILE_CAN_BE_CREATED: &str = "open EMFILE 1";
 
 fn id_of(number: usize) -> String {
@@ -86,24 +87,12 @@
     assert_refused_are_not_sent(|| command(&folder, &discovery, &config), &folder, &endpoint, submit);
 }
 
-fn operator_file(endpoint: SocketAddr) -> String {
-    format!(
-        "name = \"depot\"\n[listen]\nhttp = \"127.0.0.1:0\"\nmqtt = \"127.0.0.1:0\"\n\
-         [journal]\nroom = \"3MB\"\n\
-         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\nremember = \"1h\"\n\
-         [pools.p]\nendpoints = [{{ address = \"{endpoint}\" }}]\n\
-         [routes.pay]\nprefix = \"/pay\"\npool = \"p\"\nclass = \"payment\"\n\
-         [topics.pay]\nfilter = \"pay\"\npool = \"p\"\nclass = \"payment\"\n\
-         identity = {{ pointer = \"/id\" }}\nidentity_scope = \"all\"\n"
-    )
-}
-
 // Guards against the same with an operator's file.
 #[test]
 fn message_that_is_refused_for_a_failing_journal_is_not_sent() {
     let endpoint = Endpoint::new(|_| EndpointAction::RespondDistinct(MS));
     let folder = TestFolder::new();
-    let file = operator_file(endpoint.address);
+    let file = payments_file(endpoint.address, SMALL_JOURNAL);
     let body = "x".repeat(BODY_BYTES);
     let texts: Vec<_> = (0..MESSAGES).map(|n| request("/pay", &id_of(n), "", &body)).collect();
     let submit = |courier: &Courier| submit_all(courier.address, &texts);
@@ -115,7 +104,7 @@
 fn message_that_is_refused_over_mqtt_for_a_failing_journal_is_not_sent() {
     let endpoint = Endpoint::new(|_| EndpointAction::RespondDistinct(MS));
     let folder = TestFolder::new();
-    let file = operator_file(endpoint.address);
+    let file = payments_file(endpoint.address, SMALL_JOURNAL);
     let padding = "x".repeat(BODY_BYTES);
     let submit = |courier: &Courier| {
         let connect = |n| MqttClient::connect(courier.mqtt(), persistent_session(Version::V5, n)).0;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -783,6 +783,19 @@
     serve_command_of(&program(), folder, file)
 }
 
+/// Returns an operator's file for payments to one endpoint: over HTTP at `/pay`, and over MQTT at `pay`, where the payload
+/// is JSON with an `id`. `lines` are added to it.
+pub fn payments_file(endpoint: SocketAddr, lines: &str) -> String {
+    format!(
+        "name = \"depot\"\n[listen]\nhttp = \"127.0.0.1:0\"\nmqtt = \"127.0.0.1:0\"\n\
+         [classes.payment]\neffect = \"once\"\ndeadline = \"20s\"\nremember = \"1h\"\n\
+         [pools.p]\nendpoints = [{{ address = \"{endpoint}\" }}]\n\
+         [routes.pay]\nprefix = \"/pay\"\npool = \"p\"\nclass = \"payment\"\n\
+         [topics.pay]\nfilter = \"pay\"\npool = \"p\"\nclass = \"payment\"\n\
+         identity = {{ pointer = \"/id\" }}\nidentity_scope = \"all\"\n{lines}"
+    )
+}
+
 /// Wraps a courier's command so that it ignores SIGXFSZ. Beyond the file size limit the kernel sends that
 /// signal, which would end the process; when it is ignored, the write fails with EFBIG.
 pub fn ignoring_file_size_signal(command: &Command) -> Command {
