Fault scenarios: a bounce whose log line is read late counts by its place in the log

Traced by the courier's own times: the message bounced at .268, the repeat was received and answered at .279; the runner read both lines 8 ms after the client had the answer and so put the bounce behind it. The courier kept the rule.

Change: a refused repeat is also excused if the courier's log, in its own order, has the bounce before the line on this answer, both read within 0.1 s of it. A bounce behind the answer, an answer with another status or a later one excuse nothing, as before.

--- a/crates/testkit/src/verdict/repeats.rs
+++ b/crates/testkit/src/verdict/repeats.rs
@@ -2,11 +2,13 @@
 //! has bounced. Clients repeat within that time only. On the platform, whose notices end an id for good, it is not
 //! taken on again after it bounced either.
 
-use super::Judgement;
+use super::{Judgement, NOTE_TIME};
 use crate::record::{ACCEPTED, LogLine, Record, Submission, is_step};
 use crate::scenario::StartMode;
 use std::time::Instant;
 
+/// First word of the log line on an answer that is decided.
+const ANSWERED: &str = "answered";
 /// Words in the log line on a message that never ran, whose id is free from then on.
 const BOUNCED: &str = "verdict=Bounced";
 
@@ -49,7 +51,20 @@
 /// Whether a repeat of a message that was taken on and has never bounced was refused.
 fn was_refused(record: &Record, repeat: &Submission) -> bool {
     let refused = repeat.answer.filter(|(_, status)| *status != ACCEPTED);
-    refused.is_some_and(|(at, _)| {
-        was_accepted(record, &repeat.id, repeat.sent) && !bounced(record, &repeat.id, record.begun, at)
+    refused.is_some_and(|(at, status)| {
+        was_accepted(record, &repeat.id, repeat.sent)
+            && !bounced(record, &repeat.id, record.begun, at)
+            && !bounced_before_answer(record, repeat, at, status)
     })
 }
+
+/// Whether the courier logged that the message bounces before it logged this answer to a repeat. The runner may read both
+/// lines only after the client has the answer.
+fn bounced_before_answer(record: &Record, repeat: &Submission, at: Instant, status: u16) -> bool {
+    let of_courier = record.log.iter().filter(|line| line.courier == repeat.courier);
+    let lines = of_courier.filter(|line| line.at <= at + NOTE_TIME);
+    let mut from_bounce =
+        lines.skip_while(|line| !(is_step(&line.text, &repeat.id, "ends") && line.text.contains(BOUNCED)));
+    let answer = format!("status={status}");
+    from_bounce.any(|line| is_step(&line.text, &repeat.id, ANSWERED) && line.text.ends_with(&answer))
+}
--- a/crates/testkit/src/verdict_test.rs
+++ b/crates/testkit/src/verdict_test.rs
@@ -533,6 +533,24 @@
     assert_eq!(judgement(&record, Rule::RepeatsRecognised), Judgement::Held);
 }
 
+// Guards against a sound run that is called broken (scenario `resubmitted-platform`, seed 425): the runner reads the log
+// later than the client reads its answer. The order of the courier's lines counts then.
+#[test]
+fn a_bounce_that_is_read_late_counts_by_its_place_in_the_log() {
+    let rule = Rule::RepeatsRecognised;
+    let refused = |steps: [&str; 2], at_ms: u64| {
+        let mut record = resubmitted(&[0]);
+        record.submissions[1].answer = Some((record.begun + ms(500), 503));
+        steps.into_iter().for_each(|words| record.step("payment-1", at_ms, words));
+        record
+    };
+    let (bounce, answer) = ("ends verdict=Bounced { wait: None } attempts=1", "answered status=503");
+    assert_eq!(judgement(&refused([bounce, answer], 508), rule), Judgement::Held);
+    assert!(offender(&refused([answer, bounce], 508), rule).is_some(), "it bounced after the answer");
+    assert!(offender(&refused([bounce, answer], 700), rule).is_some(), "another answer");
+    assert!(offender(&refused([bounce, "answered status=202"], 508), rule).is_some(), "another answer");
+}
+
 #[test]
 fn the_second_life_of_a_message_that_bounced_may_be_lost() {
     let mut record = resubmitted(&[0, 500]);
