A client that does not take its answer can be evicted again, whatever it has sent

Cause, found on reading once more: can_be_evicted looked at the socket in every state but ReadingHead, so a connection whose answer its client does not take (evictable after 1 s) was kept for as long as input of it lay unread. Suspected, not shown by a run.

Change: only connections between requests are asked for unread input, as meant; the test for these states stands once (is_idle).

--- a/crates/courier/src/ingress/client_connection.rs
+++ b/crates/courier/src/ingress/client_connection.rs
@@ -130,9 +130,12 @@
     /// Whether no request is on the connection, neither one that was read nor one that has arrived. What has arrived is
     /// asked of the socket: a process that was held up has not read it.
     pub fn is_at_rest(&self) -> bool {
-        let is_idle =
-            matches!(self.state.get(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle { .. });
-        is_idle && !self.client.has_unread_input()
+        self.is_idle() && !self.client.has_unread_input()
+    }
+
+    /// Whether nothing was read of a request that is not answered.
+    fn is_idle(&self) -> bool {
+        matches!(self.state.get(), ConnectionState::AwaitingFirstByte | ConnectionState::Idle { .. })
     }
 
     /// When the connection is closed unless more of a request arrives; `None` while no head is awaited. A first byte
@@ -165,9 +168,9 @@
         self.since.get().elapsed() > MIN_SHED_IDLE_TIME && self.is_at_rest()
     }
 
-    /// Whether it may be evicted by its rank: not while a request has arrived that will be read at once.
+    /// Whether it may be evicted by its rank: not between requests while one has arrived that will be read at once.
     pub fn can_be_evicted(&self) -> bool {
-        self.state.get() == ConnectionState::ReadingHead || !self.client.has_unread_input()
+        !self.is_idle() || self.is_at_rest()
     }
 
     /// Order of eviction when connections or memory run out: lowest first, `None` never. A connection that
